Lay out the workspace and agree the borders between crates

Cause: the repository was empty, and the parts of the dispatcher can only be built side by side once their borders stand.

--- /dev/null
+++ b/crates/cuminkeel/src/main.rs
@@ -0,0 +1,3 @@
+//! The `cuminkeel` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -0,0 +1,9 @@
+//! Decisions on jobs and tasks: whose turn it is, which backend server runs a
+//! task, which job is refused, which server is taken out.
+//!
+//! The crate does no I/O and reads no clock. A shell feeds [`event::DispatchEvent`]s
+//! with the time of each into a [`policy::DispatchPolicy`] and carries out the
+//! [`event::DispatchAction`]s that come back.
+
+pub mod event;
+pub mod policy;
--- /dev/null
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Filled in the next commit.
