--- /dev/null
+++ b/crates/cuminkeel_config/tests/config/main.rs
@@ -0,0 +1,4 @@
+//! Contract tests of the configuration's decisions.
+
+mod support;
+mod verdicts;
