--- a/crates/cuminkeel_config/src/lib.rs
+++ b/crates/cuminkeel_config/src/lib.rs
@@ -6,13 +6,20 @@
 //! Nothing in this crate does I/O or reads a clock.
 
 pub mod chain;
+pub mod change;
 pub mod edit;
 pub mod fold;
+pub mod follower;
 mod frame;
 pub mod lists;
+pub mod page;
+pub mod peer;
 pub mod record;
 mod removed;
 pub mod rules;
+pub mod schedule;
+pub mod session;
+pub mod snapshot;
 pub mod verdict;
 
 /// Log stream that operators append edits to.
--- a/crates/cuminkeel_config/tests/config/main.rs
+++ b/crates/cuminkeel_config/tests/config/main.rs
@@ -1,4 +1,6 @@
 //! Contract tests of the configuration's decisions.
 
+mod fake_log;
+mod sessions;
 mod support;
 mod verdicts;
