--- a/crates/cuminkeel_platform/src/border.rs
+++ b/crates/cuminkeel_platform/src/border.rs
@@ -113,7 +113,7 @@
 }
 
 /// The VM list at some time in the near past.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmList {
     /// Grows with each change.
     pub version: u64,
