Dispatch: job table, local allowance gate and the baseline policies

Cause: the lead needs a working policy behind DispatchPolicy to wire an entry.

The probes of two_choices are the new ProbeServer action and ServerProbed event. AllowanceGate is the border to the allowance, LocalGate its default.

--- a/crates/cuminkeel_dispatch/src/event.rs
+++ b/crates/cuminkeel_dispatch/src/event.rs
@@ -82,6 +82,15 @@
         /// Encoded message, the policy's own format.
         payload: Vec<u8>,
     },
+    /// A probe was answered or given up.
+    ServerProbed {
+        /// The probe, as numbered by [`DispatchAction::ProbeServer`].
+        probe: u64,
+        /// The server probed.
+        server: names::ServerName,
+        /// Slots in use; none if the probe got no answer in time.
+        busy: Option<u32>,
+    },
     /// This entry was told to leave: refuse new jobs, finish the accepted.
     DrainStarted,
     /// The time named by [`crate::policy::DispatchPolicy::next_wakeup`] has come.
@@ -115,6 +124,14 @@
         /// Its answer.
         answer: outcome::JobAnswer,
     },
+    /// Ask a server for its usage, once. The answer, or the lack of one within a
+    /// few milliseconds, comes back as [`DispatchEvent::ServerProbed`].
+    ProbeServer {
+        /// Number of the probe, unique within the policy.
+        probe: u64,
+        /// Whom to ask.
+        server: names::ServerName,
+    },
     /// Send a message to a sibling's policy.
     SendSibling {
         /// Receiver.
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -5,5 +5,9 @@
 //! with the time of each into a [`policy::DispatchPolicy`] and carries out the
 //! [`event::DispatchAction`]s that come back.
 
+pub mod baseline;
 pub mod event;
+pub mod factory;
+pub mod job_table;
 pub mod policy;
+pub mod share;
