Carry messages between entries over UDP and TCP

Cause: services need members and proved messages before they can be wired.

Change: authenticated versioned frames with replay windows, membership decisions free of I/O (heartbeats to observers on a ring in each failure domain, digests across domains), and a MeshPort over UDP and TCP on one port. MeshPort gains `standing`, with a default, for the time after a pause.

Conclusion: the entry can be wired to MeshService.

--- a/crates/cuminkeel_mesh/src/border.rs
+++ b/crates/cuminkeel_mesh/src/border.rs
@@ -69,6 +69,8 @@
     Stopped,
 }
 
+pub use crate::membership::standing::MemberStanding;
+
 /// Sends messages and shows the members. Messages may be lost, doubled and
 /// reordered; a message is never altered, and its sender is proved.
 pub trait MeshPort: fmt::Debug + Send + Sync {
@@ -78,6 +80,13 @@
     /// All other processes now thought alive, in all failure domains.
     fn members(&self) -> Vec<MemberRecord>;
 
+    /// Whether this process may act as a member. After a pause it turns
+    /// [`MemberStanding::Unsure`] at once, before any task of the mesh has run;
+    /// then it must not start what another may have taken over.
+    fn standing(&self) -> MemberStanding {
+        MemberStanding::Confirmed
+    }
+
     /// Queues a message. Small ones go by UDP, others by TCP.
     ///
     /// # Errors
--- a/crates/cuminkeel_mesh/src/lib.rs
+++ b/crates/cuminkeel_mesh/src/lib.rs
@@ -4,3 +4,7 @@
 //! a message to one of them. Decisions on membership do no I/O.
 
 pub mod border;
+pub mod frame;
+pub mod membership;
+pub mod replay;
+pub mod transport;
