Add the outcome ledger: keys with an authority and a witness

Change: OutcomeLedger implements OutcomePolicy: it issues authenticated submission keys that name their authority and a witness, opens a key only after the witness grants it, passes requests with other keys on, has the key of a silent authority closed by its witness, and hands its keys over on drain. Border, additive: OutcomeEvent gains CancelRequested, OutcomeAction gains CancelJob, JobAnswer gets serde derives.

--- a/crates/cuminkeel_outcome/src/event.rs
+++ b/crates/cuminkeel_outcome/src/event.rs
@@ -42,6 +42,19 @@
         /// The job.
         spec: sync::Arc<job::JobSpec>,
     },
+    /// A caller cancels the job of a submission key, through any entry. What
+    /// has not started never starts. Answered like a submission, with the
+    /// job's final answer or a refusal.
+    CancelRequested {
+        /// The waiting request.
+        ticket: TicketId,
+        /// Who asks; must be the key's customer.
+        customer: names::CustomerName,
+        /// The key as the caller sent it.
+        key: sync::Arc<str>,
+        /// Time from receipt after which an answer is of no use.
+        deadline: std::time::Duration,
+    },
     /// A job admitted by [`OutcomeAction::StartJob`] got its final answer.
     JobFinished {
         /// The job.
@@ -83,6 +96,12 @@
         /// The local request that waits for it, if any.
         ticket: Option<TicketId>,
     },
+    /// Cancel a job started earlier by [`OutcomeAction::StartJob`]; its answer
+    /// still comes as [`OutcomeEvent::JobFinished`].
+    CancelJob {
+        /// The job.
+        job: names::JobId,
+    },
     /// The final answer for a waiting request.
     Reply {
         /// The waiting request.
--- /dev/null
+++ b/crates/cuminkeel_outcome/src/ledger/drain.rs
@@ -0,0 +1,247 @@
+//! Graceful drain: the remaining keys go to the witnesses that they name.
+
+use std::{collections, time as duration};
+
+use cuminkeel_types::{names, time};
+
+use super::{LedgerTurn, OutcomeLedger};
+use crate::{event, message, record, relay, rules, timer};
+
+/// Most keys listed in a hand-over; more are given up as expired.
+const MAX_LISTED_KEYS: usize = 4_096;
+
+/// A drain under way.
+#[derive(Debug)]
+pub(super) struct DrainState {
+    handovers: collections::BTreeMap<names::IncarnationId, HandoverState>,
+    give_up: time::TimePoint,
+    finished: bool,
+}
+
+#[derive(Debug)]
+struct HandoverState {
+    status: HandoverStatus,
+    handover: message::KeyHandover,
+    next_send: time::TimePoint,
+    interval: duration::Duration,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HandoverStatus {
+    /// Sent and not acknowledged.
+    Pending,
+    /// The witness may open the keys.
+    InForce,
+    /// Not acknowledged in time; the witness may have it or not.
+    Abandoned,
+}
+
+impl OutcomeLedger {
+    /// Stops issuing keys and hands the remaining ones over.
+    pub(super) fn start_drain(&mut self, turn: &mut LedgerTurn<'_>) {
+        if self.draining.is_some() {
+            return;
+        }
+        let heirs: Vec<_> = self
+            .issuer
+            .witnesses(turn.now)
+            .into_iter()
+            .filter(|witness| self.is_live(*witness))
+            .collect();
+        let mut handovers = collections::BTreeMap::new();
+        for heir in &heirs {
+            let state = HandoverState {
+                status: HandoverStatus::Pending,
+                handover: self.write_handover(turn.now),
+                next_send: turn.now,
+                interval: self.settings.limits.resend_first,
+            };
+            handovers.insert(*heir, state);
+        }
+        self.draining = Some(DrainState {
+            handovers,
+            give_up: turn.now + self.settings.limits.handover_wait,
+            finished: false,
+        });
+        for heir in heirs {
+            self.tend_handover(turn, heir);
+        }
+        self.finish_drain(turn);
+    }
+
+    /// What a witness must know to open the remaining keys. All touched keys
+    /// are listed for each witness; those that name another do no harm.
+    fn write_handover(&mut self, now: time::TimePoint) -> message::KeyHandover {
+        let mut handover = message::KeyHandover {
+            expired_through: self.issuer.expired_through(now).max(self.floor),
+            ..message::KeyHandover::default()
+        };
+        for (key, record) in self.records.of(self.settings.incarnation) {
+            match record.state {
+                record::KeyState::Closed(_) => handover.closed.push(key.sequence),
+                record::KeyState::Opening(_) => handover.opening.push(key.sequence),
+                record::KeyState::Running { .. } | record::KeyState::Finished(_) => {}
+            }
+        }
+        let excess = handover.closed.len().saturating_sub(MAX_LISTED_KEYS);
+        if let Some(last) = handover.closed.drain(..excess).next_back() {
+            handover.expired_through = handover.expired_through.max(last);
+        }
+        if !self.keeps(rules::OutcomeRule::ListClosed) {
+            handover.closed.clear();
+        }
+        if !self.keeps(rules::OutcomeRule::ListOpening) {
+            handover.opening.clear();
+        }
+        if !self.keeps(rules::OutcomeRule::ListExpired) {
+            handover.expired_through = 0;
+        }
+        handover
+    }
+
+    /// Whether this process has sent a hand-over to a witness.
+    pub(super) fn hands_over_to(&self, witness: names::IncarnationId) -> bool {
+        self.handover_status(witness).is_some()
+    }
+
+    fn handover_status(&self, witness: names::IncarnationId) -> Option<HandoverStatus> {
+        self.draining
+            .as_ref()
+            .and_then(|drain| drain.handovers.get(&witness))
+            .map(|handover| handover.status)
+    }
+
+    /// Passes a request with an own key to the key's heir.
+    pub(super) fn pass_to_heir(
+        &mut self,
+        turn: &mut LedgerTurn<'_>,
+        call: relay::KeyCall,
+        waiter: record::KeyWaiter,
+        heir: names::IncarnationId,
+    ) {
+        let status = self.handover_status(heir);
+        let phase = match status {
+            Some(HandoverStatus::InForce) => relay::RelayPhase::Heir,
+            Some(HandoverStatus::Abandoned) => relay::RelayPhase::Closing,
+            Some(HandoverStatus::Pending) | None => relay::RelayPhase::Handover,
+        };
+        match waiter {
+            record::KeyWaiter::Local(ticket) => {
+                self.add_relay(turn, ticket, call, phase);
+            }
+            // The other entry repeats its request until the hand-over is in force.
+            record::KeyWaiter::Remote { .. } if status == Some(HandoverStatus::Pending) => {}
+            record::KeyWaiter::Remote { entry, ticket, .. } => {
+                let key = call.key.id;
+                self.send(
+                    turn,
+                    entry,
+                    &message::PeerMessage::NotServed { ticket, key },
+                );
+            }
+        }
+    }
+
+    /// Sends a pending hand-over again, or gives it up.
+    pub(super) fn tend_handover(&mut self, turn: &mut LedgerTurn<'_>, heir: names::IncarnationId) {
+        let longest = self.settings.limits.resend_longest;
+        let Some(drain) = &mut self.draining else {
+            return;
+        };
+        let give_up = drain.give_up;
+        let Some(state) = drain
+            .handovers
+            .get_mut(&heir)
+            .filter(|state| state.status == HandoverStatus::Pending)
+        else {
+            return;
+        };
+        if turn.now >= give_up {
+            return self.settle_handover(turn, heir, HandoverStatus::Abandoned);
+        }
+        let due = turn.now >= state.next_send;
+        if due {
+            state.next_send = turn.now + state.interval;
+            state.interval = (state.interval * 2).min(longest);
+        }
+        let wake_at = state.next_send.min(give_up);
+        let message = message::PeerMessage::Handover(state.handover.clone());
+        self.timers.set(wake_at, timer::TimerTopic::Handover(heir));
+        if due {
+            self.send(turn, heir, &message);
+        }
+    }
+
+    /// Takes in an heir's acknowledgement.
+    pub(super) fn end_handover(&mut self, turn: &mut LedgerTurn<'_>, from: names::IncarnationId) {
+        match self.handover_status(from) {
+            Some(HandoverStatus::Pending | HandoverStatus::Abandoned) => {
+                self.settle_handover(turn, from, HandoverStatus::InForce);
+            }
+            Some(HandoverStatus::InForce) | None => self.reject(),
+        }
+    }
+
+    /// Gives up the hand-overs to processes that are no longer members.
+    pub(super) fn drop_lost_heirs(&mut self, turn: &mut LedgerTurn<'_>) {
+        let Some(drain) = &self.draining else {
+            return;
+        };
+        let lost: Vec<_> = drain
+            .handovers
+            .iter()
+            .filter(|(heir, state)| {
+                state.status == HandoverStatus::Pending && !self.is_live(**heir)
+            })
+            .map(|(heir, _)| *heir)
+            .collect();
+        for heir in lost {
+            self.settle_handover(turn, heir, HandoverStatus::Abandoned);
+        }
+    }
+
+    fn settle_handover(
+        &mut self,
+        turn: &mut LedgerTurn<'_>,
+        heir: names::IncarnationId,
+        status: HandoverStatus,
+    ) {
+        if let Some(state) = self
+            .draining
+            .as_mut()
+            .and_then(|drain| drain.handovers.get_mut(&heir))
+        {
+            state.status = status;
+        }
+        let held: Vec<_> = self
+            .relays
+            .iter()
+            .filter(|(_, relay)| {
+                relay.phase == relay::RelayPhase::Handover && relay.call.key.witness == Some(heir)
+            })
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        let phase = match status {
+            HandoverStatus::InForce => relay::RelayPhase::Heir,
+            HandoverStatus::Pending | HandoverStatus::Abandoned => relay::RelayPhase::Closing,
+        };
+        for ticket in held {
+            self.turn_relay(turn, ticket, phase);
+        }
+        self.finish_drain(turn);
+    }
+
+    fn finish_drain(&mut self, turn: &mut LedgerTurn<'_>) {
+        let Some(drain) = &mut self.draining else {
+            return;
+        };
+        let pending = drain
+            .handovers
+            .values()
+            .any(|state| state.status == HandoverStatus::Pending);
+        if !pending && !drain.finished {
+            drain.finished = true;
+            turn.actions.push(event::OutcomeAction::DrainFinished);
+        }
+    }
+}
--- a/crates/cuminkeel_types/src/outcome.rs
+++ b/crates/cuminkeel_types/src/outcome.rs
@@ -173,7 +173,7 @@
 }
 
 /// The answer to a job: whole, or a reason why there is none.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum JobAnswer {
     /// One output for each task, in the order of the job's tasks.
     Complete {
