Serve a job end to end through real entries on loopback

Cause: the decision crates stood alone; no request had a path from a caller to a backend server and back. Change: the entry daemon on the micro-kernel (mesh, configuration, decision loop, VM list, callers' API), the backend client with a connection pool of its own that tells a request that never left from one that may have, checked YAML settings that report all errors with their places, telemetry, and the commands entry, check, status and demo. A pool of our own, since hyper-util's bounds only idle connections and hides whether a request was written. Conclusion: the path stands; allowance over all entries, forwarding of fetches and the load tool come next.

--- /dev/null
+++ b/crates/cuminkeel/src/args.rs
@@ -0,0 +1,12 @@
+//! The command line.
+
+use argh::FromArgs;
+
+use crate::commands;
+
+/// Dispatcher for sub-second tasks.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Arguments {
+    #[argh(subcommand)]
+    pub(crate) command: commands::Command,
+}
--- /dev/null
+++ b/crates/cuminkeel/src/commands/entry.rs
@@ -0,0 +1,133 @@
+//! `cuminkeel entry`: the daemon.
+
+use std::{process, sync};
+
+use argh::FromArgs;
+use cuminkeel_entry::{daemon, services, settings, telemetry};
+use cuminkeel_platform::{border, client};
+use tokio::signal::unix;
+
+use super::check;
+use crate::error;
+
+/// Run an entry until SIGTERM or SIGINT; a second signal ends it at once.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub(crate) struct EntryCommand {
+    /// path of the settings file
+    #[argh(option)]
+    settings: String,
+}
+
+/// Exit status when work was left at the end of a drain.
+const UNFINISHED_STATUS: u8 = 3;
+
+pub(crate) fn run(command: &EntryCommand) -> Result<process::ExitCode, error::CommandError> {
+    let settings = check::read_settings(&command.settings)?;
+    super::runtime()?.block_on(serve(settings))
+}
+
+/// Exports that must be flushed before the process ends.
+#[derive(Debug, Default)]
+struct Exports {
+    traces: Option<telemetry::TraceExport>,
+    metrics: Option<telemetry::MetricsExport>,
+}
+
+impl Exports {
+    fn start(settings: &settings::EntrySettings) -> Result<Self, error::CommandError> {
+        let Some(settings) = &settings.telemetry else {
+            return Ok(Self::default());
+        };
+        Ok(Self {
+            traces: Some(telemetry::TraceExport::to_collector(settings)?),
+            metrics: Some(telemetry::MetricsExport::to_collector(settings)?),
+        })
+    }
+
+    fn flush(&self) {
+        if let Some(traces) = &self.traces {
+            traces.flush();
+        }
+        if let Some(metrics) = &self.metrics {
+            metrics.flush();
+        }
+    }
+}
+
+async fn serve(
+    settings: settings::EntrySettings,
+) -> Result<process::ExitCode, error::CommandError> {
+    let log = telemetry::root_logger(&settings.log);
+    let exports = Exports::start(&settings)?;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let daemon = daemon::EntryDaemon::start(parts(settings, &exports, &log)).await?;
+    slog::info!(log, "entry started";
+        "api" => %daemon.api_address()?, "mesh" => %daemon.mesh_address()?,
+        "incarnation" => %daemon.incarnation());
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    slog::info!(log, "draining; a second signal ends the entry at once");
+    let code = tokio::select! {
+        reports = daemon.drain() => report_drain(&log, &reports),
+        _ = terminate.recv() => end_now(&log, &daemon).await,
+        _ = interrupt.recv() => end_now(&log, &daemon).await,
+    };
+    exports.flush();
+    Ok(code)
+}
+
+fn parts(
+    settings: settings::EntrySettings,
+    exports: &Exports,
+    log: &slog::Logger,
+) -> daemon::EntryParts {
+    let platform = client::PlatformSettings {
+        request_timeout: settings.platform.timeout,
+        ..client::PlatformSettings::new(settings.platform.address)
+    };
+    let platform = sync::Arc::new(client::HttpPlatform::new(platform));
+    let messages = sync::Arc::default();
+    let traces = exports
+        .traces
+        .as_ref()
+        .map_or_else(telemetry::TraceSource::off, telemetry::TraceExport::source);
+    let metrics = match &exports.metrics {
+        Some(export) => telemetry::MetricsSource::new(&export.meter(), &messages),
+        None => telemetry::MetricsSource::off(),
+    };
+    daemon::EntryParts {
+        settings,
+        log_store: sync::Arc::clone(&platform) as sync::Arc<dyn border::LogStore>,
+        directory: platform as sync::Arc<dyn border::VmDirectory>,
+        outcomes: sync::Arc::new(services::core::LedgerFactory),
+        traces,
+        metrics,
+        messages,
+        seed: rand::random(),
+        log: log.clone(),
+    }
+}
+
+fn report_drain(
+    log: &slog::Logger,
+    reports: &[cuminkeel_kernel::runner::ServiceReport],
+) -> process::ExitCode {
+    let unfinished: usize = reports.iter().map(|report| report.report.unfinished).sum();
+    slog::info!(log, "entry stopped"; "unfinished" => unfinished);
+    if unfinished == 0 {
+        process::ExitCode::SUCCESS
+    } else {
+        UNFINISHED_STATUS.into()
+    }
+}
+
+async fn end_now(log: &slog::Logger, daemon: &daemon::EntryDaemon) -> process::ExitCode {
+    let unfinished = daemon.unfinished().await;
+    slog::warn!(log, "entry ended before its drain"; "unfinished" => unfinished);
+    daemon.stop().await;
+    UNFINISHED_STATUS.into()
+}
--- /dev/null
+++ b/crates/cuminkeel/src/error.rs
@@ -0,0 +1,66 @@
+//! Failures of commands and their exit status.
+
+use std::{io, process, sync};
+
+use cuminkeel_entry::{settings, telemetry};
+use cuminkeel_kernel::error;
+use cuminkeel_standin::fleet;
+use derive_more::{Display, Error, From};
+
+/// Exit status when the command line or a file is at fault.
+const USAGE_STATUS: u8 = 2;
+/// Exit status of any other failure.
+const FAILURE_STATUS: u8 = 1;
+
+/// Why a command failed.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum CommandError {
+    /// A file can't be read.
+    #[display("can't read {path}: {source}")]
+    #[from(skip)]
+    File {
+        /// Its path.
+        path: sync::Arc<str>,
+        /// The failure.
+        source: io::Error,
+    },
+    /// Settings are wrong.
+    #[display("{path}:\n{source}")]
+    #[from(skip)]
+    Settings {
+        /// Path of the file.
+        path: sync::Arc<str>,
+        /// The errors.
+        source: settings::error::SettingsError,
+    },
+    /// The runtime or a signal handler can't be had.
+    #[display("the system refused: {_0}")]
+    System(io::Error),
+    /// The entry can't start.
+    #[display("{_0}")]
+    Kernel(error::KernelError),
+    /// Traces can't be exported.
+    #[display("{_0}")]
+    Traces(telemetry::TraceError),
+    /// Metrics can't be exported.
+    #[display("{_0}")]
+    Metrics(telemetry::MetricsError),
+    /// The deployment on loopback can't start.
+    #[display("{_0}")]
+    Fleet(fleet::FleetError),
+    /// An entry can't be asked.
+    #[display("{_0}")]
+    Call(fleet::CallError),
+    /// A report can't be written.
+    #[display("can't write the report: {_0}")]
+    Report(serde_json::Error),
+}
+
+impl CommandError {
+    pub(crate) fn exit_code(&self) -> process::ExitCode {
+        match self {
+            Self::File { .. } | Self::Settings { .. } => USAGE_STATUS.into(),
+            _ => FAILURE_STATUS.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_entry/src/api/mod.rs
@@ -0,0 +1,14 @@
+//! The callers' HTTP interface, by dropshot.
+
+mod body;
+mod endpoints;
+mod error;
+mod extract;
+mod server;
+
+pub use body::{
+    CancelBody, ErrorBody, HealthBody, JobBody, JobStateWord, JobSubmission, KeyRequest, KeysBody,
+    StatusBody, TaskSubmission,
+};
+pub use error::ApiError;
+pub use server::{ApiContext, ApiServer, ApiServerError, openapi_document};
--- /dev/null
+++ b/crates/cuminkeel_entry/src/services/mod.rs
@@ -0,0 +1,8 @@
+//! The services of an entry, in the order in which they start.
+
+pub mod api;
+pub mod config;
+pub mod core;
+pub mod directory;
+pub mod mesh;
+pub mod names;
--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod backend;
 pub mod balancer;
+pub mod demo;
+pub mod fleet;
 pub mod http_listener;
 pub mod platform;
 mod sync_lock;
