Find and cancel jobs through any entry

Cause: a balancer sends each request to any entry, but a job could be fetched or cancelled only where it ran, and a waiting caller had no way to cancel. Change: a job's identity names the process that runs it; entries pass look-ups and cancels on over a mesh topic of their own; a submission key cancels its job through any entry; a job carries the trace of the hop that received it. Conclusion: no request depends on which entry the balancer picks.

--- a/crates/cuminkeel_dispatch/tests/answers.rs
+++ b/crates/cuminkeel_dispatch/tests/answers.rs
@@ -40,6 +40,7 @@
         idempotent: false,
         deadline: time::Duration::from_secs(2),
         tasks: vec![task; tasks],
+        trace_parent: None,
     };
     event::JobRequest {
         id: names::JobId(id),
--- a/crates/cuminkeel_entry/src/api/body.rs
+++ b/crates/cuminkeel_entry/src/api/body.rs
@@ -179,6 +179,7 @@
             idempotent: self.idempotent,
             deadline,
             tasks,
+            trace_parent: None,
         })
     }
 }
--- a/crates/cuminkeel_entry/src/api/error.rs
+++ b/crates/cuminkeel_entry/src/api/error.rs
@@ -1,12 +1,13 @@
 //! Refusals as HTTP answers.
 
-use cuminkeel_types::{names, outcome};
+use cuminkeel_types::outcome;
 use derive_more::Display;
 use dropshot::{ErrorStatusCode, HttpError, HttpResponseError};
 use schemars::JsonSchema;
 use serde::Serialize;
 
 use super::body;
+use crate::job_handle;
 
 /// An answer that is not a result: an [`body::ErrorBody`] with its status.
 #[derive(Debug, Display, JsonSchema, Serialize)]
@@ -31,7 +32,7 @@
 
 impl ApiError {
     /// The answer for a refusal, with the job's identity if it has one.
-    pub fn new(refusal: &outcome::Refusal, job: Option<names::JobId>) -> Self {
+    pub fn new(refusal: &outcome::Refusal, job: Option<job_handle::JobHandle>) -> Self {
         let retry_after_ms = refusal
             .retry_after
             .map(|delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
--- a/crates/cuminkeel_entry/src/api/mod.rs
+++ b/crates/cuminkeel_entry/src/api/mod.rs
@@ -5,6 +5,7 @@
 mod error;
 mod extract;
 mod server;
+mod submit;
 
 pub use body::{
     CancelBody, ErrorBody, HealthBody, JobBody, JobStateWord, JobSubmission, KeyRequest, KeysBody,
--- a/crates/cuminkeel_entry/src/api/server.rs
+++ b/crates/cuminkeel_entry/src/api/server.rs
@@ -8,7 +8,7 @@
 use tokio::sync as tokio_sync;
 
 use super::{body, endpoints, extract};
-use crate::{config_feed, config_view, core, settings, telemetry};
+use crate::{config_feed, config_view, core, job_relay, settings, telemetry};
 
 /// Time after which a caller should try again when an entry is busy.
 const BUSY_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -22,6 +22,8 @@
     pub core: core::CoreHandle,
     /// The lists in force.
     pub config: sync::Arc<dyn config_feed::ConfigSource>,
+    /// Finds jobs that other entries run.
+    pub jobs: sync::Arc<job_relay::JobRelay>,
     /// Other entries.
     pub mesh: sync::Arc<dyn border::MeshPort>,
     /// Counts of messages to backend servers.
@@ -185,6 +187,7 @@
         .and_then(|()| api.register(endpoints::fetch_job))
         .and_then(|()| api.register(endpoints::cancel_job))
         .and_then(|()| api.register(endpoints::issue_keys))
+        .and_then(|()| api.register(endpoints::cancel_key))
         .and_then(|()| api.register(endpoints::health))
         .and_then(|()| api.register(endpoints::status));
     registered.map_err(|source| ApiServerError::Endpoint { source })?;
--- a/crates/cuminkeel_entry/src/core/executor.rs
+++ b/crates/cuminkeel_entry/src/core/executor.rs
@@ -264,7 +264,7 @@
                 }
                 request.trace.clone()
             }
-            None => Context::new(),
+            None => self.parts.traces.forward_span(spec.trace_parent.as_deref()),
         };
         self.jobs.insert(job, sync::Arc::clone(&spec), trace);
         let request = event::JobRequest { id: job, spec };
--- a/crates/cuminkeel_entry/src/core/handle.rs
+++ b/crates/cuminkeel_entry/src/core/handle.rs
@@ -1,6 +1,6 @@
 //! The side of the decision loop that other parts of the entry hold.
 
-use std::sync;
+use std::{sync, time};
 
 use cuminkeel_types::{job, names, outcome};
 use derive_more::{Display, Error};
@@ -148,6 +148,27 @@
         found.await.map_err(|_| CoreStopped)
     }
 
+    /// Cancels the job of a submission key; the receiver yields its final answer.
+    ///
+    /// # Errors
+    /// [`CoreStopped`].
+    pub async fn cancel_key(
+        &self,
+        customer: names::CustomerName,
+        key: sync::Arc<str>,
+        deadline: time::Duration,
+    ) -> Result<oneshot::Receiver<message::JobReply>, CoreStopped> {
+        let (reply, answer) = oneshot::channel();
+        self.send(message::CoreMessage::CancelKey {
+            customer,
+            key,
+            deadline,
+            reply,
+        })
+        .await?;
+        Ok(answer)
+    }
+
     /// Refuses new jobs and waits until the accepted are answered.
     ///
     /// # Errors
--- a/crates/cuminkeel_entry/src/core/run.rs
+++ b/crates/cuminkeel_entry/src/core/run.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{executor, handle, jobs, message};
-use crate::{backend, clock};
+use crate::{backend, clock, telemetry};
 
 /// Messages that may wait for the loop.
 const MAILBOX_SIZE: usize = 16_384;
@@ -26,6 +26,8 @@
     pub dispatch: Box<dyn policy::DispatchPolicy>,
     /// Sends messages to other entries.
     pub mesh: sync::Arc<dyn border::MeshPort>,
+    /// Makes spans.
+    pub traces: telemetry::TraceSource,
     /// Sends tasks to backend servers.
     pub backend: sync::Arc<dyn backend::TaskSender>,
 }
--- a/crates/cuminkeel_entry/src/lib.rs
+++ b/crates/cuminkeel_entry/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod config_view;
 pub mod core;
 pub mod daemon;
+pub mod job_handle;
+pub mod job_relay;
 pub mod services;
 pub mod settings;
 pub mod telemetry;
--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -7,7 +7,7 @@
 use tokio::sync as tokio_sync;
 
 use super::names;
-use crate::{api, config_feed, core, settings, telemetry};
+use crate::{api, config_feed, core, job_relay, settings, telemetry};
 
 /// Time for which a leaving entry still takes jobs, so that the balancer sees
 /// its health first.
@@ -58,11 +58,14 @@
         registry: &registry::ServiceRegistry,
     ) -> Result<api::ApiContext, error::KernelError> {
         let core = registry.find::<core::CoreHandle>(names::CORE)?;
+        let mesh = registry.find::<dyn border::MeshPort>(names::MESH)?;
+        let jobs = job_relay::JobRelay::start(sync::Arc::clone(&mesh), (*core).clone());
         Ok(api::ApiContext {
             settings: self.settings.api.clone(),
             core: (*core).clone(),
             config: registry.find::<dyn config_feed::ConfigSource>(names::CONFIG)?,
-            mesh: registry.find::<dyn border::MeshPort>(names::MESH)?,
+            jobs,
+            mesh,
             messages: sync::Arc::clone(&self.messages),
             traces: self.traces.clone(),
             metrics: self.metrics.clone(),
--- a/crates/cuminkeel_entry/src/services/core.rs
+++ b/crates/cuminkeel_entry/src/services/core.rs
@@ -133,6 +133,7 @@
             outcome: self.outcomes.make(&local, &self.settings, self.seed),
             dispatch: self.policy(&local).map_err(error::ServiceError::new)?,
             mesh: sync::Arc::clone(&mesh),
+            traces: self.traces.clone(),
             backend: sync::Arc::clone(&backend) as sync::Arc<dyn backend::TaskSender>,
         };
         let (decision_loop, handle) = core::DecisionLoop::new(parts);
--- a/crates/cuminkeel_mesh/src/border.rs
+++ b/crates/cuminkeel_mesh/src/border.rs
@@ -21,6 +21,8 @@
     Outcome,
     /// Allowance shares.
     Allowance,
+    /// Look-ups of jobs that another entry runs.
+    Jobs,
 }
 
 /// What a member has told of itself.
--- a/crates/cuminkeel_mesh/src/frame.rs
+++ b/crates/cuminkeel_mesh/src/frame.rs
@@ -125,6 +125,7 @@
             Self::Topic(border::MeshTopic::Dispatch) => 18,
             Self::Topic(border::MeshTopic::Outcome) => 19,
             Self::Topic(border::MeshTopic::Allowance) => 20,
+            Self::Topic(border::MeshTopic::Jobs) => 21,
         }
     }
 
@@ -137,6 +138,7 @@
             18 => Some(Self::Topic(border::MeshTopic::Dispatch)),
             19 => Some(Self::Topic(border::MeshTopic::Outcome)),
             20 => Some(Self::Topic(border::MeshTopic::Allowance)),
+            21 => Some(Self::Topic(border::MeshTopic::Jobs)),
             _ => None,
         }
     }
--- a/crates/cuminkeel_mesh/src/transport/counters.rs
+++ b/crates/cuminkeel_mesh/src/transport/counters.rs
@@ -5,12 +5,13 @@
 use crate::{border, frame, membership};
 
 /// Topics, in the order of [`TopicTraffic`] in a [`MeshCounters`].
-pub const TOPICS: [border::MeshTopic; 5] = [
+pub const TOPICS: [border::MeshTopic; 6] = [
     border::MeshTopic::Membership,
     border::MeshTopic::Config,
     border::MeshTopic::Dispatch,
     border::MeshTopic::Outcome,
     border::MeshTopic::Allowance,
+    border::MeshTopic::Jobs,
 ];
 
 /// Why a frame was dropped.
--- a/crates/cuminkeel_types/src/job.rs
+++ b/crates/cuminkeel_types/src/job.rs
@@ -33,4 +33,7 @@
     pub deadline: time::Duration,
     /// The tasks, 1 to [`MAX_TASKS_PER_JOB`].
     pub tasks: Vec<TaskSpec>,
+    /// W3C `traceparent` of the hop that received the job. No part of the
+    /// job's identity: a resubmission may come with another.
+    pub trace_parent: Option<sync::Arc<str>>,
 }
