--- a/crates/cuminkeel_mesh/src/frame.rs
+++ b/crates/cuminkeel_mesh/src/frame.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// A ring of one key.
+    pub fn single(key: MeshKey) -> Self {
+        Self(smallvec::smallvec![key])
+    }
+
     fn sign(&self, bytes: &[u8], to: names::IncarnationId) -> [u8; MAC_BYTES] {
         mac(&self.0[0], bytes, to)
     }
--- a/crates/cuminkeel_mesh/src/lib.rs
+++ b/crates/cuminkeel_mesh/src/lib.rs
@@ -4,7 +4,8 @@
 //! a message to one of them. Decisions on membership do no I/O.
 
 pub mod border;
+pub mod capacity;
 pub mod frame;
 pub mod membership;
-pub mod replay;
+pub mod sequence;
 pub mod transport;
--- a/crates/cuminkeel_mesh/src/membership/answers.rs
+++ b/crates/cuminkeel_mesh/src/membership/answers.rs
@@ -4,16 +4,13 @@
 
 use cuminkeel_types::{names, time as clock};
 
-use super::{
-    core::{MembershipAction, MembershipCore, MessageTarget, ProbeRelay},
-    gossip, message, standing, table,
-};
+use super::{decision, gossip, message, standing, table};
 
 const FRESH_MILLIS: u64 = 250;
 const OBITUARY_INTERVAL: time::Duration = time::Duration::from_millis(20);
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(10);
 
-impl MembershipCore {
+impl decision::MembershipCore {
     pub(super) fn answer(
         &mut self,
         now: clock::TimePoint,
@@ -57,7 +54,8 @@
         if self.relays.is_empty() {
             return;
         }
-        let answered = |relay: &mut ProbeRelay| relay.target == target && relay.since <= heard;
+        let answered =
+            |relay: &mut decision::ProbeRelay| relay.target == target && relay.since <= heard;
         let answered: Vec<_> = self.relays.extract_if(.., answered).collect();
         let age_millis = gossip::age_millis(now, heard);
         for relay in answered {
@@ -84,13 +82,13 @@
     ) {
         if now >= self.due.obituary {
             self.due.obituary = now + OBITUARY_INTERVAL;
-            let target = MessageTarget::Process {
+            let target = decision::MessageTarget::Process {
                 incarnation,
                 address,
             };
             let message = message::MembershipMessage::Introduce;
             self.actions
-                .push(MembershipAction::Send { target, message });
+                .push(decision::MembershipAction::Send { target, message });
         }
     }
 
@@ -137,7 +135,7 @@
                 );
             }
             _ => {
-                self.relays.push(ProbeRelay {
+                self.relays.push(decision::ProbeRelay {
                     target,
                     requester: from,
                     since: now,
@@ -248,7 +246,7 @@
         states: &[message::MemberState],
     ) {
         for states in states.chunks(message::MAX_STATES_PER_MESSAGE) {
-            let target = MessageTarget::Process {
+            let target = decision::MessageTarget::Process {
                 incarnation,
                 address,
             };
@@ -257,7 +255,7 @@
                 states: states.to_vec(),
             };
             self.actions
-                .push(MembershipAction::Send { target, message });
+                .push(decision::MembershipAction::Send { target, message });
         }
     }
 
--- a/crates/cuminkeel_mesh/src/membership/gossip.rs
+++ b/crates/cuminkeel_mesh/src/membership/gossip.rs
@@ -5,17 +5,14 @@
 use cuminkeel_types::{names, time};
 use rand::seq::{IndexedRandom, SliceRandom};
 
-use super::{
-    core::{MembershipAction, MembershipCore, MessageTarget},
-    domains, message, standing, table,
-};
+use super::{decision, domains, message, standing, table};
 
 const NEWS_FANOUT: usize = 4;
 const ORIGIN_FANOUT: usize = 32;
 const JOIN_SEEDS: usize = 3;
 const SETTLED_SEED_FACTOR: u32 = 10;
 
-impl MembershipCore {
+impl decision::MembershipCore {
     pub(super) fn send_heartbeats(&mut self, now: time::TimePoint) {
         if now < self.due.heartbeat {
             return;
@@ -93,12 +90,12 @@
         let strangers: Vec<_> = seeds.filter(|seed| !is_member(seed)).collect();
         let chosen: Vec<_> = strangers.sample(&mut self.rng, count).copied().collect();
         for address in chosen {
-            let target = MessageTarget::Address(address);
+            let target = decision::MessageTarget::Address(address);
             let message = message::MembershipMessage::Join {
                 state: self.local.clone(),
             };
             self.actions
-                .push(MembershipAction::Send { target, message });
+                .push(decision::MembershipAction::Send { target, message });
         }
     }
 
--- a/crates/cuminkeel_mesh/src/membership/mod.rs
+++ b/crates/cuminkeel_mesh/src/membership/mod.rs
@@ -5,13 +5,13 @@
 //! through others, then suspects, then declares the process gone. Between
 //! domains, members exchange digests and the states that differ.
 //!
-//! - [`core`] ties the parts together and takes all inputs;
+//! - [`decision`] ties the parts together and takes all inputs;
 //! - [`message`] is the wire format, [`settings`] the intervals;
 //! - [`table`] merges states, [`ring`] assigns observers;
 //! - [`watch`] is the failure detector, [`standing`] a process's view of itself.
 
 mod answers;
-pub mod core;
+pub mod decision;
 mod domains;
 mod gossip;
 pub mod message;
--- a/crates/cuminkeel_mesh/src/replay.rs
+++ b/crates/cuminkeel_mesh/src/sequence.rs
@@ -1,8 +1,14 @@
-//! Recognises frames that were received before.
+//! Numbers of frames, by which those that were received before are recognised.
 //!
 //! Each sender numbers its frames to each receiver. A receiver keeps the highest
 //! number and a bitmap of the [`WINDOW_FRAMES`] before it, as in RFC 4303.
 
+use std::collections;
+
+use cuminkeel_types::names;
+
+use crate::frame;
+
 /// Frames that may arrive out of order behind the newest one.
 pub const WINDOW_FRAMES: u64 = (WORDS as u64 - 1) * WORD_BITS;
 
@@ -62,3 +68,38 @@
         usize::try_from(word % WORDS as u64).unwrap_or_default()
     }
 }
+
+/// Numbers of frames, sent and received.
+#[derive(Debug, Default)]
+pub(crate) struct SequenceBook {
+    sent: collections::HashMap<names::IncarnationId, u64>,
+    introduced: u64,
+    windows: collections::HashMap<names::IncarnationId, ReplayWindow>,
+    introductions: collections::HashMap<names::IncarnationId, ReplayWindow>,
+}
+
+impl SequenceBook {
+    pub(crate) fn next(&mut self, to: Option<names::IncarnationId>) -> u64 {
+        let counter = match to {
+            Some(to) => self.sent.entry(to).or_default(),
+            None => &mut self.introduced,
+        };
+        *counter += 1;
+        *counter
+    }
+
+    pub(crate) fn accept(&mut self, proved: &frame::ProvedFrame<'_>) -> bool {
+        let windows = match proved.kind {
+            frame::FrameKind::Introduction => &mut self.introductions,
+            frame::FrameKind::Membership | frame::FrameKind::Topic(_) => &mut self.windows,
+        };
+        let window = windows.entry(proved.from).or_default();
+        window.accept(proved.sequence)
+    }
+
+    pub(crate) fn retain(&mut self, keep: impl Fn(names::IncarnationId) -> bool) {
+        self.sent.retain(|&peer, _| keep(peer));
+        self.windows.retain(|&peer, _| keep(peer));
+        self.introductions.retain(|&peer, _| keep(peer));
+    }
+}
--- a/crates/cuminkeel_mesh/src/transport/counters.rs
+++ b/crates/cuminkeel_mesh/src/transport/counters.rs
@@ -98,7 +98,7 @@
     /// Dropped frames, in the order of [`DROP_CAUSES`].
     pub drops: [u64; DROP_CAUSES.len()],
     /// Decisions of membership.
-    pub membership: membership::core::MembershipCounters,
+    pub membership: membership::decision::MembershipCounters,
 }
 
 impl MeshCounters {
--- a/crates/cuminkeel_mesh/src/transport/inbound.rs
+++ b/crates/cuminkeel_mesh/src/transport/inbound.rs
@@ -121,19 +121,19 @@
         return Err(counters::DropCause::Replayed);
     }
     let now = shared.clock.now();
-    let mut sender = membership::core::SenderStanding::Stranger;
+    let mut sender = membership::decision::SenderStanding::Stranger;
     shared.decide(|core| {
         let (standing, actions) = core.on_contact(now, proved.from, address);
         sender = standing;
         actions
     });
     match (proved.kind, sender) {
-        (_, membership::core::SenderStanding::Gone) => Err(counters::DropCause::GoneSender),
-        (frame::FrameKind::Topic(topic), membership::core::SenderStanding::Member) => {
+        (_, membership::decision::SenderStanding::Gone) => Err(counters::DropCause::GoneSender),
+        (frame::FrameKind::Topic(topic), membership::decision::SenderStanding::Member) => {
             shared.counters.received(topic, length);
             hand_on(shared, proved.from, topic, proved.body)
         }
-        (frame::FrameKind::Topic(_), membership::core::SenderStanding::Stranger) => {
+        (frame::FrameKind::Topic(_), membership::decision::SenderStanding::Stranger) => {
             Err(counters::DropCause::Stranger)
         }
         (frame::FrameKind::Membership | frame::FrameKind::Introduction, _) => {
--- a/crates/cuminkeel_mesh/src/transport/service.rs
+++ b/crates/cuminkeel_mesh/src/transport/service.rs
@@ -7,7 +7,7 @@
 use tokio::{net as sockets, runtime, sync::mpsc, task};
 
 use super::{clock, counters, inbound, outbound, state};
-use crate::{border, frame, membership};
+use crate::{border, frame, membership, sequence};
 
 const BIND_ATTEMPTS: u32 = 16;
 const FRAME_OVERHEAD_BYTES: usize = 64;
@@ -66,7 +66,7 @@
         let bound = bound.map_err(|source| MeshStartError { address, source })?;
         record.address.set_port(bound.port());
         let now = settings.clock.now();
-        let core = membership::core::MembershipCore::new(
+        let core = membership::decision::MembershipCore::new(
             settings.membership,
             record,
             settings.clock.wall(),
@@ -82,7 +82,7 @@
             settings: settings.membership,
             state: sync::Mutex::new(state::MeshState {
                 core,
-                sequences: state::SequenceBook::default(),
+                sequences: sequence::SequenceBook::default(),
             }),
             audience: sync::RwLock::default(),
             counters: counters::CounterCells::default(),
--- a/crates/cuminkeel_mesh/src/transport/state.rs
+++ b/crates/cuminkeel_mesh/src/transport/state.rs
@@ -6,48 +6,13 @@
 use tokio::sync::mpsc;
 
 use super::{clock, counters, outbound};
-use crate::{border, frame, membership, replay};
-
-/// Numbers of frames, sent and received.
-#[derive(Debug, Default)]
-pub(super) struct SequenceBook {
-    sent: collections::HashMap<names::IncarnationId, u64>,
-    introduced: u64,
-    windows: collections::HashMap<names::IncarnationId, replay::ReplayWindow>,
-    introductions: collections::HashMap<names::IncarnationId, replay::ReplayWindow>,
-}
-
-impl SequenceBook {
-    pub(super) fn next(&mut self, to: Option<names::IncarnationId>) -> u64 {
-        let counter = match to {
-            Some(to) => self.sent.entry(to).or_default(),
-            None => &mut self.introduced,
-        };
-        *counter += 1;
-        *counter
-    }
-
-    pub(super) fn accept(&mut self, proved: &frame::ProvedFrame<'_>) -> bool {
-        let windows = match proved.kind {
-            frame::FrameKind::Introduction => &mut self.introductions,
-            frame::FrameKind::Membership | frame::FrameKind::Topic(_) => &mut self.windows,
-        };
-        let window = windows.entry(proved.from).or_default();
-        window.accept(proved.sequence)
-    }
-
-    pub(super) fn retain(&mut self, keep: impl Fn(names::IncarnationId) -> bool) {
-        self.sent.retain(|&peer, _| keep(peer));
-        self.windows.retain(|&peer, _| keep(peer));
-        self.introductions.retain(|&peer, _| keep(peer));
-    }
-}
+use crate::{border, frame, membership, sequence};
 
 /// Membership and the numbers of frames, under one lock.
 #[derive(Debug)]
 pub(super) struct MeshState {
-    pub(super) core: membership::core::MembershipCore,
-    pub(super) sequences: SequenceBook,
+    pub(super) core: membership::decision::MembershipCore,
+    pub(super) sequences: sequence::SequenceBook,
 }
 
 /// Services that receive messages and changes.
@@ -110,19 +75,19 @@
     pub(super) fn decide(
         self: &sync::Arc<Self>,
         decision: impl FnOnce(
-            &mut membership::core::MembershipCore,
-        ) -> Vec<membership::core::MembershipAction>,
+            &mut membership::decision::MembershipCore,
+        ) -> Vec<membership::decision::MembershipAction>,
     ) {
         let mut outgoing = Vec::new();
         {
             let mut state = self.lock();
             for action in decision(&mut state.core) {
                 match action {
-                    membership::core::MembershipAction::Send { target, message } => {
+                    membership::decision::MembershipAction::Send { target, message } => {
                         let sequence = state.sequences.next(receiver(target));
                         outgoing.push((target, sequence, message));
                     }
-                    membership::core::MembershipAction::Tell(event) => self.tell(event),
+                    membership::decision::MembershipAction::Tell(event) => self.tell(event),
                 }
             }
         }
@@ -141,7 +106,7 @@
 
     fn send_message(
         self: &sync::Arc<Self>,
-        target: membership::core::MessageTarget,
+        target: membership::decision::MessageTarget,
         sequence: u64,
         message: &membership::message::MembershipMessage,
     ) {
@@ -149,11 +114,11 @@
             return self.counters.dropped(counters::DropCause::Malformed);
         };
         let (kind, to, address) = match target {
-            membership::core::MessageTarget::Process {
+            membership::decision::MessageTarget::Process {
                 incarnation,
                 address,
             } => (frame::FrameKind::Membership, incarnation, address),
-            membership::core::MessageTarget::Address(address) => (
+            membership::decision::MessageTarget::Address(address) => (
                 frame::FrameKind::Introduction,
                 names::IncarnationId::default(),
                 address,
@@ -207,9 +172,9 @@
     }
 }
 
-const fn receiver(target: membership::core::MessageTarget) -> Option<names::IncarnationId> {
+const fn receiver(target: membership::decision::MessageTarget) -> Option<names::IncarnationId> {
     match target {
-        membership::core::MessageTarget::Process { incarnation, .. } => Some(incarnation),
-        membership::core::MessageTarget::Address(_) => None,
+        membership::decision::MessageTarget::Process { incarnation, .. } => Some(incarnation),
+        membership::decision::MessageTarget::Address(_) => None,
     }
 }
