--- a/crates/cuminkeel_mesh/src/capacity/network.rs
+++ b/crates/cuminkeel_mesh/src/capacity/network.rs
@@ -77,6 +77,7 @@
     core: membership::decision::MembershipCore,
     sequences: sequence::SequenceBook,
     clock_offset: time::Duration,
+    wall_lag: time::Duration,
     address: net::SocketAddr,
     region: String,
     crashed: bool,
@@ -96,6 +97,7 @@
     listed: collections::BTreeMap<names::VmName, NodeId>,
     addresses: collections::HashMap<net::SocketAddr, NodeId>,
     cuts: collections::BTreeSet<(NodeId, NodeId)>,
+    wall_lag: time::Duration,
     totals: NetworkTotals,
     meter: Option<&'meter mut dyn FnMut() -> time::Duration>,
 }
@@ -132,6 +134,7 @@
             listed: collections::BTreeMap::new(),
             addresses: collections::HashMap::new(),
             cuts: collections::BTreeSet::new(),
+            wall_lag: time::Duration::ZERO,
             totals: NetworkTotals::default(),
             meter: None,
         }
@@ -147,6 +150,11 @@
         self.faults = faults;
     }
 
+    /// Sets back the wall clocks of the processes that start from now on.
+    pub const fn set_back_wall_clocks(&mut self, by: time::Duration) {
+        self.wall_lag = by;
+    }
+
     /// Model time since the start.
     pub const fn now(&self) -> clock::TimePoint {
         self.now
@@ -180,7 +188,7 @@
         let clock_offset = self.rng.random_range(0..CLOCK_SPREAD_MICROS);
         let clock_offset = time::Duration::from_micros(clock_offset);
         let seed = self.rng.random();
-        let wall = self.wall();
+        let wall = self.wall(self.wall_lag);
         let local_now = self.now + clock_offset;
         let settings = self.settings;
         let core =
@@ -189,6 +197,7 @@
             core,
             sequences: sequence::SequenceBook::default(),
             clock_offset,
+            wall_lag: self.wall_lag,
             address,
             region: region_of(domain),
             crashed: false,
@@ -308,7 +317,7 @@
 
     fn tick(&mut self, id: NodeId) {
         let now = self.local_now(id);
-        let wall = self.wall();
+        let wall = self.wall(self.nodes[id.0].wall_lag);
         let before = self.read_meter();
         let actions = self.nodes[id.0].core.on_tick(now, wall);
         self.perform(id, actions);
@@ -436,8 +445,10 @@
         self.now + self.nodes[id.0].clock_offset
     }
 
-    const fn wall(&self) -> clock::WallTime {
-        clock::WallTime(WALL_ORIGIN_MILLIS + self.now.as_micros() / 1_000)
+    fn wall(&self, lag: time::Duration) -> clock::WallTime {
+        let elapsed = self.now.as_micros() / 1_000;
+        let lag = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+        clock::WallTime((WALL_ORIGIN_MILLIS + elapsed).saturating_sub(lag))
     }
 
     fn read_meter(&mut self) -> time::Duration {
--- a/crates/cuminkeel_mesh/src/membership/table.rs
+++ b/crates/cuminkeel_mesh/src/membership/table.rs
@@ -103,7 +103,8 @@
             (None, Some(known)) if !supersedes(&state, known) => MergeOutcome::Known,
             (None, Some(_)) => self.take(now, state, None),
             (None, None) if state.status == message::MemberStatus::Gone => {
-                self.take(now, state, None)
+                let replaced = self.earlier_process(&state);
+                self.take(now, state, replaced)
             }
             (None, None) => self.merge_unknown(now, state),
         }
@@ -135,14 +136,17 @@
         if self.members.len() >= MAX_MEMBERS {
             return MergeOutcome::Refused;
         }
-        let replaced = self
-            .members
-            .values()
-            .find(|rival| rival.record.vm == state.record.vm)
-            .cloned();
+        let replaced = self.earlier_process(&state);
         self.take(now, state, replaced)
     }
 
+    /// The process of the same VM that `state` overrules.
+    fn earlier_process(&self, state: &message::MemberState) -> Option<message::MemberState> {
+        let of_same_vm = |rival: &&message::MemberState| rival.record.vm == state.record.vm;
+        let mut rivals = self.members.values().filter(of_same_vm);
+        rivals.find(|rival| order(rival) < order(state)).cloned()
+    }
+
     fn take(
         &mut self,
         now: time::TimePoint,
