Add the operators' commands on plans and customers

Cause: operators need commands that end well only when an edit is known accepted.

Conclusion: ready to wire as subcommands.

--- /dev/null
+++ b/crates/cuminkeel/src/lib.rs
@@ -0,0 +1,3 @@
+//! Parts of the `cuminkeel` program that are of use elsewhere.
+
+pub mod operator;
--- a/crates/cuminkeel_config/tests/config/followers.rs
+++ b/crates/cuminkeel_config/tests/config/followers.rs
@@ -265,6 +265,7 @@
     let gaps = writes.windows(2).map(|pair| pair[1].since(pair[0]));
     assert!(gaps.max().expect("many writes") <= retention / 2);
     let per_retention = writes.len() / 20;
+    println!("{per_retention} snapshots per retention by {ENTRIES} entries");
     assert!(
         (4..=12).contains(&per_retention),
         "{per_retention} per retention"
