--- a/crates/cuminkeel/src/args.rs
+++ b/crates/cuminkeel/src/args.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::net;
+
 use argh::FromArgs;
 
 use crate::commands;
@@ -7,6 +9,9 @@
 /// Dispatcher for sub-second tasks.
 #[derive(Debug, FromArgs)]
 pub(crate) struct Arguments {
+    /// address of the platform, such as 127.0.0.1:9000; needed to edit the lists
+    #[argh(option)]
+    pub(crate) platform: Option<net::SocketAddr>,
     #[argh(subcommand)]
     pub(crate) command: commands::Command,
 }
--- a/crates/cuminkeel/src/commands/mod.rs
+++ b/crates/cuminkeel/src/commands/mod.rs
@@ -3,30 +3,40 @@
 mod check;
 mod demo;
 mod entry;
+mod lists;
+mod openapi;
 mod status;
 
 use std::process;
 
 use argh::FromArgs;
+use cuminkeel::operator;
 
-use crate::error;
+use crate::{args, error};
 
 /// What to do.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
     Check(check::CheckCommand),
+    Customer(operator::customer::CustomerCommand),
     Demo(demo::DemoCommand),
     Entry(entry::EntryCommand),
+    Openapi(openapi::OpenapiCommand),
+    Plan(operator::plan::PlanCommand),
     Status(status::StatusCommand),
 }
 
 /// Runs one command.
-pub(crate) fn run(command: Command) -> Result<process::ExitCode, error::CommandError> {
-    match command {
+pub(crate) fn run(arguments: args::Arguments) -> Result<process::ExitCode, error::CommandError> {
+    let platform = arguments.platform;
+    match arguments.command {
+        Command::Customer(command) => lists::run_customer(command, platform),
+        Command::Plan(command) => lists::run_plan(command, platform),
         Command::Check(command) => check::run(&command),
         Command::Demo(command) => demo::run(&command),
         Command::Entry(command) => entry::run(&command),
+        Command::Openapi(command) => openapi::run(&command),
         Command::Status(command) => status::run(&command),
     }
 }
--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -2,7 +2,8 @@
 
 use std::{io, process, sync};
 
-use cuminkeel_entry::{settings, telemetry};
+use cuminkeel::operator;
+use cuminkeel_entry::{api, settings, telemetry};
 use cuminkeel_kernel::error;
 use cuminkeel_standin::fleet;
 use derive_more::{Display, Error, From};
@@ -36,9 +37,19 @@
     /// The runtime or a signal handler can't be had.
     #[display("the system refused: {_0}")]
     System(io::Error),
+    /// The platform's address is missing.
+    #[display("give the platform's address: cuminkeel --platform IP:PORT …")]
+    #[from(skip)]
+    NoPlatform,
+    /// An edit was not accepted, or not in force.
+    #[display("{_0}")]
+    Operator(operator::error::OperatorError),
     /// The entry can't start.
     #[display("{_0}")]
     Kernel(error::KernelError),
+    /// The interface can't be described.
+    #[display("{_0}")]
+    Api(api::ApiServerError),
     /// Traces can't be exported.
     #[display("{_0}")]
     Traces(telemetry::TraceError),
@@ -59,7 +70,8 @@
 impl CommandError {
     pub(crate) fn exit_code(&self) -> process::ExitCode {
         match self {
-            Self::File { .. } | Self::Settings { .. } => USAGE_STATUS.into(),
+            Self::File { .. } | Self::Settings { .. } | Self::NoPlatform => USAGE_STATUS.into(),
+            Self::Operator(failure) => failure.exit_status().into(),
             _ => FAILURE_STATUS.into(),
         }
     }
--- a/crates/cuminkeel_entry/src/core/executor.rs
+++ b/crates/cuminkeel_entry/src/core/executor.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::{message, run};
-use crate::backend;
+use crate::{backend, telemetry};
 
 /// Where submission keys go.
 pub(super) type KeyReply = oneshot::Sender<Result<Vec<sync::Arc<str>>, outcome::Refusal>>;
@@ -266,7 +266,9 @@
             }
             None => self.parts.traces.forward_span(spec.trace_parent.as_deref()),
         };
-        self.jobs.insert(job, sync::Arc::clone(&spec), trace);
+        let forwarded = ticket.is_none();
+        self.jobs
+            .insert(job, sync::Arc::clone(&spec), trace, forwarded);
         let request = event::JobRequest { id: job, spec };
         self.tell_dispatch(event::DispatchEvent::JobSubmitted(request));
     }
@@ -305,6 +307,7 @@
             Action::StopTask { task, server } => self.parts.backend.stop(&task, &server),
             Action::FinishJob { job, answer } => {
                 self.jobs.finish(self.parts.clock.now(), job, &answer);
+                self.end_forward_span(job);
                 self.tell_outcome(outcome_event::OutcomeEvent::JobFinished { job, answer });
             }
             Action::ProbeServer { probe, server } => {
@@ -321,6 +324,14 @@
         }
     }
 
+    /// Ends the span of a job that another entry passed on; the span of a job
+    /// that was received here ends with its request.
+    fn end_forward_span(&self, job: names::JobId) {
+        if let Some(record) = self.jobs.get(job).filter(|record| record.forwarded) {
+            telemetry::end_span(&record.trace);
+        }
+    }
+
     fn start_task(
         &mut self,
         task: outcome::TaskKey,
--- a/crates/cuminkeel_entry/src/core/jobs.rs
+++ b/crates/cuminkeel_entry/src/core/jobs.rs
@@ -18,6 +18,7 @@
 pub(super) struct JobRecord {
     pub(super) spec: sync::Arc<job::JobSpec>,
     pub(super) trace: Context,
+    pub(super) forwarded: bool,
     pub(super) received: time::SystemTime,
     answer: Option<outcome::JobAnswer>,
     watchers: Vec<oneshot::Sender<outcome::JobAnswer>>,
@@ -36,10 +37,12 @@
         job: names::JobId,
         spec: sync::Arc<job::JobSpec>,
         trace: Context,
+        forwarded: bool,
     ) {
         let record = JobRecord {
             spec,
             trace,
+            forwarded,
             received: time::SystemTime::now(),
             answer: None,
             watchers: Vec::new(),
--- a/crates/cuminkeel_entry/src/job_relay.rs
+++ b/crates/cuminkeel_entry/src/job_relay.rs
@@ -78,9 +78,12 @@
 
 impl JobRelay {
     /// A relay that also answers other entries' questions.
-    pub fn start(mesh: sync::Arc<dyn border::MeshPort>, core: core::CoreHandle) -> sync::Arc<Self> {
+    pub fn start(
+        mesh: &sync::Arc<dyn border::MeshPort>,
+        core: core::CoreHandle,
+    ) -> sync::Arc<Self> {
         let relay = sync::Arc::new(Self {
-            mesh: sync::Arc::clone(&mesh),
+            mesh: sync::Arc::clone(mesh),
             core,
             next_number: atomic::AtomicU64::new(0),
             questions: sync::Mutex::default(),
--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -59,7 +59,7 @@
     ) -> Result<api::ApiContext, error::KernelError> {
         let core = registry.find::<core::CoreHandle>(names::CORE)?;
         let mesh = registry.find::<dyn border::MeshPort>(names::MESH)?;
-        let jobs = job_relay::JobRelay::start(sync::Arc::clone(&mesh), (*core).clone());
+        let jobs = job_relay::JobRelay::start(&mesh, (*core).clone());
         Ok(api::ApiContext {
             settings: self.settings.api.clone(),
             core: (*core).clone(),
