--- a/crates/cuminkeel_mesh/src/capacity/network.rs
+++ b/crates/cuminkeel_mesh/src/capacity/network.rs
@@ -82,6 +82,7 @@
     region: String,
     crashed: bool,
     paused_until: clock::TimePoint,
+    suspended: bool,
     events: Vec<(clock::TimePoint, border::MemberEvent)>,
 }
 
@@ -202,6 +203,7 @@
             region: region_of(domain),
             crashed: false,
             paused_until: clock::TimePoint::ZERO,
+            suspended: false,
             events: Vec::new(),
         });
         self.listed.insert(vm.into(), id);
@@ -226,9 +228,16 @@
 
     /// Halts a process; what arrives meanwhile waits.
     pub fn pause(&mut self, node: NodeId, length: time::Duration) {
+        self.nodes[node.0].suspended = false;
         self.nodes[node.0].paused_until = self.now + length;
     }
 
+    /// Halts a VM; what arrives meanwhile is lost.
+    pub fn suspend(&mut self, node: NodeId, length: time::Duration) {
+        self.pause(node, length);
+        self.nodes[node.0].suspended = true;
+    }
+
     /// Lets a process announce that it leaves.
     pub fn leave(&mut self, node: NodeId) {
         let now = self.local_now(node);
@@ -309,6 +318,7 @@
         let node = &self.nodes[id.0];
         match event {
             _ if node.crashed => {}
+            NetworkEvent::Arrive { .. } if node.suspended && node.paused_until > self.now => {}
             _ if node.paused_until > self.now => self.queue.push(node.paused_until, event),
             NetworkEvent::Tick(_) => self.tick(id),
             NetworkEvent::Arrive { from, bytes, .. } => self.arrive(id, from, &bytes),
