--- a/crates/cuminkeel_outcome/src/rules.rs
+++ b/crates/cuminkeel_outcome/src/rules.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 
-/// A rule that the model test must miss when it is broken.
+/// A rule whose breach the model test must catch.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum OutcomeRule {
     /// A job starts only after the witness has granted its opening.
@@ -51,6 +51,33 @@
     AnswerOnce,
 }
 
+impl OutcomeRule {
+    /// All rules.
+    pub const ALL: [Self; 21] = [
+        Self::AwaitWitness,
+        Self::RefuseClosed,
+        Self::RememberClose,
+        Self::RememberOpen,
+        Self::OpenOnce,
+        Self::CloseUnwitnessed,
+        Self::DoubtOpened,
+        Self::DoubtUnwitnessed,
+        Self::DoubtForgotten,
+        Self::FloorAuthority,
+        Self::FreezeHandover,
+        Self::ListClosed,
+        Self::ListOpening,
+        Self::ListExpired,
+        Self::HeirRecords,
+        Self::BindCustomer,
+        Self::BindDigest,
+        Self::MatchAnswer,
+        Self::WholeAnswer,
+        Self::AnswerDeadline,
+        Self::AnswerOnce,
+    ];
+}
+
 /// The rules in force: all, or all but one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RuleSet {
