Add the load tool: scenarios, workload, checks against the ledger, report

Cause: placement, outcomes and configuration are to be measured over real entries, with what callers were told checked against what was started.

Change: cuminkeel_standin::load. 19 scenarios, one file each in one table, are data: site, customers, jobs, script of faults, edits. Jobs arrive open-loop from a seeded Poisson process; callers follow the resubmission protocol; the checks compare answers with the backend servers' ledger (doubled starts, untrue not_run, partial and crossed answers, overshoot, starts after a cancel or on a leaving server). Entries stand behind the trait EntryFleet. Response is relative to the job alone on the idle site, plus the time that a direct call of a server takes beyond its run time, measured at the start of each run.

Conclusion: ready for the entry behind EntryFleet.

--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod backend;
 pub mod balancer;
 pub mod http_listener;
+pub mod load;
 pub mod platform;
 mod sync_lock;
--- a/crates/cuminkeel_standin/src/platform/log_state.rs
+++ b/crates/cuminkeel_standin/src/platform/log_state.rs
@@ -163,6 +163,19 @@
         }
     }
 
+    /// Time since a record was written; none if it is not kept.
+    pub fn record_age(
+        &self,
+        now: point::TimePoint,
+        stream: &str,
+        offset: u64,
+    ) -> Option<time::Duration> {
+        let state = self.streams.get(stream)?;
+        let index = usize::try_from(offset.checked_sub(state.head)?).ok()?;
+        let record = state.records.get(index)?;
+        Some(now.since(record.appended))
+    }
+
     /// Every record now kept in a stream.
     pub fn records(&self, stream: &str) -> Vec<border::LogRecord> {
         self.streams.get(stream).map_or_else(Vec::new, |state| {
--- a/crates/cuminkeel_standin/src/platform/mod.rs
+++ b/crates/cuminkeel_standin/src/platform/mod.rs
@@ -140,6 +140,12 @@
         sync_lock::lock(&self.state.log).records(stream)
     }
 
+    /// Time since a record was written; none if it is not kept.
+    pub fn record_age(&self, stream: &str, offset: u64) -> Option<time::Duration> {
+        let now = self.state.now();
+        sync_lock::lock(&self.state.log).record_age(now, stream, offset)
+    }
+
     /// Replaces the VM list; it is shown after the lag.
     pub fn set_vms(&self, vms: Vec<border::VmRecord>) {
         let now = self.state.now();
