--- a/crates/cuminkeel_mesh/src/transport/counters.rs
+++ b/crates/cuminkeel_mesh/src/transport/counters.rs
@@ -5,12 +5,13 @@
 use crate::{border, frame, membership};
 
 /// Topics, in the order of [`TopicTraffic`] in a [`MeshCounters`].
-pub const TOPICS: [border::MeshTopic; 5] = [
+pub const TOPICS: [border::MeshTopic; 6] = [
     border::MeshTopic::Membership,
     border::MeshTopic::Config,
     border::MeshTopic::Dispatch,
     border::MeshTopic::Outcome,
     border::MeshTopic::Allowance,
+    border::MeshTopic::Jobs,
 ];
 
 /// Why a frame was dropped.
@@ -98,7 +99,7 @@
     /// Dropped frames, in the order of [`DROP_CAUSES`].
     pub drops: [u64; DROP_CAUSES.len()],
     /// Decisions of membership.
-    pub membership: membership::core::MembershipCounters,
+    pub membership: membership::decision::MembershipCounters,
 }
 
 impl MeshCounters {
