--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod demo;
 pub mod fleet;
 pub mod http_listener;
+pub mod load;
 pub mod platform;
 mod sync_lock;
