--- a/crates/cuminkeel/src/commands/status.rs
+++ b/crates/cuminkeel/src/commands/status.rs
@@ -49,5 +49,15 @@
         println!("  {} in {}{leaving}", member.vm, member.failure_domain);
     }
     println!("dispatch        {}", status.dispatch);
-    println!("messages        {}", status.messages);
+    let messages = &status.messages;
+    println!(
+        "attempts        {} ({} not started, {} lost), {} stops, {} probes",
+        messages.attempts, messages.not_started, messages.lost, messages.stops, messages.probes
+    );
+    for (topic, traffic) in &messages.mesh {
+        println!(
+            "  mesh {topic:<11} {} messages, {} bytes sent",
+            traffic.messages_out, traffic.bytes_out
+        );
+    }
 }
--- a/crates/cuminkeel_entry/src/api/body.rs
+++ b/crates/cuminkeel_entry/src/api/body.rs
@@ -1,5 +1,7 @@
 //! Bodies of requests and answers.
 
+use std::collections;
+
 use cuminkeel_types::{job, outcome};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -114,8 +116,40 @@
     pub members: Vec<MemberBody>,
     /// Queues, servers and customers of the dispatch policy.
     pub dispatch: serde_json::Value,
-    /// Counts of messages.
-    pub messages: serde_json::Value,
+    /// Counts of messages since the start.
+    pub messages: MessagesBody,
+}
+
+/// Counts of messages since the start.
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
+pub struct MessagesBody {
+    /// Attempts to run a task on a backend server.
+    pub attempts: u64,
+    /// Attempts that were refused before start or never sent.
+    pub not_started: u64,
+    /// Attempts without a usable answer.
+    pub lost: u64,
+    /// Requests to stop a task.
+    pub stops: u64,
+    /// Questions for a server's load.
+    pub probes: u64,
+    /// Traffic between entries by topic.
+    pub mesh: collections::BTreeMap<String, TrafficBody>,
+    /// Frames between entries that were dropped.
+    pub mesh_drops: u64,
+}
+
+/// Traffic of one topic between entries.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema, Serialize)]
+pub struct TrafficBody {
+    /// Messages sent.
+    pub messages_out: u64,
+    /// Bytes sent.
+    pub bytes_out: u64,
+    /// Messages received.
+    pub messages_in: u64,
+    /// Bytes received.
+    pub bytes_in: u64,
 }
 
 /// Another entry.
--- a/crates/cuminkeel_entry/src/api/mod.rs
+++ b/crates/cuminkeel_entry/src/api/mod.rs
@@ -9,7 +9,7 @@
 
 pub use body::{
     CancelBody, ErrorBody, HealthBody, JobBody, JobStateWord, JobSubmission, KeyRequest, KeysBody,
-    StatusBody, TaskSubmission,
+    MemberBody, MessagesBody, StatusBody, TaskSubmission, TrafficBody,
 };
 pub use error::ApiError;
 pub use server::{ApiContext, ApiServer, ApiServerError, openapi_document};
--- a/crates/cuminkeel_entry/src/api/server.rs
+++ b/crates/cuminkeel_entry/src/api/server.rs
@@ -2,13 +2,13 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use cuminkeel_mesh::border;
+use cuminkeel_mesh::{border, transport::counters};
 use cuminkeel_types::{names, outcome};
 use derive_more::{Display, Error};
 use tokio::sync as tokio_sync;
 
 use super::{body, endpoints, extract};
-use crate::{config_feed, config_view, core, job_relay, settings, telemetry};
+use crate::{config_feed, config_view, core, job_relay, services, settings, telemetry};
 
 /// Time after which a caller should try again when an entry is busy.
 const BUSY_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -26,6 +26,8 @@
     pub jobs: sync::Arc<job_relay::JobRelay>,
     /// Other entries.
     pub mesh: sync::Arc<dyn border::MeshPort>,
+    /// Traffic of the mesh.
+    pub mesh_probe: sync::Arc<dyn services::mesh::MeshProbe>,
     /// Counts of messages to backend servers.
     pub messages: sync::Arc<telemetry::MessageCounters>,
     /// Makes spans.
@@ -72,6 +74,30 @@
         self.accepting.load(atomic::Ordering::Acquire)
     }
 
+    fn message_counts(&self) -> body::MessagesBody {
+        let counters = self.mesh_probe.traffic();
+        let mesh = counters::TOPICS.iter().map(|topic| {
+            let traffic = counters.topic(*topic);
+            let body = body::TrafficBody {
+                messages_out: traffic.messages_out,
+                bytes_out: traffic.bytes_out,
+                messages_in: traffic.messages_in,
+                bytes_in: traffic.bytes_in,
+            };
+            (topic.to_string().to_lowercase(), body)
+        });
+        let backend = self.messages.read();
+        body::MessagesBody {
+            attempts: backend.attempts,
+            not_started: backend.not_started,
+            lost: backend.lost,
+            stops: backend.stops,
+            probes: backend.probes,
+            mesh: mesh.collect(),
+            mesh_drops: counters.drops.iter().sum(),
+        }
+    }
+
     pub(super) fn status_body(&self, core: &core::CoreStatus) -> body::StatusBody {
         let local = self.mesh.local();
         let members = self.mesh.members().iter().map(member_body).collect();
@@ -85,7 +111,7 @@
             waiting_requests: u64::try_from(core.waiting_requests).unwrap_or(u64::MAX),
             members,
             dispatch: serde_json::to_value(&core.dispatch).unwrap_or_default(),
-            messages: serde_json::to_value(self.messages.read()).unwrap_or_default(),
+            messages: self.message_counts(),
         }
     }
 }
--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -66,6 +66,7 @@
             config: registry.find::<dyn config_feed::ConfigSource>(names::CONFIG)?,
             jobs,
             mesh,
+            mesh_probe: registry.find::<dyn super::mesh::MeshProbe>(names::MESH_PROBE)?,
             messages: sync::Arc::clone(&self.messages),
             traces: self.traces.clone(),
             metrics: self.metrics.clone(),
--- a/crates/cuminkeel_entry/tests/api_errors.rs
+++ b/crates/cuminkeel_entry/tests/entry/api_errors.rs
@@ -1,13 +1,13 @@
 //! Malformed, oversized, slow and unauthorised requests get a typed error, run
 //! nothing, and leave the entry serving.
 
-mod support;
-
 use std::net;
 
 use cuminkeel_standin::fleet;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+use crate::support;
+
 const GOOD_TASK: &str =
     r#"{"class":"price","size_millicores":1,"declared_ms":1,"payload":"{\"work_ms\":1}"}"#;
 
--- a/crates/cuminkeel_entry/tests/drain.rs
+++ b/crates/cuminkeel_entry/tests/entry/drain.rs
@@ -1,11 +1,11 @@
 //! A planned stop cuts no request.
 
-mod support;
-
 use std::{sync, time};
 
 use cuminkeel_standin::fleet;
 
+use crate::support;
+
 const LIMIT: time::Duration = time::Duration::from_secs(20);
 const JOBS: usize = 24;
 
--- a/crates/cuminkeel_entry/tests/openapi.rs
+++ b/crates/cuminkeel_entry/tests/entry/openapi.rs
@@ -2,7 +2,7 @@
 
 use cuminkeel_entry::api;
 
-const COMMITTED: &str = include_str!("../../../docs/api/openapi.json");
+const COMMITTED: &str = include_str!("../../../../docs/api/openapi.json");
 
 #[test]
 fn the_committed_document_is_current() {
--- a/crates/cuminkeel_entry/tests/settings.rs
+++ b/crates/cuminkeel_entry/tests/entry/settings.rs
@@ -1,32 +1,32 @@
 //! Settings: the examples load, and every mistake is named with its place.
 
-use cuminkeel_entry::settings;
+use cuminkeel_entry::settings as entry_settings;
 use proptest::{
     prelude::{ProptestConfig, any, proptest},
     test_runner,
 };
 
-const ANADOLU: &str = include_str!("../../../examples/settings/anadolu.yaml");
-const PEREKAT: &str = include_str!("../../../examples/settings/perekat.yaml");
+const ANADOLU: &str = include_str!("../../../../examples/settings/anadolu.yaml");
+const PEREKAT: &str = include_str!("../../../../examples/settings/perekat.yaml");
 
 #[test]
 fn the_examples_are_valid() {
-    let anadolu = settings::parse(ANADOLU).expect("the example is valid");
+    let anadolu = entry_settings::parse(ANADOLU).expect("the example is valid");
     assert_eq!(anadolu.vm.as_str(), "gebze-entry-1");
     assert!(anadolu.dispatch.response_weight > anadolu.dispatch.message_weight);
-    let perekat = settings::parse(PEREKAT).expect("the example is valid");
+    let perekat = entry_settings::parse(PEREKAT).expect("the example is valid");
     assert_eq!(perekat.failure_domain.as_str(), "penang");
     assert!(perekat.dispatch.message_weight > perekat.dispatch.response_weight);
 }
 
 #[test]
 fn secrets_are_not_shown() {
-    let settings = settings::parse(ANADOLU).expect("the example is valid");
+    let settings = entry_settings::parse(ANADOLU).expect("the example is valid");
     assert!(!format!("{settings:?}").contains("replace-this-secret"));
 }
 
 fn errors_of(text: &str) -> Vec<String> {
-    let error = settings::parse(text).expect_err("the text has mistakes");
+    let error = entry_settings::parse(text).expect_err("the text has mistakes");
     error.issues.iter().map(ToString::to_string).collect()
 }
 
@@ -112,7 +112,7 @@
 
     #[test]
     fn any_text_gives_settings_or_errors(text in any::<String>()) {
-        if let Err(error) = settings::parse(&text) {
+        if let Err(error) = entry_settings::parse(&text) {
             assert!(!error.issues.is_empty());
         }
     }
@@ -125,7 +125,7 @@
         let mut text: Vec<char> = ANADOLU.chars().collect();
         text[position] = inserted;
         let text: String = text.into_iter().collect();
-        if let Err(error) = settings::parse(&text) {
+        if let Err(error) = entry_settings::parse(&text) {
             assert!(!error.issues.is_empty());
         }
     }
--- a/crates/cuminkeel_entry/tests/traces.rs
+++ b/crates/cuminkeel_entry/tests/entry/traces.rs
@@ -1,7 +1,5 @@
 //! One job's spans, across two entries and a backend server.
 
-mod support;
-
 use std::{collections, time};
 
 use cuminkeel_entry::telemetry;
@@ -9,6 +7,8 @@
 use opentelemetry::trace;
 use opentelemetry_sdk::trace as sdk;
 
+use crate::support;
+
 const LIMIT: time::Duration = time::Duration::from_secs(10);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/cuminkeel_outcome/tests/model/callers.rs
+++ b/crates/cuminkeel_outcome/tests/model/callers.rs
@@ -171,6 +171,7 @@
         idempotent,
         deadline,
         tasks: vec![task; task_count(submission)],
+        trace_parent: None,
     })
 }
 
