Table the named faults of the outcome ledger

Change: tests/model/faults.rs holds one line per case: commands with their times, the replies expected and the number of starts.

--- a/crates/cuminkeel_outcome/tests/model/exhaustive.rs
+++ b/crates/cuminkeel_outcome/tests/model/exhaustive.rs
@@ -3,11 +3,11 @@
 //!
 //! `CUMINKEEL_MODEL_DEVIATIONS` sets the most deviations in a schedule.
 
-use std::{env, thread, time};
+use std::{env, thread};
 
 use cuminkeel_outcome::{rules, settings};
 
-use super::world::{Command, Weather, World};
+use super::world::{Command, KeyCall, Weather, World};
 
 const STEPS: usize = 10;
 const DEVIATIONS: usize = 2;
@@ -23,12 +23,7 @@
     DropNext,
     DoubleNext,
     Pass(u64),
-    Crash(usize),
-    Drain(usize),
-    Pause(usize),
-    Suspect(usize),
-    Submit(usize),
-    Cancel(usize),
+    Obey(Command),
 }
 
 const ALL: [Deviation; 18] = [
@@ -38,32 +33,31 @@
     Deviation::Pass(30),
     Deviation::Pass(120),
     Deviation::Pass(1_100),
-    Deviation::Crash(AUTHORITY),
-    Deviation::Crash(WITNESS),
-    Deviation::Drain(AUTHORITY),
-    Deviation::Drain(WITNESS),
-    Deviation::Pause(AUTHORITY),
-    Deviation::Pause(WITNESS),
-    Deviation::Suspect(AUTHORITY),
-    Deviation::Suspect(WITNESS),
-    Deviation::Submit(AUTHORITY),
-    Deviation::Submit(WITNESS),
-    Deviation::Cancel(AUTHORITY),
-    Deviation::Cancel(OTHER),
+    Deviation::Obey(Command::Crash(AUTHORITY)),
+    Deviation::Obey(Command::Crash(WITNESS)),
+    Deviation::Obey(Command::Drain(AUTHORITY)),
+    Deviation::Obey(Command::Drain(WITNESS)),
+    Deviation::Obey(Command::Pause(AUTHORITY, false)),
+    Deviation::Obey(Command::Pause(WITNESS, false)),
+    Deviation::Obey(Command::Suspect(OTHER, AUTHORITY)),
+    Deviation::Obey(Command::Suspect(OTHER, WITNESS)),
+    Deviation::Obey(Command::Submit(call(AUTHORITY))),
+    Deviation::Obey(Command::Submit(call(WITNESS))),
+    Deviation::Obey(Command::Cancel(call(AUTHORITY))),
+    Deviation::Obey(Command::Cancel(call(OTHER))),
 ];
 
-fn submit(place: usize) -> Command {
-    Command::Submit {
+const fn call(place: usize) -> KeyCall {
+    KeyCall {
         place,
         token: 0,
         variant: 0,
         stranger: false,
-        wait: time::Duration::from_millis(1_500),
+        wait_millis: 1_500,
     }
 }
 
 fn deviate(world: &mut World, deviation: Deviation) {
-    let wait = time::Duration::from_millis(1_500);
     match deviation {
         Deviation::DeliverLast => {
             if let Some(message) = world.take_message(true) {
@@ -78,22 +72,7 @@
             }
         }
         Deviation::Pass(millis) => world.pass_time(millis),
-        Deviation::Crash(place) => world.obey(&Command::Crash { place }),
-        Deviation::Drain(place) => world.obey(&Command::Drain { place }),
-        Deviation::Pause(place) => {
-            world.obey(&Command::Pause {
-                place,
-                clock_stands: false,
-            });
-            world.at(2_500, Command::Resume { place });
-        }
-        Deviation::Suspect(whom) => world.obey(&Command::Suspect { by: OTHER, whom }),
-        Deviation::Submit(place) => world.obey(&submit(place)),
-        Deviation::Cancel(place) => world.obey(&Command::Cancel {
-            place,
-            token: 0,
-            wait,
-        }),
+        Deviation::Obey(command) => world.obey(&command),
     }
 }
 
@@ -105,16 +84,11 @@
         run_millis: 40,
         ..Weather::default()
     };
-    world.at(
-        1,
-        Command::FetchKeys {
-            place: AUTHORITY,
-            customer: 0,
-            count: 1,
-        },
-    );
+    world.at(1, Command::Fetch(AUTHORITY, 0, 1));
+    world.at(2_500, Command::Resume(AUTHORITY));
+    world.at(2_500, Command::Resume(WITNESS));
     world.run_until(2);
-    world.obey(&submit(OTHER));
+    world.obey(&Command::Submit(call(OTHER)));
     for step in 0..STEPS {
         match deviations.iter().find(|(at, _)| *at == step) {
             Some((_, deviation)) => deviate(&mut world, *deviation),
@@ -124,7 +98,7 @@
             },
         }
     }
-    world.at(4_000, submit(OTHER));
+    world.at(4_000, Command::Submit(call(OTHER)));
     world.run_until(END_MILLIS);
     world.check_end();
     world
--- a/crates/cuminkeel_outcome/tests/model/main.rs
+++ b/crates/cuminkeel_outcome/tests/model/main.rs
@@ -7,6 +7,8 @@
 mod callers;
 mod checks;
 mod exhaustive;
+mod faults;
+mod membership;
 mod network;
 mod process;
 mod random;
--- a/crates/cuminkeel_outcome/tests/model/process.rs
+++ b/crates/cuminkeel_outcome/tests/model/process.rs
@@ -1,6 +1,6 @@
 //! One entry process of the model: a ledger, its clock and its dispatcher.
 
-use std::{collections, time};
+use std::collections;
 
 use cuminkeel_outcome::{event, ledger, settings};
 use cuminkeel_types::{names, time as clock};
@@ -95,9 +95,9 @@
         std::mem::take(&mut self.held)
     }
 
-    pub fn step_clock(&mut self, now: u64, by: time::Duration) {
+    pub fn step_clock(&mut self, now: u64, by: u64) {
         self.set_anchor(now);
-        self.anchor_reading += u64::try_from(by.as_micros()).unwrap_or(0);
+        self.anchor_reading += by;
         self.woke_at = self.anchor_reading;
     }
 
--- a/crates/cuminkeel_outcome/tests/model/schedule.rs
+++ b/crates/cuminkeel_outcome/tests/model/schedule.rs
@@ -5,9 +5,11 @@
 use cuminkeel_outcome::{rules, settings};
 use rand::{RngExt, SeedableRng};
 
-use super::world::{Command, Weather, World};
+use super::world::{Command, KeyCall, Weather, World};
 
 const ENTRIES: usize = 4;
+/// Keys that each place fetches at first.
+const FIRST_KEYS: usize = 3;
 const FAULTS_UNTIL_MILLIS: u64 = 2_500;
 const END_MILLIS: u64 = 9_000;
 
@@ -48,15 +50,8 @@
     let mut world = World::new(seed, entries, limits, rules);
     world.weather = draw_weather(&mut rng);
     for place in 0..entries {
-        let customer = u8::try_from(place % 2).unwrap_or(0) * 2;
-        world.at(
-            1,
-            Command::FetchKeys {
-                place,
-                customer,
-                count: 3,
-            },
-        );
+        let customer = if place % 2 == 0 { 0 } else { 2 };
+        world.at(1, Command::Fetch(place, customer, FIRST_KEYS));
     }
     for _ in 0..rng.random_range(4..14) {
         add_calls(&mut world, &mut rng, entries);
@@ -70,30 +65,18 @@
 }
 
 fn draw_weather(rng: &mut rand::rngs::StdRng) -> Weather {
-    match rng.random_range(0..3) {
-        0 => Weather {
-            troubled_jobs: 100,
-            ..Weather::default()
-        },
-        1 => Weather {
-            lost: 50,
-            doubled: 50,
-            slow: 200,
-            very_late: 20,
-            crossed: 100,
-            troubled_jobs: 200,
-            run_millis: 0,
-        },
-        _ => Weather {
-            lost: 250,
-            doubled: 200,
-            slow: 300,
-            very_late: 100,
-            crossed: 300,
-            troubled_jobs: 300,
-            run_millis: 0,
-        },
-    }
+    let mut weather = Weather {
+        troubled_jobs: 100,
+        ..Weather::default()
+    };
+    let harshness = rng.random_range(0..3);
+    weather.lost = harshness * 125;
+    weather.doubled = harshness * 100;
+    weather.slow = harshness * 150;
+    weather.very_late = harshness * 50;
+    weather.crossed = harshness * 150;
+    weather.troubled_jobs += harshness * 100;
+    weather
 }
 
 /// One key used once or more: again at once, at another entry, later, with
@@ -102,30 +85,28 @@
     let token = rng.random_range(0..entries * 4);
     let mut at = rng.random_range(2..FAULTS_UNTIL_MILLIS);
     if rng.random_range(0..10) == 0 {
-        let place = rng.random_range(0..entries);
-        let customer = u8::try_from(rng.random_range(0..2)).unwrap_or(0) * 2;
+        let customer = rng.random_range(0..2_u8) * 2;
         world.at(
             at,
-            Command::FetchKeys {
-                place,
-                customer,
-                count: 2,
-            },
+            Command::Fetch(rng.random_range(0..entries), customer, 2),
         );
     }
     for _ in 0..rng.random_range(1..=3) {
         let place = rng.random_range(0..entries);
-        let wait = time::Duration::from_millis(rng.random_range(20..2_000));
-        let command = match rng.random_range(0..20) {
-            0 => Command::SubmitDirect { place, wait },
-            1..=3 => Command::Cancel { place, token, wait },
-            other => Command::Submit {
-                place,
-                token,
-                variant: u8::from(other == 4),
-                stranger: other == 5,
-                wait,
-            },
+        let wait_millis = rng.random_range(20..2_000);
+        let manner = rng.random_range(0..20);
+        let (variant, stranger) = (u8::from(manner == 4), manner == 5);
+        let call = KeyCall {
+            place,
+            token,
+            variant,
+            stranger,
+            wait_millis,
+        };
+        let command = match manner {
+            0 => Command::SubmitDirect(place, wait_millis),
+            1..=3 => Command::Cancel(call),
+            _ => Command::Submit(call),
         };
         world.at(at, command);
         at += match rng.random_range(0..4) {
@@ -137,99 +118,57 @@
     }
 }
 
+/// Calls with a key of the place where a fault comes, just before or after it.
+fn add_calls_near(
+    world: &mut World,
+    rng: &mut rand::rngs::StdRng,
+    (at, place): (u64, usize),
+    entries: usize,
+) {
+    let token = place * FIRST_KEYS + rng.random_range(0..FIRST_KEYS);
+    for _ in 0..rng.random_range(1..=3) {
+        let place = rng.random_range(0..entries);
+        let call = KeyCall {
+            place,
+            token,
+            wait_millis: 1_500,
+            ..KeyCall::default()
+        };
+        world.at(at + rng.random_range(0..60) - 2, Command::Submit(call));
+    }
+}
+
 fn add_fault(world: &mut World, rng: &mut rand::rngs::StdRng, entries: usize) {
-    let at = rng.random_range(2..FAULTS_UNTIL_MILLIS);
+    let at = rng.random_range(4..FAULTS_UNTIL_MILLIS);
     let until = at + rng.random_range(1..1_500);
     let place = rng.random_range(0..entries);
     let other = rng.random_range(0..entries);
+    if rng.random() {
+        add_calls_near(world, rng, (at, place), entries);
+    }
+    let mut during = |fault, end| {
+        world.at(at, fault);
+        world.at(until, end);
+    };
     match rng.random_range(0..11) {
-        0 => {
-            world.at(at, Command::Crash { place });
-            world.at(until, Command::Start { place });
-        }
+        0 => during(Command::Crash(place), Command::Start(place)),
         1 | 2 => {
-            let actions = rng.random_range(0..3);
-            world.at(at, Command::CrashWithin { place, actions });
-            world.at(until, Command::Start { place });
-        }
-        3 => {
-            world.at(
-                at,
-                Command::Pause {
-                    place,
-                    clock_stands: rng.random(),
-                },
-            );
-            world.at(until, Command::Resume { place });
-        }
-        4 => {
-            world.at(
-                at,
-                Command::Block {
-                    from: place,
-                    to: other,
-                },
-            );
-            world.at(
-                until,
-                Command::Unblock {
-                    from: place,
-                    to: other,
-                },
-            );
+            let fault = Command::CrashWithin(place, rng.random_range(0..3));
+            during(fault, Command::Start(place));
         }
+        3 => during(Command::Pause(place, rng.random()), Command::Resume(place)),
+        4 => during(Command::Block(place, other), Command::Unblock(place, other)),
         5 => {
             for peer in 0..entries {
-                world.at(
-                    at,
-                    Command::Block {
-                        from: place,
-                        to: peer,
-                    },
-                );
-                world.at(
-                    until,
-                    Command::Unblock {
-                        from: place,
-                        to: peer,
-                    },
-                );
-                world.at(
-                    at,
-                    Command::Block {
-                        from: peer,
-                        to: place,
-                    },
-                );
-                world.at(
-                    until,
-                    Command::Unblock {
-                        from: peer,
-                        to: place,
-                    },
-                );
+                during(Command::Block(place, peer), Command::Unblock(place, peer));
+                during(Command::Block(peer, place), Command::Unblock(peer, place));
             }
         }
-        6 => {
-            world.at(
-                at,
-                Command::Suspect {
-                    by: place,
-                    whom: other,
-                },
-            );
-            world.at(
-                until,
-                Command::Unsuspect {
-                    by: place,
-                    whom: other,
-                },
-            );
-        }
-        7..=9 => world.at(at, Command::Drain { place }),
-        _ => {
-            let by = time::Duration::from_millis(rng.random_range(1..2_000));
-            world.at(at, Command::StepClock { place, by });
-        }
+        6 => during(
+            Command::Suspect(place, other),
+            Command::Unsuspect(place, other),
+        ),
+        7..=9 => world.at(at, Command::Drain(place)),
+        _ => world.at(at, Command::StepClock(place, rng.random_range(1..2_000))),
     }
 }
--- a/crates/cuminkeel_outcome/tests/model/world.rs
+++ b/crates/cuminkeel_outcome/tests/model/world.rs
@@ -2,7 +2,7 @@
 //!
 //! Every reply and every start is checked when it happens.
 
-use std::{collections, fmt, sync, time};
+use std::{collections, fmt, sync};
 
 use cuminkeel_outcome::event::OutcomePolicy;
 use cuminkeel_outcome::{event, rules, settings};
@@ -25,71 +25,50 @@
     pub customer: u8,
 }
 
-/// Something that a schedule does at a time.
-#[derive(Clone, Debug)]
+impl Submission {
+    pub fn new(token: usize, variant: u8, customer: u8) -> Self {
+        Self {
+            token,
+            variant,
+            customer,
+        }
+    }
+}
+
+/// A call with a key, made at a place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KeyCall {
+    pub place: usize,
+    pub token: usize,
+    pub variant: u8,
+    pub stranger: bool,
+    pub wait_millis: u64,
+}
+
+/// Something that a schedule does at a time; most name a place first.
+#[derive(Clone, Copy, Debug)]
 pub enum Command {
-    FetchKeys {
-        place: usize,
-        customer: u8,
-        count: u32,
-    },
-    Submit {
-        place: usize,
-        token: usize,
-        variant: u8,
-        stranger: bool,
-        wait: time::Duration,
-    },
-    Cancel {
-        place: usize,
-        token: usize,
-        wait: time::Duration,
-    },
-    SubmitDirect {
-        place: usize,
-        wait: time::Duration,
-    },
-    Crash {
-        place: usize,
-    },
-    /// Crash in the midst of the next event's actions.
-    CrashWithin {
-        place: usize,
-        actions: usize,
-    },
-    Start {
-        place: usize,
-    },
-    Pause {
-        place: usize,
-        clock_stands: bool,
-    },
-    Resume {
-        place: usize,
-    },
-    Block {
-        from: usize,
-        to: usize,
-    },
-    Unblock {
-        from: usize,
-        to: usize,
-    },
-    Suspect {
-        by: usize,
-        whom: usize,
-    },
-    Unsuspect {
-        by: usize,
-        whom: usize,
-    },
-    Drain {
-        place: usize,
-    },
-    StepClock {
-        place: usize,
-        by: time::Duration,
-    },
+    /// Fetches keys for a customer: place, customer, count.
+    Fetch(usize, u8, usize),
+    Submit(KeyCall),
+    Cancel(KeyCall),
+    SubmitDirect(usize, u64),
+    Crash(usize),
+    /// Crashes after so many actions of the next event that has more.
+    CrashWithin(usize, usize),
+    Start(usize),
+    /// Pauses a process; its clock stands still, or runs on.
+    Pause(usize, bool),
+    Resume(usize),
+    /// Loses messages from one place to another.
+    Block(usize, usize),
+    Unblock(usize, usize),
+    /// Takes the second out of the first one's view of the members.
+    Suspect(usize, usize),
+    Unsuspect(usize, usize),
+    Drain(usize),
+    /// Sets a clock forward by milliseconds.
+    StepClock(usize, u64),
 }
 
 #[derive(Clone, Debug)]
@@ -301,11 +280,10 @@
             .filter(|(_, happening)| matches!(happening, Happening::Deliver { .. }))
             .map(|(position, _)| *position);
         let position = if last {
-            messages.next_back()
+            messages.next_back()?
         } else {
-            messages.next()
+            messages.next()?
         };
-        let position = position?;
         self.now = self.now.max(position.0);
         self.queue.remove(&position)
     }
@@ -376,139 +354,39 @@
 
     pub fn obey(&mut self, command: &Command) {
         match *command {
-            Command::FetchKeys {
-                place,
-                customer,
-                count,
-            } => self.fetch_keys(place, customer, count),
-            Command::Submit {
-                place,
-                token,
-                variant,
-                stranger,
-                wait,
-            } => {
-                self.submit(place, token, variant, stranger, wait);
-            }
-            Command::Cancel { place, token, wait } => self.cancel(place, token, wait),
-            Command::SubmitDirect { place, wait } => self.submit_direct(place, wait),
-            Command::Crash { place } => self.crash(place, true),
-            Command::CrashWithin { place, actions } => {
+            Command::Fetch(place, customer, count) => self.fetch_keys(place, customer, count),
+            Command::Submit(call) => self.submit(call),
+            Command::Cancel(call) => self.cancel(call),
+            Command::SubmitDirect(place, wait_millis) => self.submit_direct(place, wait_millis),
+            Command::Crash(place) => self.crash(place, true),
+            Command::CrashWithin(place, actions) => {
                 self.crash_within.insert(place, actions);
             }
-            Command::Start { place } if self.places[place].is_none() => {
-                self.start(place);
-                self.show_view(place);
-                self.spread_views();
-            }
-            Command::Start { .. } => {}
-            Command::Pause {
-                place,
-                clock_stands,
-            } => {
+            Command::Start(place) => self.restart(place),
+            Command::Pause(place, clock_stands) => {
                 if let Some(process) = &mut self.places[place] {
                     process.pause(self.now, clock_stands);
                 }
             }
-            Command::Resume { place } => self.resume(place),
-            Command::Block { from, to } => {
+            Command::Resume(place) => self.resume(place),
+            Command::Block(from, to) => {
                 self.blocked.insert((from, to));
             }
-            Command::Unblock { from, to } => {
+            Command::Unblock(from, to) => {
                 self.blocked.remove(&(from, to));
             }
-            Command::Suspect { by, whom } => self.suspect(by, whom, true),
-            Command::Unsuspect { by, whom } => self.suspect(by, whom, false),
-            Command::Drain { place } => self.feed_running(place, event::OutcomeEvent::DrainStarted),
-            Command::StepClock { place, by } => {
+            Command::Suspect(by, whom) => self.suspect(by, whom, true),
+            Command::Unsuspect(by, whom) => self.suspect(by, whom, false),
+            Command::Drain(place) => self.feed_running(place, event::OutcomeEvent::DrainStarted),
+            Command::StepClock(place, millis) => {
                 if let Some(process) = &mut self.places[place] {
-                    process.step_clock(self.now, by);
+                    process.step_clock(self.now, millis * MILLI);
                 }
                 self.feed_running(place, event::OutcomeEvent::WakeupDue);
             }
         }
     }
 
-    pub fn start(&mut self, place: usize) {
-        let incarnation = names::IncarnationId(self.rng.random());
-        let rack = names::RackName::new(format!("rack-{}", place % 2));
-        let mut settings = settings::LedgerSettings::new(incarnation, rack, MESH_KEY);
-        settings.limits = self.limits.clone();
-        settings.rules = self.rules;
-        let rate = self.between(900, 1_100);
-        self.places[place] = Some(Process::new(settings, self.now, rate));
-        self.places_of.insert(incarnation, place);
-    }
-
-    pub fn crash(&mut self, place: usize, abrupt: bool) {
-        self.crash_within.remove(&place);
-        if let Some(process) = self.places[place].take() {
-            if abrupt {
-                self.crashed.insert(process.incarnation);
-            }
-            self.tickets
-                .retain(|(incarnation, _), _| *incarnation != process.incarnation);
-            self.spread_views();
-        }
-    }
-
-    pub fn resume(&mut self, place: usize) {
-        let now = self.now;
-        let held = match &mut self.places[place] {
-            Some(process) if process.paused => process.resume(now),
-            _ => return,
-        };
-        for happening in held {
-            self.push(now, happening);
-        }
-        self.feed(place, event::OutcomeEvent::WakeupDue);
-    }
-
-    pub fn suspect(&mut self, by: usize, whom: usize, suspected: bool) {
-        let Some(process) = &mut self.places[by] else {
-            return;
-        };
-        if suspected {
-            process.suspects.insert(whom);
-        } else {
-            process.suspects.remove(&whom);
-        }
-        let incarnation = process.incarnation;
-        self.push(self.now, Happening::View(incarnation));
-    }
-
-    /// Lets every process see the membership, each after a delay of its own.
-    pub fn spread_views(&mut self) {
-        let living: Vec<_> = self
-            .places
-            .iter()
-            .flatten()
-            .map(|process| process.incarnation)
-            .collect();
-        for incarnation in living {
-            let lag = self.between(1, 800) * MILLI;
-            self.push(self.now + lag, Happening::View(incarnation));
-        }
-    }
-
-    pub fn show_view(&mut self, place: usize) {
-        let Some(viewer) = &self.places[place] else {
-            return;
-        };
-        let peers = (0..self.places.len())
-            .filter(|other| *other != place && !viewer.suspects.contains(other))
-            .filter_map(|other| {
-                let process = self.places[other].as_ref()?;
-                Some(event::PeerEntry {
-                    vm: names::VmName::new(format!("vm-{other}")),
-                    incarnation: process.incarnation,
-                    rack: names::RackName::new(format!("rack-{}", other % 2)),
-                })
-            })
-            .collect();
-        self.feed(place, event::OutcomeEvent::PeersChanged(peers));
-    }
-
     /// Passes an event to a process unless it is paused or gone.
     pub fn feed_running(&mut self, place: usize, event: event::OutcomeEvent) {
         match &self.places[place] {
@@ -537,10 +415,8 @@
             Some(_) if cut.is_some() => self.crash(place, true),
             Some(process) if process.is_finished() => {
                 self.crash(place, false);
-                self.push(
-                    self.now + 50 * MILLI,
-                    Happening::Command(Command::Start { place }),
-                );
+                let start = Happening::Command(Command::Start(place));
+                self.push(self.now + 50 * MILLI, start);
             }
             _ => self.set_wake(place),
         }
@@ -572,11 +448,7 @@
     pub fn act(&mut self, place: usize, from: names::IncarnationId, action: event::OutcomeAction) {
         match action {
             event::OutcomeAction::KeysIssued { ticket, keys } => self.keep_keys(from, ticket, keys),
-            event::OutcomeAction::StartJob {
-                job,
-                spec,
-                ticket: _,
-            } => self.admit(place, job, &spec),
+            event::OutcomeAction::StartJob { job, spec, .. } => self.admit(place, job, &spec),
             event::OutcomeAction::CancelJob { job } => self.cancel_job(place, job),
             event::OutcomeAction::Reply { ticket, answer } => {
                 self.check_reply(place, (from, ticket), answer);
