--- a/crates/cuminkeel_dispatch/src/factory.rs
+++ b/crates/cuminkeel_dispatch/src/factory.rs
@@ -5,7 +5,7 @@
 use cuminkeel_types::names;
 use derive_more::{Display, Error};
 
-use crate::{baseline, event, policy, share};
+use crate::{baseline, event, policy, share, slot_policy};
 
 /// Names that [`policy_by_name`] knows, the product's own first.
 pub const POLICY_NAMES: [&str; 4] = ["cuminkeel", "random", "least_known_load", "two_choices"];
@@ -44,9 +44,9 @@
     gate: Box<dyn share::AllowanceGate>,
     seed: u64,
 ) -> Result<Box<dyn policy::DispatchPolicy>, PolicyError> {
-    let _ = settings;
     let choice = match name {
-        "cuminkeel" | "least_known_load" => baseline::ServerChoice::LeastKnownLoad,
+        "cuminkeel" => return Ok(Box::new(slot_policy::SlotPolicy::new(settings, gate))),
+        "least_known_load" => baseline::ServerChoice::LeastKnownLoad,
         "random" => baseline::ServerChoice::Random,
         "two_choices" => baseline::ServerChoice::TwoChoices,
         _ => return Err(PolicyError::UnknownName { name: name.into() }),
--- a/crates/cuminkeel_dispatch/src/job_table.rs
+++ b/crates/cuminkeel_dispatch/src/job_table.rs
@@ -298,14 +298,19 @@
         code: outcome::RefusalCode,
         detail: &str,
         actions: &mut Vec<event::DispatchAction>,
+    ) -> Option<JobRecord> {
+        self.fail_for(job, outcome::Refusal::not_run(code, detail), actions)
+    }
+
+    /// As [`JobTable::fail`], with a refusal whose `ran` is set to the truth.
+    pub fn fail_for(
+        &mut self,
+        job: names::JobId,
+        mut refusal: outcome::Refusal,
+        actions: &mut Vec<event::DispatchAction>,
     ) -> Option<JobRecord> {
         let record = self.remove(job)?;
-        let refusal = outcome::Refusal {
-            code,
-            ran: record.run_status(),
-            retry_after: None,
-            detail: detail.into(),
-        };
+        refusal.ran = record.run_status();
         actions.push(event::DispatchAction::FinishJob {
             job,
             answer: outcome::JobAnswer::Failed(refusal),
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -5,9 +5,18 @@
 //! with the time of each into a [`policy::DispatchPolicy`] and carries out the
 //! [`event::DispatchAction`]s that come back.
 
+pub mod admission;
 pub mod baseline;
 pub mod event;
 pub mod factory;
+pub mod fair_queue;
 pub mod job_table;
 pub mod policy;
+pub mod server_health;
+pub mod server_pool;
 pub mod share;
+pub mod slot_division;
+pub mod slot_lending;
+pub mod slot_policy;
+pub mod speed_buckets;
+pub mod speed_model;
--- /dev/null
+++ b/crates/cuminkeel_dispatch/src/server_pool.rs
@@ -0,0 +1,519 @@
+//! The servers that this entry may use: usable slots, free slots ordered by
+//! speed, and what is known of each server's speed and health.
+
+use std::{collections, mem, time};
+
+use cuminkeel_types::{names, time as clock};
+use smallvec::SmallVec;
+
+use crate::{event, policy, server_health, slot_division, speed_buckets, speed_model};
+
+/// Time for which a server's usable slots are cut after it refused a task;
+/// doubles with each further refusal until a task is done.
+const REFUSED_CUT: time::Duration = time::Duration::from_millis(200);
+/// Most doublings of [`REFUSED_CUT`].
+const MAX_CUT_DOUBLINGS: u32 = 4;
+/// Free servers that are compared for one task.
+const COMPARED_SERVERS: usize = 4;
+/// A running task counts as overdue after this many times its expected run time.
+const OVERDUE_RATIO: f64 = 4.0;
+/// Share of the servers that may be ejected whatever the load.
+const MAX_EJECTED_SHARE: f64 = 1.0 / 3.0;
+/// Usable slots for each running task that must be left to eject more.
+const EJECT_HEADROOM: f64 = 1.25;
+/// Time without observations after which a server's learnt speed counts for less.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(30);
+/// Weight that observations keep at each such time.
+const FORGET_KEPT: f64 = 0.5;
+
+/// Number of a server within one [`ServerPool`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServerIndex(u32);
+
+impl ServerIndex {
+    /// The number as an index.
+    pub fn as_usize(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// One server.
+#[derive(Debug)]
+pub struct PoolServer {
+    /// What the VM list says.
+    pub record: event::ServerRecord,
+    /// Learnt speed.
+    pub speed: speed_model::ServerSpeed,
+    /// Evidence of failures.
+    pub health: server_health::ServerHealth,
+    listed: bool,
+    refused_leaving: bool,
+    share: u32,
+    lent: u32,
+    borrowed: u32,
+    cut: u32,
+    cut_until: clock::TimePoint,
+    refusals: u32,
+    running: SmallVec<[RunningSlot; 4]>,
+    last_done: clock::TimePoint,
+    usable: u32,
+    bucket: speed_buckets::SpeedBucket,
+    free_key: Option<FreeKey>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunningSlot {
+    started: clock::TimePoint,
+    expected_end: clock::TimePoint,
+}
+
+type FreeKey = (speed_buckets::SpeedBucket, u32, ServerIndex);
+
+impl PoolServer {
+    fn new(record: event::ServerRecord) -> Self {
+        Self {
+            record,
+            speed: speed_model::ServerSpeed::default(),
+            health: server_health::ServerHealth::default(),
+            listed: true,
+            refused_leaving: false,
+            share: 0,
+            lent: 0,
+            borrowed: 0,
+            cut: 0,
+            cut_until: clock::TimePoint::ZERO,
+            refusals: 0,
+            running: SmallVec::new(),
+            last_done: clock::TimePoint::ZERO,
+            usable: 0,
+            bucket: speed_buckets::SpeedBucket::of(0.0),
+            free_key: None,
+        }
+    }
+
+    fn is_unused(&self) -> bool {
+        !self.listed && self.running.is_empty() && self.lent + self.borrowed == 0
+    }
+
+    fn leaves(&self) -> bool {
+        !self.listed || self.record.leaving || self.refused_leaving
+    }
+
+    fn granted(&self) -> u32 {
+        (self.share + self.borrowed).saturating_sub(self.lent)
+    }
+
+    fn usable_now(&self, now: clock::TimePoint) -> u32 {
+        let granted = self.granted();
+        let cut = if now < self.cut_until { self.cut } else { 0 };
+        match self.health.state() {
+            _ if self.leaves() => 0,
+            server_health::HealthState::Ejected { .. } => 0,
+            server_health::HealthState::Suspect | server_health::HealthState::OnTrial { .. } => {
+                granted.min(1)
+            }
+            server_health::HealthState::Healthy => granted.saturating_sub(cut),
+        }
+    }
+
+    /// Tasks of this entry on the server.
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Slots that may be used now and are not.
+    pub fn free(&self) -> u32 {
+        self.usable.saturating_sub(self.running())
+    }
+
+    /// Slots of the own share that are idle and could be lent.
+    pub fn lendable(&self) -> u32 {
+        let own = self.share.saturating_sub(self.lent);
+        let healthy = self.health.state() == server_health::HealthState::Healthy;
+        if healthy { own.min(self.free()) } else { 0 }
+    }
+
+    /// Whether a running task is far beyond its expected end with nothing else
+    /// done since it started.
+    fn is_overdue(&self, now: clock::TimePoint) -> bool {
+        self.running.iter().any(|slot| {
+            let expected = slot.expected_end.since(slot.started).as_secs_f64();
+            let silent = self.last_done <= slot.started;
+            silent && now.since(slot.started).as_secs_f64() > expected * OVERDUE_RATIO
+        })
+    }
+
+    fn state(&self) -> policy::ServerState {
+        match self.health.state() {
+            _ if self.leaves() => policy::ServerState::Leaving,
+            server_health::HealthState::Ejected { .. } => policy::ServerState::Ejected,
+            server_health::HealthState::OnTrial { .. } => policy::ServerState::OnTrial,
+            server_health::HealthState::Healthy | server_health::HealthState::Suspect => {
+                policy::ServerState::Live
+            }
+        }
+    }
+}
+
+/// A free server for one task.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerOffer {
+    /// The server.
+    pub server: ServerIndex,
+    /// Its speed bucket.
+    pub bucket: speed_buckets::SpeedBucket,
+    /// Expected run time of the task there, in seconds.
+    pub run_secs: f64,
+}
+
+/// All servers of one entry.
+#[derive(Debug, Default)]
+pub struct ServerPool {
+    servers: Vec<PoolServer>,
+    by_name: collections::HashMap<names::ServerName, ServerIndex>,
+    free: collections::BTreeSet<FreeKey>,
+    buckets: speed_buckets::SpeedBuckets,
+    timers: collections::BTreeSet<(clock::TimePoint, ServerIndex)>,
+    ejected: u32,
+    max_size: u32,
+}
+
+impl ServerPool {
+    /// Takes in the list of servers and the entries that share them.
+    pub fn set_servers(
+        &mut self,
+        now: clock::TimePoint,
+        records: Vec<event::ServerRecord>,
+        local: &names::VmName,
+        entries: &[names::VmName],
+    ) {
+        for server in &mut self.servers {
+            server.listed = false;
+        }
+        for record in records {
+            let index = self.index_or_insert(&record);
+            let server = &mut self.servers[index.as_usize()];
+            let back = server.record.leaving && !record.leaving;
+            server.refused_leaving &= !back;
+            server.record = record;
+            server.listed = true;
+        }
+        self.set_entries(now, local, entries);
+        self.set_max_size();
+    }
+
+    fn index_or_insert(&mut self, record: &event::ServerRecord) -> ServerIndex {
+        if let Some(index) = self.by_name.get(&record.name) {
+            return *index;
+        }
+        let unused = self.servers.iter().position(PoolServer::is_unused);
+        let at = unused.unwrap_or(self.servers.len());
+        let index = ServerIndex(u32::try_from(at).unwrap_or(u32::MAX));
+        let fresh = PoolServer::new(record.clone());
+        if let Some(old) = self.servers.get_mut(at) {
+            self.by_name.remove(&old.record.name);
+            self.free.retain(|(_, _, server)| *server != index);
+            let old = mem::replace(old, fresh);
+            self.buckets.subtract(old.bucket, old.usable, 0);
+            self.ejected -= u32::from(is_ejected(&old));
+        } else {
+            self.servers.push(fresh);
+        }
+        self.by_name.insert(record.name.clone(), index);
+        index
+    }
+
+    /// Divides all servers' slots anew among the entries of the domain.
+    pub fn set_entries(
+        &mut self,
+        now: clock::TimePoint,
+        local: &names::VmName,
+        entries: &[names::VmName],
+    ) {
+        for server in &mut self.servers {
+            let (name, slots) = (&server.record.name, server.record.slots);
+            let share = slot_division::local_share(name, slots, local, entries);
+            server.share = if server.listed { share } else { 0 };
+        }
+        self.refresh_all(now);
+    }
+
+    /// Recomputes all servers, for changes that touch many.
+    pub fn refresh_all(&mut self, now: clock::TimePoint) {
+        for index in self.indices() {
+            self.refresh(now, index);
+        }
+    }
+
+    fn indices(&self) -> impl Iterator<Item = ServerIndex> + use<> {
+        (0..u32::try_from(self.servers.len()).unwrap_or(u32::MAX)).map(ServerIndex)
+    }
+
+    /// Brings the sums and the order of free servers up to date for one server.
+    fn refresh(&mut self, now: clock::TimePoint, index: ServerIndex) {
+        let server = &mut self.servers[index.as_usize()];
+        let usable = server.usable_now(now);
+        let bucket = speed_buckets::SpeedBucket::of(server.speed.optimistic_factor());
+        let running = server.running();
+        if usable != server.usable || bucket != server.bucket {
+            self.buckets.subtract(server.bucket, server.usable, running);
+            self.buckets.add(bucket, usable, running);
+            server.usable = usable;
+            server.bucket = bucket;
+        }
+        let free_key = (server.free() > 0).then_some((bucket, running, index));
+        if free_key == server.free_key {
+            return;
+        }
+        if let Some(old) = mem::replace(&mut server.free_key, free_key) {
+            self.free.remove(&old);
+        }
+        if let Some(new) = free_key {
+            self.free.insert(new);
+        }
+    }
+
+    /// The number of a server.
+    pub fn index(&self, name: &names::ServerName) -> Option<ServerIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// A server.
+    pub fn server(&self, index: ServerIndex) -> &PoolServer {
+        &self.servers[index.as_usize()]
+    }
+
+    /// The free server where a task of the class ends soonest, of the few
+    /// that are fastest for all classes. Servers with silent overdue tasks are
+    /// passed over while there are others.
+    pub fn best_free(
+        &self,
+        now: clock::TimePoint,
+        model: &speed_model::SpeedModel,
+        class: speed_model::ClassIndex,
+        size: u32,
+    ) -> Option<ServerOffer> {
+        self.free
+            .iter()
+            .filter(|(_, _, index)| self.fits(*index, size) && !self.server(*index).is_overdue(now))
+            .take(COMPARED_SERVERS)
+            .map(|(bucket, _, index)| ServerOffer {
+                server: *index,
+                bucket: *bucket,
+                run_secs: model.run_secs(class, &self.server(*index).speed),
+            })
+            .min_by(|a, b| a.run_secs.total_cmp(&b.run_secs))
+    }
+
+    fn fits(&self, index: ServerIndex, size: u32) -> bool {
+        size <= self.server(index).record.max_size_millicores
+    }
+
+    /// Notes a start.
+    pub fn start(&mut self, now: clock::TimePoint, index: ServerIndex, run_secs: f64) {
+        let server = &mut self.servers[index.as_usize()];
+        let expected = time::Duration::from_secs_f64(run_secs.clamp(0.0, 3_600.0));
+        server.running.push(RunningSlot {
+            started: now,
+            expected_end: now + expected,
+        });
+        self.buckets.add(server.bucket, 0, 1);
+        self.refresh(now, index);
+    }
+
+    /// Notes an end of a task that was started at `started`.
+    pub fn end(&mut self, now: clock::TimePoint, index: ServerIndex, started: clock::TimePoint) {
+        let server = &mut self.servers[index.as_usize()];
+        if let Some(at) = server
+            .running
+            .iter()
+            .position(|slot| slot.started == started)
+        {
+            server.running.swap_remove(at);
+            self.buckets.subtract(server.bucket, 0, 1);
+        }
+        self.refresh(now, index);
+    }
+
+    /// Takes in a run time and the success that it proves.
+    pub fn on_done(
+        &mut self,
+        now: clock::TimePoint,
+        index: ServerIndex,
+        learn: impl FnOnce(&mut speed_model::ServerSpeed),
+    ) {
+        let server = &mut self.servers[index.as_usize()];
+        let was_ejected = is_ejected(server);
+        server.last_done = now;
+        server.refusals = 0;
+        server.health.on_success();
+        learn(&mut server.speed);
+        self.after_health(now, index, was_ejected);
+    }
+
+    /// Takes in evidence against a server.
+    pub fn on_failure(
+        &mut self,
+        now: clock::TimePoint,
+        index: ServerIndex,
+        evidence: server_health::FailureEvidence,
+    ) {
+        let may_eject = self.may_eject(index);
+        let server = &mut self.servers[index.as_usize()];
+        let was_ejected = is_ejected(server);
+        server.health.on_failure(now, evidence, may_eject);
+        self.after_health(now, index, was_ejected);
+    }
+
+    /// Whether enough servers are left if this one is ejected.
+    fn may_eject(&self, index: ServerIndex) -> bool {
+        let listed = f64::from(self.listed_servers());
+        let ejected = f64::from(self.ejected + 1);
+        let left = self.buckets.usable() - self.server(index).usable;
+        let spare = f64::from(left) >= f64::from(self.buckets.running()) * EJECT_HEADROOM;
+        let allowed = if spare {
+            listed - 1.0
+        } else {
+            (listed * MAX_EJECTED_SHARE).max(1.0)
+        };
+        left > 0 && ejected <= allowed
+    }
+
+    fn after_health(&mut self, now: clock::TimePoint, index: ServerIndex, was_ejected: bool) {
+        let server = &self.servers[index.as_usize()];
+        match (was_ejected, is_ejected(server)) {
+            (false, true) => self.ejected += 1,
+            (true, false) => self.ejected -= 1,
+            _ => {}
+        }
+        if let server_health::HealthState::Ejected { until } = server.health.state() {
+            self.timers.insert((until, index));
+        }
+        self.refresh(now, index);
+    }
+
+    fn listed_servers(&self) -> u32 {
+        let listed = self.servers.iter().filter(|server| server.listed).count();
+        u32::try_from(listed).unwrap_or(u32::MAX)
+    }
+
+    /// Cuts a server's usable slots to those in use, since it refused one more.
+    pub fn on_slots_full(&mut self, now: clock::TimePoint, index: ServerIndex) {
+        let server = &mut self.servers[index.as_usize()];
+        server.cut = server.granted().saturating_sub(server.running());
+        server.cut_until = now + REFUSED_CUT * (1 << server.refusals.min(MAX_CUT_DOUBLINGS));
+        server.refusals += 1;
+        self.timers.insert((server.cut_until, index));
+        self.refresh(now, index);
+    }
+
+    /// Gives a server no more work, since it said that it leaves.
+    pub fn on_leaving(&mut self, now: clock::TimePoint, index: ServerIndex) {
+        self.servers[index.as_usize()].refused_leaving = true;
+        self.refresh(now, index);
+    }
+
+    /// Lowers a server's largest size, since it refused a task as too large.
+    pub fn on_too_large(&mut self, index: ServerIndex, size: u32) {
+        let record = &mut self.servers[index.as_usize()].record;
+        record.max_size_millicores = record.max_size_millicores.min(size.saturating_sub(1));
+        self.set_max_size();
+    }
+
+    fn set_max_size(&mut self) {
+        let in_use = self.servers.iter().filter(|server| !server.leaves());
+        let sizes = in_use.map(|server| server.record.max_size_millicores);
+        self.max_size = sizes.max().unwrap_or(0);
+    }
+
+    /// Whether no task of the server was done since `since`.
+    pub fn is_silent(&self, index: ServerIndex, since: clock::TimePoint) -> bool {
+        self.server(index).last_done <= since
+    }
+
+    /// Changes a server's slots by a loan given or taken.
+    pub fn change_loans(
+        &mut self,
+        now: clock::TimePoint,
+        index: ServerIndex,
+        change: impl FnOnce(&mut u32, &mut u32),
+    ) {
+        let server = &mut self.servers[index.as_usize()];
+        change(&mut server.lent, &mut server.borrowed);
+        self.refresh(now, index);
+    }
+
+    /// Carries out what is due by time: ends of cuts, begins of trials.
+    pub fn on_time(&mut self, now: clock::TimePoint) {
+        while let Some((due, index)) = self.timers.first().copied()
+            && due <= now
+        {
+            self.timers.pop_first();
+            let server = &mut self.servers[index.as_usize()];
+            let was_ejected = is_ejected(server);
+            server.health.on_time(now);
+            self.after_health(now, index, was_ejected);
+        }
+    }
+
+    /// When [`ServerPool::on_time`] has something to do next.
+    pub fn next_due(&self) -> Option<clock::TimePoint> {
+        self.timers.first().map(|(due, _)| *due)
+    }
+
+    /// Lets the speed of servers without recent observations count for less.
+    pub fn forget_unused(&mut self, now: clock::TimePoint) {
+        for index in self.indices() {
+            let server = &mut self.servers[index.as_usize()];
+            if now.since(server.last_done) > FORGET_AFTER {
+                server.last_done = now;
+                server.speed.forget(FORGET_KEPT);
+                self.refresh(now, index);
+            }
+        }
+    }
+
+    /// Sums by speed.
+    pub fn buckets(&self) -> &speed_buckets::SpeedBuckets {
+        &self.buckets
+    }
+
+    /// Whether any server has a free slot.
+    pub fn has_free(&self) -> bool {
+        !self.free.is_empty()
+    }
+
+    /// Free servers, fastest first.
+    pub fn free_servers(&self) -> impl Iterator<Item = ServerIndex> + '_ {
+        self.free.iter().map(|(_, _, index)| *index)
+    }
+
+    /// Largest size that any server takes.
+    pub fn max_size(&self) -> u32 {
+        self.max_size
+    }
+
+    /// One line for each server in the list or in use.
+    pub fn status(&self) -> Vec<policy::ServerStatus> {
+        let shown = self
+            .servers
+            .iter()
+            .filter(|server| server.listed || server.running() > 0);
+        shown
+            .map(|server| policy::ServerStatus {
+                server: server.record.name.clone(),
+                usable_slots: server.usable,
+                running: server.running(),
+                state: server.state(),
+                slowness: server.speed.log_factor().exp(),
+            })
+            .collect()
+    }
+}
+
+fn is_ejected(server: &PoolServer) -> bool {
+    matches!(
+        server.health.state(),
+        server_health::HealthState::Ejected { .. }
+    )
+}
