--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -11,6 +11,9 @@
 pub mod factory;
 pub mod fair_queue;
 pub mod job_table;
+#[allow(missing_docs, clippy::pedantic)]
+pub mod knob;
+pub mod length_ranks;
 pub mod policy;
 pub mod server_health;
 pub mod server_pool;
--- a/crates/cuminkeel_dispatch/src/server_pool.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool.rs
@@ -1,11 +1,17 @@
 //! The servers that this entry may use: usable slots, free slots ordered by
 //! speed, and what is known of each server's speed and health.
 
+mod choice;
+mod pool_server;
+
 use std::{collections, mem, time};
 
 use cuminkeel_types::{names, time as clock};
-use smallvec::SmallVec;
 
+pub use self::{
+    choice::{ServerOffer, TaskNeed},
+    pool_server::PoolServer,
+};
 use crate::{event, policy, server_health, slot_division, speed_buckets, speed_model};
 
 /// Time for which a server's usable slots are cut after it refused a task;
@@ -13,10 +19,6 @@
 const REFUSED_CUT: time::Duration = time::Duration::from_millis(200);
 /// Most doublings of [`REFUSED_CUT`].
 const MAX_CUT_DOUBLINGS: u32 = 4;
-/// Free servers that are compared for one task.
-const COMPARED_SERVERS: usize = 4;
-/// A running task counts as overdue after this many times its expected run time.
-const OVERDUE_RATIO: f64 = 4.0;
 /// Share of the servers that may be ejected whatever the load.
 const MAX_EJECTED_SHARE: f64 = 1.0 / 3.0;
 /// Usable slots for each running task that must be left to eject more.
@@ -37,135 +39,8 @@
     }
 }
 
-/// One server.
-#[derive(Debug)]
-pub struct PoolServer {
-    /// What the VM list says.
-    pub record: event::ServerRecord,
-    /// Learnt speed.
-    pub speed: speed_model::ServerSpeed,
-    /// Evidence of failures.
-    pub health: server_health::ServerHealth,
-    listed: bool,
-    refused_leaving: bool,
-    share: u32,
-    lent: u32,
-    borrowed: u32,
-    cut: u32,
-    cut_until: clock::TimePoint,
-    refusals: u32,
-    running: SmallVec<[RunningSlot; 4]>,
-    last_done: clock::TimePoint,
-    usable: u32,
-    bucket: speed_buckets::SpeedBucket,
-    free_key: Option<FreeKey>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RunningSlot {
-    started: clock::TimePoint,
-    expected_end: clock::TimePoint,
-}
-
 type FreeKey = (speed_buckets::SpeedBucket, u32, ServerIndex);
 
-impl PoolServer {
-    fn new(record: event::ServerRecord) -> Self {
-        Self {
-            record,
-            speed: speed_model::ServerSpeed::default(),
-            health: server_health::ServerHealth::default(),
-            listed: true,
-            refused_leaving: false,
-            share: 0,
-            lent: 0,
-            borrowed: 0,
-            cut: 0,
-            cut_until: clock::TimePoint::ZERO,
-            refusals: 0,
-            running: SmallVec::new(),
-            last_done: clock::TimePoint::ZERO,
-            usable: 0,
-            bucket: speed_buckets::SpeedBucket::of(0.0),
-            free_key: None,
-        }
-    }
-
-    fn is_unused(&self) -> bool {
-        !self.listed && self.running.is_empty() && self.lent + self.borrowed == 0
-    }
-
-    fn leaves(&self) -> bool {
-        !self.listed || self.record.leaving || self.refused_leaving
-    }
-
-    fn granted(&self) -> u32 {
-        (self.share + self.borrowed).saturating_sub(self.lent)
-    }
-
-    fn usable_now(&self, now: clock::TimePoint) -> u32 {
-        let granted = self.granted();
-        let cut = if now < self.cut_until { self.cut } else { 0 };
-        match self.health.state() {
-            _ if self.leaves() => 0,
-            server_health::HealthState::Ejected { .. } => 0,
-            server_health::HealthState::Suspect | server_health::HealthState::OnTrial { .. } => {
-                granted.min(1)
-            }
-            server_health::HealthState::Healthy => granted.saturating_sub(cut),
-        }
-    }
-
-    /// Tasks of this entry on the server.
-    pub fn running(&self) -> u32 {
-        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
-    }
-
-    /// Slots that may be used now and are not.
-    pub fn free(&self) -> u32 {
-        self.usable.saturating_sub(self.running())
-    }
-
-    /// Slots of the own share that are idle and could be lent.
-    pub fn lendable(&self) -> u32 {
-        let own = self.share.saturating_sub(self.lent);
-        let healthy = self.health.state() == server_health::HealthState::Healthy;
-        if healthy { own.min(self.free()) } else { 0 }
-    }
-
-    /// Whether a running task is far beyond its expected end with nothing else
-    /// done since it started.
-    fn is_overdue(&self, now: clock::TimePoint) -> bool {
-        self.running.iter().any(|slot| {
-            let expected = slot.expected_end.since(slot.started).as_secs_f64();
-            let silent = self.last_done <= slot.started;
-            silent && now.since(slot.started).as_secs_f64() > expected * OVERDUE_RATIO
-        })
-    }
-
-    fn state(&self) -> policy::ServerState {
-        match self.health.state() {
-            _ if self.leaves() => policy::ServerState::Leaving,
-            server_health::HealthState::Ejected { .. } => policy::ServerState::Ejected,
-            server_health::HealthState::OnTrial { .. } => policy::ServerState::OnTrial,
-            server_health::HealthState::Healthy | server_health::HealthState::Suspect => {
-                policy::ServerState::Live
-            }
-        }
-    }
-}
-
-/// A free server for one task.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ServerOffer {
-    /// The server.
-    pub server: ServerIndex,
-    /// Its speed bucket.
-    pub bucket: speed_buckets::SpeedBucket,
-    /// Expected run time of the task there, in seconds.
-    pub run_secs: f64,
-}
-
 /// All servers of one entry.
 #[derive(Debug, Default)]
 pub struct ServerPool {
@@ -215,7 +90,7 @@
             self.free.retain(|(_, _, server)| *server != index);
             let old = mem::replace(old, fresh);
             self.buckets.subtract(old.bucket, old.usable, 0);
-            self.ejected -= u32::from(is_ejected(&old));
+            self.ejected -= u32::from(old.is_ejected());
         } else {
             self.servers.push(fresh);
         }
@@ -283,37 +158,11 @@
         &self.servers[index.as_usize()]
     }
 
-    /// The free server where a task of the class ends soonest, of the few
-    /// that are fastest for all classes. Servers with silent overdue tasks are
-    /// passed over while there are others.
-    pub fn best_free(
-        &self,
-        now: clock::TimePoint,
-        model: &speed_model::SpeedModel,
-        class: speed_model::ClassIndex,
-        size: u32,
-    ) -> Option<ServerOffer> {
-        self.free
-            .iter()
-            .filter(|(_, _, index)| self.fits(*index, size) && !self.server(*index).is_overdue(now))
-            .take(COMPARED_SERVERS)
-            .map(|(bucket, _, index)| ServerOffer {
-                server: *index,
-                bucket: *bucket,
-                run_secs: model.run_secs(class, &self.server(*index).speed),
-            })
-            .min_by(|a, b| a.run_secs.total_cmp(&b.run_secs))
-    }
-
-    fn fits(&self, index: ServerIndex, size: u32) -> bool {
-        size <= self.server(index).record.max_size_millicores
-    }
-
     /// Notes a start.
     pub fn start(&mut self, now: clock::TimePoint, index: ServerIndex, run_secs: f64) {
         let server = &mut self.servers[index.as_usize()];
         let expected = time::Duration::from_secs_f64(run_secs.clamp(0.0, 3_600.0));
-        server.running.push(RunningSlot {
+        server.running.push(pool_server::RunningSlot {
             started: now,
             expected_end: now + expected,
         });
@@ -343,7 +192,7 @@
         learn: impl FnOnce(&mut speed_model::ServerSpeed),
     ) {
         let server = &mut self.servers[index.as_usize()];
-        let was_ejected = is_ejected(server);
+        let was_ejected = server.is_ejected();
         server.last_done = now;
         server.refusals = 0;
         server.health.on_success();
@@ -360,7 +209,7 @@
     ) {
         let may_eject = self.may_eject(index);
         let server = &mut self.servers[index.as_usize()];
-        let was_ejected = is_ejected(server);
+        let was_ejected = server.is_ejected();
         server.health.on_failure(now, evidence, may_eject);
         self.after_health(now, index, was_ejected);
     }
@@ -381,7 +230,7 @@
 
     fn after_health(&mut self, now: clock::TimePoint, index: ServerIndex, was_ejected: bool) {
         let server = &self.servers[index.as_usize()];
-        match (was_ejected, is_ejected(server)) {
+        match (was_ejected, server.is_ejected()) {
             (false, true) => self.ejected += 1,
             (true, false) => self.ejected -= 1,
             _ => {}
@@ -450,7 +299,7 @@
         {
             self.timers.pop_first();
             let server = &mut self.servers[index.as_usize()];
-            let was_ejected = is_ejected(server);
+            let was_ejected = server.is_ejected();
             server.health.on_time(now);
             self.after_health(now, index, was_ejected);
         }
@@ -510,10 +359,3 @@
             .collect()
     }
 }
-
-fn is_ejected(server: &PoolServer) -> bool {
-    matches!(
-        server.health.state(),
-        server_health::HealthState::Ejected { .. }
-    )
-}
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -10,8 +10,8 @@
 use cuminkeel_types::{job, names, outcome, time as clock};
 
 use crate::{
-    admission, event, factory, fair_queue, job_table, policy, server_health, server_pool, share,
-    slot_lending, speed_model,
+    admission, event, factory, fair_queue, job_table, length_ranks, policy, server_health,
+    server_pool, share, slot_lending, speed_model,
 };
 
 /// Pause between two looks at servers without recent observations.
@@ -28,6 +28,10 @@
 struct JobPlace {
     customer: fair_queue::CustomerIndex,
     rank: fair_queue::JobRank,
+    /// When the job would end if it had the fastest servers for itself.
+    ideal_end: clock::TimePoint,
+    /// Share of recent jobs that are shorter.
+    length_rank: f64,
 }
 
 /// Decides by learnt speeds, divided slots and fair queueing.
@@ -46,6 +50,7 @@
     gate: Box<dyn share::AllowanceGate>,
     held: placing::HeldTasks,
     retries: retries::RetryBudget,
+    lengths: length_ranks::LengthRanks,
     blocked: collections::BTreeSet<(clock::TimePoint, fair_queue::CustomerIndex)>,
     next_forget: clock::TimePoint,
     draining: bool,
@@ -71,6 +76,7 @@
             gate,
             held: placing::HeldTasks::default(),
             retries: retries::RetryBudget::default(),
+            lengths: length_ranks::LengthRanks::default(),
             blocked: collections::BTreeSet::new(),
             next_forget: clock::TimePoint::ZERO,
             draining: false,
@@ -90,7 +96,10 @@
         if !self.table.accept(now, request) {
             return;
         }
-        let place = self.place_of(now, request);
+        let mut place = self.place_of(now, request);
+        place.length_rank = self
+            .lengths
+            .observe(place.ideal_end.since(now).as_secs_f64());
         let tasks = self.queued_tasks(&request.spec);
         self.places.insert(request.id, place);
         self.queue.add(place.customer, place.rank, tasks);
@@ -181,9 +190,12 @@
         let length = (work / capacity).max(longest);
         let yielding = now + time::Duration::from_secs_f64(length * YIELD_RATIO);
         let last_start = now + request.spec.deadline - time::Duration::from_secs_f64(length);
+        let ideal = (longest * self.pool.buckets().best_factor()).max(work / capacity);
         JobPlace {
             customer: self.queue.customer(&request.spec.customer),
             rank: (yielding.min(last_start.max(now)), request.id),
+            ideal_end: now + time::Duration::from_secs_f64(ideal),
+            length_rank: 0.0,
         }
     }
 
@@ -270,9 +282,13 @@
             event::DispatchEvent::TermsChanged(terms) => self.set_terms(now, &terms),
             event::DispatchEvent::SiblingsChanged(siblings) => self.set_siblings(now, siblings),
             event::DispatchEvent::SiblingMessage { from, payload } => {
-                let own_queue = self.queue.ready_tasks();
+                let mut own = slot_lending::LendingView {
+                    pool: &mut self.pool,
+                    queued: self.queue.ready_tasks(),
+                    mean_run_secs: self.model.mix_secs(),
+                };
                 self.lending
-                    .on_message(now, &from, &payload, own_queue, &mut self.pool, actions);
+                    .on_message(now, &from, &payload, &mut own, actions);
             }
             event::DispatchEvent::DrainStarted => self.draining = true,
             event::DispatchEvent::ServerProbed { .. } | event::DispatchEvent::WakeupDue => {}
--- a/crates/cuminkeel_dispatch/src/slot_policy/endings.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/endings.rs
@@ -11,6 +11,9 @@
 /// this many times its expected run time.
 const SILENT_RATIO: f64 = 3.0;
 
+/// Messages that a refused attempt wastes: the request and the refusal.
+const REFUSAL_MESSAGES: f64 = 2.0;
+
 /// An ended attempt, with its names resolved.
 struct EndedAttempt {
     customer: fair_queue::CustomerIndex,
@@ -125,6 +128,9 @@
         let Some(server) = attempt.server else {
             return;
         };
+        if cause != outcome::NotStartedCause::NotSent {
+            self.lending.on_waste(REFUSAL_MESSAGES);
+        }
         match cause {
             outcome::NotStartedCause::SlotsFull => self.pool.on_slots_full(now, server),
             outcome::NotStartedCause::Leaving => self.pool.on_leaving(now, server),
--- a/crates/cuminkeel_dispatch/src/speed_buckets.rs
+++ b/crates/cuminkeel_dispatch/src/speed_buckets.rs
@@ -10,6 +10,21 @@
 pub struct SpeedBucket(u8);
 
 impl SpeedBucket {
+    /// The bucket of the fastest servers.
+    pub const FASTEST: Self = Self(0);
+
+    /// The next slower bucket.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+
+    /// The bucket of servers that take `ratio` times the run time.
+    #[must_use]
+    pub fn slower_by(self, ratio: f64) -> Self {
+        Self::of(self.factor().ln() + ratio.ln())
+    }
+
     /// The bucket of a factor given in logarithm.
     pub fn of(log_factor: f64) -> Self {
         let middle = BUCKET_COUNT as f64 / 2.0;
@@ -30,11 +45,20 @@
     }
 }
 
-/// Slots in one bucket.
-#[derive(Clone, Copy, Debug, Default)]
-struct BucketSlots {
-    usable: u32,
-    running: u32,
+/// Slots of servers of some speed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BucketSlots {
+    /// Slots that may be used.
+    pub usable: u32,
+    /// Slots in use.
+    pub running: u32,
+}
+
+impl BucketSlots {
+    /// Slots that are not in use.
+    pub fn free(&self) -> u32 {
+        self.usable.saturating_sub(self.running)
+    }
 }
 
 /// Usable and running slots by speed.
@@ -94,6 +118,26 @@
         self.slots.iter().map(|slots| slots.usable).sum()
     }
 
+    /// Slots of the servers in `bucket` and the faster ones.
+    pub fn up_to(&self, bucket: SpeedBucket) -> BucketSlots {
+        let faster = &self.slots[..=usize::from(bucket.0).min(BUCKET_COUNT - 1)];
+        faster
+            .iter()
+            .fold(BucketSlots::default(), |sum, slots| BucketSlots {
+                usable: sum.usable + slots.usable,
+                running: sum.running + slots.running,
+            })
+    }
+
+    /// Run time of the fastest usable servers relative to an average server.
+    pub fn best_factor(&self) -> f64 {
+        let pairs = self.slots.iter().zip(&self.speeds);
+        let best = pairs
+            .filter(|(slots, _)| slots.usable > 0)
+            .map(|(_, speed)| 1.0 / speed);
+        { best }.next().unwrap_or(1.0)
+    }
+
     /// Running tasks of all servers.
     pub fn running(&self) -> u32 {
         self.slots.iter().map(|slots| slots.running).sum()
