SlotPolicy: divided slots with loans, learnt speeds, fair queueing

Change: the policy 'cuminkeel' is SlotPolicy. Slots are divided among the entries of a domain and lent for short leases paid from a message budget; run times are learnt by class and server; a task takes the slowest free server that does not hold up its job, else the fastest, and long jobs leave some fast slots to short ones; customers take turns by slot time; jobs that can't be answered in time are refused early; failing servers are ejected by evidence.

--- a/crates/cuminkeel_dispatch/examples/compare.rs
+++ b/crates/cuminkeel_dispatch/examples/compare.rs
@@ -299,16 +299,18 @@
     }
     domain.run_until(point(WARM_UP_SECS));
     let early_secs = domain.counts.useful_secs;
+    let early_done = domain.counts.done_secs;
     domain.run_until(point(SECONDS));
     let slot_secs: Vec<f64> = domain.counts.slot_secs.values().copied().collect();
     let goodput = (domain.counts.useful_secs - early_secs) / (capacity * (SECONDS - WARM_UP_SECS));
+    let busy = (domain.counts.done_secs - early_done) / (capacity * (SECONDS - WARM_UP_SECS));
     domain.run_until(point(SECONDS + 30.0));
     report(
         scenario,
         policy,
         &domain,
         (count, tasks),
-        (goodput, jain(&slot_secs)),
+        (goodput, jain(&slot_secs), busy),
     );
 }
 
@@ -317,7 +319,7 @@
     policy: &str,
     domain: &harness::FakeDomain,
     (jobs, tasks): (usize, usize),
-    (goodput, fairness): (f64, f64),
+    (goodput, fairness, busy): (f64, f64, f64),
 ) {
     let mut ratios = Vec::new();
     let mut large = Vec::new();
@@ -344,7 +346,7 @@
         .count();
     println!(
         "{:12} {:17} p50 {:6.3} p90 {:6.3} p99 {:6.3} large {:6.3} waste {:6.3} full {:6.3} sib {:6.3} \
-         jain {:5.3} goodput {:5.3} complete {:6.3} failed-tasks-after-1s {:7.4} open {} broken {} {:?}",
+         jain {:5.3} goodput {:5.3} busy {:5.3} complete {:6.3} failed-tasks-after-1s {:7.4} open {} broken {} {:?}",
         scenario.name,
         policy,
         percentile(&ratios, 50),
@@ -356,6 +358,7 @@
         domain.counts.sibling_messages as f64 / starts,
         fairness,
         goodput,
+        busy,
         (ratios.len() + large.len()) as f64 / jobs as f64,
         late as f64 / tasks as f64,
         domain.open.len(),
--- a/crates/cuminkeel_dispatch/src/admission.rs
+++ b/crates/cuminkeel_dispatch/src/admission.rs
@@ -5,7 +5,10 @@
 use cuminkeel_types::outcome;
 
 /// Expected run times of the longest task that must fit before the deadline.
-const LONGEST_MARGIN: f64 = 1.5;
+const LONGEST_MARGIN: f64 = 2.5;
+/// Expected waiting times that must fit before the deadline, since shorter jobs
+/// that arrive later go first.
+const WAIT_MARGIN: f64 = 2.0;
 /// Shortest time after which a refused caller may try again.
 const MIN_RETRY: time::Duration = time::Duration::from_millis(100);
 /// Longest time after which a refused caller is told to try again.
@@ -83,16 +86,19 @@
 }
 
 fn overload_refusal(job: &JobOutlook, pool: &PoolOutlook) -> Option<outcome::Refusal> {
-    let slowness = f64::from(pool.usable) / pool.capacity;
     let wait = job.ahead_secs / pool.capacity;
-    let late = wait + job.longest_secs * slowness * LONGEST_MARGIN - job.deadline_secs;
+    let cautious_wait = wait * WAIT_MARGIN;
+    let late = cautious_wait + cautious_run_secs(job.longest_secs, pool) - job.deadline_secs;
     let queue_ahead = job.ahead_secs > job.work_secs;
-    (late > 0.0 && (queue_ahead || wait > job.deadline_secs)).then(|| {
-        overloaded(
-            "the work already queued leaves no time before the deadline",
-            late,
-        )
-    })
+    let is_late = late > 0.0 && (queue_ahead || wait > job.deadline_secs);
+    let detail = "the work already queued leaves no time before the deadline";
+    is_late.then(|| overloaded(detail, late))
+}
+
+/// Time to keep for a run of `longest_secs` on an average server.
+fn cautious_run_secs(longest_secs: f64, pool: &PoolOutlook) -> f64 {
+    let slowness = f64::from(pool.usable) / pool.capacity.max(f64::MIN_POSITIVE);
+    longest_secs * slowness * LONGEST_MARGIN
 }
 
 /// The refusal of a job that would be late, by the seconds that it would be late.
--- a/crates/cuminkeel_dispatch/src/fair_queue.rs
+++ b/crates/cuminkeel_dispatch/src/fair_queue.rs
@@ -272,6 +272,14 @@
         queue.jobs.range(..rank).map(|(_, job)| job.work_secs).sum()
     }
 
+    /// A customer's share of the slots by weight among those that have work.
+    pub fn fair_share(&self, customer: CustomerIndex) -> f64 {
+        let own = self.queue(customer).weight;
+        let others = self.ready.iter().filter(|(_, other)| *other != customer);
+        let others: f64 = others.map(|(_, other)| self.queue(*other).weight).sum();
+        own / (own + others)
+    }
+
     /// All customers' work that is served before `own_secs` more work of one
     /// customer is, in seconds of an average slot.
     pub fn work_ahead(&self, customer: CustomerIndex, own_secs: f64) -> f64 {
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -11,8 +11,6 @@
 pub mod factory;
 pub mod fair_queue;
 pub mod job_table;
-#[allow(missing_docs, clippy::pedantic)]
-pub mod knob;
 pub mod length_ranks;
 pub mod policy;
 pub mod server_health;
--- a/crates/cuminkeel_dispatch/src/server_pool/choice.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool/choice.rs
@@ -86,7 +86,10 @@
         need: &TaskNeed,
         beyond: Option<speed_buckets::SpeedBucket>,
     ) -> Option<ServerOffer> {
-        let from = beyond.map_or(speed_buckets::SpeedBucket::FASTEST, |bucket| bucket.next());
+        let from = beyond.map_or(
+            speed_buckets::SpeedBucket::FASTEST,
+            speed_buckets::SpeedBucket::next,
+        );
         self.free
             .range((from, 0, ServerIndex(0))..)
             .filter(|key| self.takes(now, key, need))
--- a/crates/cuminkeel_dispatch/src/slot_lending.rs
+++ b/crates/cuminkeel_dispatch/src/slot_lending.rs
@@ -7,11 +7,15 @@
 //! speed, or a refusal by a server, never safety: a server refuses tasks beyond
 //! its slots. Messages are paid for from a budget that grows with each task.
 
+mod message;
+mod peer;
+mod spare;
+
 use std::{collections, time};
 
-use cuminkeel_types::{names, time as clock};
-use serde::{Deserialize, Serialize};
+use cuminkeel_types::time as clock;
 
+pub use self::message::{LentSlots, SlotMessage};
 use crate::{event, server_pool};
 
 /// Time for which a borrower may start tasks on a first loan; doubles with each
@@ -23,90 +27,12 @@
 const TAIL_RUNS: f64 = 0.5;
 /// Time after which an unanswered request is given up.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
-/// Pause after a sibling lent nothing; doubles with each further time.
-const EMPTY_PAUSE: time::Duration = time::Duration::from_millis(200);
-/// Most doublings of [`EMPTY_PAUSE`].
-const MAX_PAUSE_DOUBLINGS: u32 = 2;
-/// Share of its own slots that a lender keeps idle for itself.
-const RESERVE_SHARE: f64 = 0.05;
 /// Most slots in one request.
 const MAX_WANTED: u32 = 256;
 /// Messages that one request costs: itself and its answer.
 const ASK_COST: f64 = 2.0;
 /// Most messages that are saved up.
 const MAX_BUDGET: f64 = 8.0;
-/// Longest time for which a sibling's told number of free slots is believed.
-const FREE_BELIEVED: time::Duration = time::Duration::from_secs(2);
-
-/// What siblings send each other. New variants go at the end.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum SlotMessage {
-    /// A request for slots.
-    Ask {
-        /// Number of the request, growing within one process.
-        request: u64,
-        /// Slots wanted.
-        wanted: u32,
-        /// Time for which they are wanted.
-        lease: time::Duration,
-    },
-    /// The answer to a request.
-    Grant {
-        /// Number of the request.
-        request: u64,
-        /// Time from the request for which the slots may be used.
-        lease: time::Duration,
-        /// Slots by server; empty if none can be spared.
-        slots: Vec<LentSlots>,
-        /// Idle slots that the lender has left.
-        free: u32,
-    },
-}
-
-/// Slots of one server in a loan.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct LentSlots {
-    /// The server.
-    pub server: names::ServerName,
-    /// Number of slots.
-    pub count: u32,
-}
-
-#[derive(Debug)]
-struct PeerState {
-    entry: event::SiblingEntry,
-    free: Option<u32>,
-    heard: clock::TimePoint,
-    ask_after: clock::TimePoint,
-    empty_answers: u32,
-    last_request: u64,
-}
-
-impl PeerState {
-    fn new(entry: event::SiblingEntry) -> Self {
-        Self {
-            entry,
-            free: None,
-            heard: clock::TimePoint::ZERO,
-            ask_after: clock::TimePoint::ZERO,
-            empty_answers: 0,
-            last_request: 0,
-        }
-    }
-
-    fn hear(&mut self, now: clock::TimePoint, free: u32) {
-        self.free = Some(free);
-        self.heard = now;
-    }
-
-    /// Free slots as far as known; an unknown number ranks before a known zero.
-    fn likely_free(&self, now: clock::TimePoint) -> u32 {
-        match self.free {
-            Some(free) if now.since(self.heard) < FREE_BELIEVED => free,
-            _ => 1,
-        }
-    }
-}
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum LoanSide {
@@ -144,7 +70,7 @@
 /// Loans given and taken by one entry.
 #[derive(Debug)]
 pub struct SlotLending {
-    peers: Vec<PeerState>,
+    peers: Vec<peer::PeerState>,
     loans: Vec<SlotLoan>,
     next_lapse: Option<clock::TimePoint>,
     pending: Option<PendingAsk>,
@@ -176,7 +102,7 @@
         peers: Vec<event::SiblingEntry>,
         pool: &mut server_pool::ServerPool,
     ) {
-        let mut known: collections::BTreeMap<event::SiblingEntry, PeerState> = self
+        let mut known: collections::BTreeMap<event::SiblingEntry, peer::PeerState> = self
             .peers
             .drain(..)
             .map(|peer| (peer.entry.clone(), peer))
@@ -186,7 +112,7 @@
             .map(|entry| {
                 known
                     .remove(&entry)
-                    .unwrap_or_else(|| PeerState::new(entry))
+                    .unwrap_or_else(|| peer::PeerState::new(entry))
             })
             .collect();
         self.end_loans(now, pool, |_, loan| known.contains_key(&loan.peer));
@@ -282,12 +208,12 @@
             to: to.clone(),
             asked: now,
         });
-        let message = SlotMessage::Ask {
+        let ask = SlotMessage::Ask {
             request,
             wanted: wanted.min(MAX_WANTED),
             lease: FIRST_LEASE * (1 << self.taken_in_row.min(MAX_LEASE_DOUBLINGS)),
         };
-        send(to, &message, actions);
+        message::send(to, &ask, actions);
     }
 
     /// Takes in a sibling's message.
@@ -307,13 +233,13 @@
             }) if self.is_new_request(now, from, request) => {
                 let lease = lease.min(FIRST_LEASE * (1 << MAX_LEASE_DOUBLINGS));
                 let (slots, free) = self.grant(now, from, wanted, lease, own);
-                let message = SlotMessage::Grant {
+                let reply = SlotMessage::Grant {
                     request,
                     lease,
                     slots,
                     free,
                 };
-                send(from.clone(), &message, actions);
+                message::send(from.clone(), &reply, actions);
             }
             Ok(SlotMessage::Grant {
                 request,
@@ -363,7 +289,7 @@
         lease: time::Duration,
         own: &mut LendingView<'_>,
     ) -> (Vec<LentSlots>, u32) {
-        let (chosen, free) = choose_slots(wanted.min(MAX_WANTED), own.queued, own.pool);
+        let (chosen, free) = spare::choose_slots(wanted.min(MAX_WANTED), own.queued, own.pool);
         let mut slots = Vec::with_capacity(chosen.len());
         for (server, count) in chosen {
             let lender = own.pool.server(server);
@@ -421,51 +347,7 @@
 
     fn note_empty(&mut self, now: clock::TimePoint, entry: &event::SiblingEntry) {
         if let Some(peer) = self.peers.iter_mut().find(|peer| peer.entry == *entry) {
-            let doublings = peer.empty_answers.min(MAX_PAUSE_DOUBLINGS);
-            peer.ask_after = now + EMPTY_PAUSE * (1 << doublings);
-            peer.empty_answers += 1;
+            peer.note_empty(now);
         }
     }
 }
-
-/// Idle slots to lend: half of each server's, then more, so that lender and
-/// borrower get the same mix of speeds. Returns them and the number left idle.
-fn choose_slots(
-    wanted: u32,
-    own_queue: usize,
-    pool: &server_pool::ServerPool,
-) -> (Vec<(server_pool::ServerIndex, u32)>, u32) {
-    let idle: Vec<(server_pool::ServerIndex, u32)> = pool
-        .free_servers()
-        .map(|index| (index, pool.server(index).lendable()))
-        .collect();
-    let total: u32 = idle.iter().map(|(_, count)| count).sum();
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share of a small count"
-    )]
-    let reserve = (f64::from(pool.buckets().usable()) * RESERVE_SHARE).ceil() as u32;
-    let kept = reserve.saturating_add(u32::try_from(own_queue).unwrap_or(u32::MAX));
-    let mut wanted = wanted.min(total.saturating_sub(kept));
-    let mut chosen: Vec<(server_pool::ServerIndex, u32)> = Vec::new();
-    for (server, count) in &idle {
-        let half = count.div_ceil(2).min(wanted);
-        wanted -= half;
-        chosen.push((*server, half));
-    }
-    for ((_, count), (_, taken)) in idle.iter().zip(&mut chosen) {
-        let more = (count - *taken).min(wanted);
-        wanted -= more;
-        *taken += more;
-    }
-    chosen.retain(|(_, count)| *count > 0);
-    let lent: u32 = chosen.iter().map(|(_, count)| count).sum();
-    (chosen, total - lent)
-}
-
-fn send(to: event::SiblingEntry, message: &SlotMessage, actions: &mut Vec<event::DispatchAction>) {
-    if let Ok(payload) = postcard::to_stdvec(message) {
-        actions.push(event::DispatchAction::SendSibling { to, payload });
-    }
-}
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -186,13 +186,15 @@
     /// the last time at which it can start.
     fn place_of(&mut self, now: clock::TimePoint, request: &event::JobRequest) -> JobPlace {
         let (work, longest) = self.expected_secs(&request.spec);
+        let customer = self.queue.customer(&request.spec.customer);
         let capacity = self.pool.buckets().capacity().max(1.0);
-        let length = (work / capacity).max(longest);
+        let own_capacity = capacity * self.queue.fair_share(customer);
+        let length = (work / own_capacity).max(longest);
         let yielding = now + time::Duration::from_secs_f64(length * YIELD_RATIO);
         let last_start = now + request.spec.deadline - time::Duration::from_secs_f64(length);
         let ideal = (longest * self.pool.buckets().best_factor()).max(work / capacity);
         JobPlace {
-            customer: self.queue.customer(&request.spec.customer),
+            customer,
             rank: (yielding.min(last_start.max(now)), request.id),
             ideal_end: now + time::Duration::from_secs_f64(ideal),
             length_rank: 0.0,
--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -17,6 +17,9 @@
 const SLACK_SHARE: f64 = 0.85;
 /// Share of the fast slots that the longest jobs leave free for shorter ones.
 const FAST_RESERVE_SHARE: f64 = 0.2;
+/// A job is given up if this share of a task's expected run time on the fastest
+/// server is more than the time left.
+const DOOMED_SHARE: f64 = 0.8;
 /// Most tasks that wait outside the fair order for a faster or larger server.
 const MAX_HELD: usize = 512;
 /// Held tasks that are looked at in one pass.
@@ -190,12 +193,14 @@
             return Placement::WaitLarger;
         };
         let time_left = record.deadline.since(now).as_secs_f64();
-        let untouched = record.waiting() == record.spec.tasks.len();
-        if untouched && offer.run_secs > time_left {
-            self.shed(key.job, offer.run_secs - time_left, actions);
+        let best_secs = offer.run_secs * self.best_ratio(&offer);
+        if best_secs * DOOMED_SHARE > time_left {
+            self.give_up(key.job, best_secs - time_left, actions);
             return Placement::Dropped;
         }
-        if offer.run_secs > need.slack_secs && self.should_wait(&offer, position + held.behind) {
+        let too_slow = offer.run_secs > time_left && best_secs < offer.run_secs;
+        let wants_faster = offer.run_secs > need.slack_secs;
+        if too_slow || wants_faster && self.should_wait(&offer, position + held.behind) {
             return Placement::WaitFaster;
         }
         self.start(now, held, offer, actions)
@@ -214,8 +219,8 @@
             class: self.model.find(&spec.class),
             size: spec.size_millicores,
             single: record.spec.tasks.len() == 1,
-            slack_secs: slack * crate::knob::knob("SLACK", SLACK_SHARE),
-            reserve_share: place.length_rank * crate::knob::knob("RSV", FAST_RESERVE_SHARE),
+            slack_secs: slack * SLACK_SHARE,
+            reserve_share: place.length_rank * FAST_RESERVE_SHARE,
         })
     }
 
@@ -243,7 +248,7 @@
         let releases = faster.release_rate / self.model.mix_secs();
         let wait_secs = (ahead + 1) as f64 / releases;
         let there_secs = offer.run_secs * faster.factor / offer.bucket.factor();
-        wait_secs < crate::knob::knob("WS", WAIT_SHARE) * (offer.run_secs - there_secs)
+        wait_secs < WAIT_SHARE * (offer.run_secs - there_secs)
     }
 
     fn start(
@@ -267,8 +272,13 @@
         Placement::Started
     }
 
-    /// Refuses a queued job of which nothing started and that would be late.
-    fn shed(
+    /// Run time on the fastest server, relative to that of an offer.
+    fn best_ratio(&self, offer: &server_pool::ServerOffer) -> f64 {
+        (self.pool.buckets().best_factor() / offer.bucket.factor()).min(1.0)
+    }
+
+    /// Fails a job that would be late even on the fastest server.
+    fn give_up(
         &mut self,
         job: names::JobId,
         late_secs: f64,
--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -67,6 +67,8 @@
     pub slot_secs: collections::BTreeMap<names::CustomerName, f64>,
     /// Work of answered jobs, in seconds on the fastest server.
     pub useful_secs: f64,
+    /// Work done by the servers, useful or not, in seconds on the fastest server.
+    pub done_secs: f64,
     /// Failed attempts, with their times.
     pub failed_at: Vec<clock::TimePoint>,
 }
@@ -398,6 +400,8 @@
 
     fn reply_end(&mut self, at: usize, task: outcome::TaskKey, server: usize, fails: bool) {
         let started = self.in_flight.remove(&task).unwrap_or(self.now);
+        let spent = self.now.since(started).as_secs_f64();
+        self.counts.done_secs += spent / self.servers[server].slowness;
         let job = self.open.get(&task.job);
         let customer = job.map(|job| job.request.spec.customer.clone());
         if let Some(customer) = customer {
