--- a/crates/cuminkeel_dispatch/tests/answers.rs
+++ b/crates/cuminkeel_dispatch/tests/answers.rs
@@ -188,6 +188,18 @@
     }
 }
 
+#[test]
+fn the_loss_of_a_job_s_only_task_is_never_told_as_not_run() {
+    for name in DIRECT {
+        let mut bench = Bench::new(name);
+        bench.tell(event::DispatchEvent::JobSubmitted(job(1, 1)));
+        let started = bench.started();
+        bench.end(&started[0], lost());
+        let unknown = (outcome::RefusalCode::TaskLost, outcome::RunStatus::Unknown);
+        assert_eq!(bench.refusal(), Some(unknown), "{name}");
+    }
+}
+
 #[test]
 fn only_an_attempt_proved_not_started_is_repeated() {
     let causes = [
--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -111,6 +111,12 @@
     pub results: Vec<JobResult>,
     pub open: collections::BTreeMap<names::JobId, TrueJob>,
     in_flight: collections::BTreeMap<outcome::TaskKey, clock::TimePoint>,
+    /// Tasks sent whose attempt is not proved not started.
+    sent: collections::BTreeSet<outcome::TaskKey>,
+    /// Whether each start is checked against the slots that its entry may use.
+    pub check_slots: bool,
+    /// Every so many sibling messages one is lost and the next one doubled; zero for none.
+    pub loss_period: u64,
     heap: collections::BinaryHeap<Scheduled>,
     sequence: u64,
 }
@@ -171,6 +177,9 @@
             results: Vec::new(),
             open: collections::BTreeMap::new(),
             in_flight: collections::BTreeMap::new(),
+            sent: collections::BTreeSet::new(),
+            check_slots: false,
+            loss_period: 0,
             heap: collections::BinaryHeap::new(),
             sequence: 0,
         };
@@ -238,11 +247,28 @@
     pub fn tell(&mut self, at: usize, event: event::DispatchEvent) {
         let mut actions = Vec::new();
         self.entries[at].handle(self.now, event, &mut actions);
+        if self.check_slots {
+            self.check_starts(at, &actions);
+        }
         for action in actions {
             self.carry_out(at, action);
         }
     }
 
+    fn check_starts(&mut self, at: usize, actions: &[event::DispatchAction]) {
+        let status = self.entries[at].status(self.now);
+        for action in actions {
+            let event::DispatchAction::StartTask { server, .. } = action else {
+                continue;
+            };
+            let line = status.servers.iter().find(|line| line.server == *server);
+            let within = line.is_some_and(|line| line.running <= line.usable_slots);
+            if !within {
+                self.broken(format!("start beyond usable slots: {line:?}"));
+            }
+        }
+    }
+
     fn server_at(&self, name: &names::ServerName) -> usize {
         let position = self
             .servers
@@ -260,7 +286,8 @@
             } => {
                 let server = self.server_at(&server);
                 self.counts.starts += 1;
-                if self.in_flight.insert(task.clone(), self.now).is_some() {
+                self.in_flight.insert(task.clone(), self.now);
+                if !self.sent.insert(task.clone()) {
                     self.broken(format!("second start of {task:?}"));
                 }
                 if !self.open.contains_key(&task.job) {
@@ -289,7 +316,15 @@
                     from: sibling(at),
                     payload,
                 };
-                self.schedule(self.now + SIBLING_DELAY, Happening::Tell(to, event));
+                let copies = match self.counts.sibling_messages.checked_rem(self.loss_period) {
+                    Some(0) => 0,
+                    Some(1) => 2,
+                    _ => 1,
+                };
+                for _ in 0..copies {
+                    let arrival = self.now + SIBLING_DELAY;
+                    self.schedule(arrival, Happening::Tell(to, event.clone()));
+                }
             }
         }
     }
@@ -312,8 +347,8 @@
                 self.counts.useful_secs += job.work.iter().sum::<f64>();
             }
             outcome::JobAnswer::Failed(refusal) => {
-                let prefix = self.in_flight.keys().any(|key| key.job == job.request.id);
-                if refusal.ran == outcome::RunStatus::NotRun && prefix {
+                let any_sent = self.any_sent(job.request.id);
+                if refusal.ran == outcome::RunStatus::NotRun && any_sent {
                     self.broken(format!("false not_run of {}", job.request.id));
                 }
             }
@@ -326,6 +361,17 @@
         });
     }
 
+    fn any_sent(&self, job: names::JobId) -> bool {
+        let first = outcome::TaskKey {
+            job,
+            task: names::TaskIndex(0),
+        };
+        self.sent
+            .range(first..)
+            .next()
+            .is_some_and(|key| key.job == job)
+    }
+
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Tell(at, event) => self.tell(at, event),
@@ -364,6 +410,7 @@
             self.counts.wasted_messages += 2;
             self.counts.refused_full += 1;
             let cause = outcome::NotStartedCause::SlotsFull;
+            self.sent.remove(&task);
             self.in_flight.remove(&task);
             self.reply(at, task, server, outcome::TaskOutcome::NotStarted { cause });
             return;
