--- a/crates/cuminkeel_mesh/src/lib.rs
+++ b/crates/cuminkeel_mesh/src/lib.rs
@@ -4,3 +4,8 @@
 //! a message to one of them. Decisions on membership do no I/O.
 
 pub mod border;
+pub mod capacity;
+pub mod frame;
+pub mod membership;
+pub mod sequence;
+pub mod transport;
