--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -505,6 +505,7 @@
         idempotent: false,
         deadline: time::Duration::from_secs_f64(deadline),
         tasks: tasks.collect(),
+        trace_parent: None,
     };
     event::JobRequest {
         id: names::JobId(id),
