Run stand-ins and entries as processes of their own, and kill, freeze and stop them

Cause: the whole path was only proved in one process, where nothing can be killed or frozen as a VM is. A draining entry now says to come back at once, so that callers turn to another.

--- a/crates/cuminkeel/src/commands/mod.rs
+++ b/crates/cuminkeel/src/commands/mod.rs
@@ -5,7 +5,9 @@
 mod entry;
 mod lists;
 mod openapi;
+mod standin;
 mod status;
+mod submit;
 
 use std::process;
 
@@ -24,7 +26,9 @@
     Entry(entry::EntryCommand),
     Openapi(openapi::OpenapiCommand),
     Plan(operator::plan::PlanCommand),
+    Standin(standin::StandinCommand),
     Status(status::StatusCommand),
+    Submit(submit::SubmitCommand),
 }
 
 /// Runs one command.
@@ -37,7 +41,9 @@
         Command::Demo(command) => demo::run(&command),
         Command::Entry(command) => entry::run(&command),
         Command::Openapi(command) => openapi::run(&command),
+        Command::Standin(command) => standin::run(&command),
         Command::Status(command) => status::run(&command),
+        Command::Submit(command) => submit::run(&command),
     }
 }
 
--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -62,9 +62,9 @@
     /// An entry can't be asked.
     #[display("{_0}")]
     Call(fleet::CallError),
-    /// A report can't be written.
-    #[display("can't write the report: {_0}")]
-    Report(serde_json::Error),
+    /// JSON can't be read or written.
+    #[display("JSON is at fault: {_0}")]
+    Json(serde_json::Error),
 }
 
 impl CommandError {
--- a/crates/cuminkeel_dispatch/src/baseline.rs
+++ b/crates/cuminkeel_dispatch/src/baseline.rs
@@ -104,7 +104,8 @@
             let refusal = outcome::Refusal::not_run(
                 outcome::RefusalCode::Draining,
                 "this entry is leaving; ask another",
-            );
+            )
+            .retry_after(time::Duration::ZERO);
             job_table::refuse(request.id, refusal, actions);
             return;
         }
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -112,10 +112,10 @@
     ) -> Option<outcome::Refusal> {
         let code = outcome::RefusalCode::Draining;
         match request.spec.tasks.as_slice() {
-            _ if self.draining => Some(outcome::Refusal::not_run(
-                code,
-                "this entry is leaving; ask another",
-            )),
+            _ if self.draining => {
+                let detail = "this entry is leaving; ask another";
+                Some(outcome::Refusal::not_run(code, detail).retry_after(time::Duration::ZERO))
+            }
             [] => Some(outcome::Refusal::not_run(
                 outcome::RefusalCode::BadRequest,
                 "a job needs a task",
--- a/crates/cuminkeel_standin/src/demo.rs
+++ b/crates/cuminkeel_standin/src/demo.rs
@@ -246,43 +246,29 @@
     number: usize,
 ) -> JobOutcome {
     let started = time::Instant::now();
-    let mut outcome = JobOutcome::default();
-    let mut key = None;
-    for attempt in 0..5 {
-        let entry = pick(&entries, number + attempt);
-        if key.is_none() {
-            let keys = caller.keys(entry, 1, CALL_LIMIT).await;
-            key = keys.ok().and_then(|mut keys| keys.pop());
-        }
-        let submission = submission(&customer, number, key.clone());
-        match caller.submit(entry, &submission, CALL_LIMIT).await {
-            Ok(fleet::JobResult::Answered(body)) => {
-                let outputs = body.outputs.unwrap_or_default();
-                outcome.complete = outputs.len() == TASKS_PER_JOB;
-                outcome.crossed = !is_own(&submission, &outputs);
-                break;
-            }
-            Ok(fleet::JobResult::Refused(body)) if body.ran == "not_run" => {
-                // Proved not to have run: a fresh key is safe.
-                key = None;
-                outcome.resubmitted += 1;
-                let pause = body.retry_after_ms.unwrap_or(50);
-                tokio::time::sleep(time::Duration::from_millis(pause)).await;
-            }
-            Ok(fleet::JobResult::Refused(_)) => break,
-            Err(_) => outcome.resubmitted += 1,
-        }
+    let submission = submission(&customer, number);
+    let offered = || {
+        entries
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    };
+    let run = fleet::run_job(&caller, &offered, number, &submission, CALL_LIMIT).await;
+    let outputs = match run.end {
+        fleet::ProtocolEnd::Complete(body) => body.outputs,
+        fleet::ProtocolEnd::Refused(_) | fleet::ProtocolEnd::NoAnswer => None,
+    };
+    JobOutcome {
+        complete: outputs
+            .as_ref()
+            .is_some_and(|outputs| outputs.len() == TASKS_PER_JOB),
+        crossed: outputs.is_some_and(|outputs| !is_own(&submission, &outputs)),
+        resubmitted: run.repeats,
+        elapsed: started.elapsed(),
     }
-    outcome.elapsed = started.elapsed();
-    outcome
-}
-
-fn pick(entries: &sync::RwLock<Vec<net::SocketAddr>>, number: usize) -> net::SocketAddr {
-    let entries = entries.read().unwrap_or_else(sync::PoisonError::into_inner);
-    entries[number % entries.len()]
 }
 
-fn submission(customer: &str, number: usize, key: Option<String>) -> api::JobSubmission {
+fn submission(customer: &str, number: usize) -> api::JobSubmission {
     let tasks = (0..TASKS_PER_JOB)
         .map(|task| api::TaskSubmission {
             class: "price".into(),
@@ -297,7 +283,7 @@
         .collect();
     api::JobSubmission {
         idempotent: false,
-        submission_key: key,
+        submission_key: None,
         deadline_ms: DEADLINE_MS,
         wait: true,
         tasks,
--- a/crates/cuminkeel_standin/src/fleet/mod.rs
+++ b/crates/cuminkeel_standin/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 mod caller;
 mod entries;
 mod error;
+mod protocol;
 mod site;
 
 pub use caller::{CallError, JobCaller, JobResult};
 pub use entries::{EntryPlan, FleetEntry};
 pub use error::FleetError;
+pub use protocol::{ProtocolEnd, ProtocolRun, run_job};
 pub use site::{LoopbackSite, ServerPlan, SiteCustomer, SitePlan};
--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backend;
 pub mod balancer;
+pub mod control;
 pub mod demo;
 pub mod fleet;
 pub mod http_listener;
