Let a leaving entry tell the others what became of keys

Cause: after two graceful drains in a row (authority, then its heir) an unused key was answered 'unknown', and so was each resubmission after one drain.

Change: a leaving process freezes its witness table, and after its last job sends a farewell to all peers: the fate of its own keys and of the keys that name it as witness. Unlisted keys of the latter were never opened and never will be, so any peer answers them 'not_run' at once; keys whose job ended are answered 'ran'. DrainFinished comes after the farewell.

Conclusion: after graceful stops 'unknown' needs lost messages or a crash.

--- a/crates/cuminkeel_outcome/src/answer.rs
+++ b/crates/cuminkeel_outcome/src/answer.rs
@@ -23,11 +23,7 @@
     pub fn to_answer(&self) -> outcome::JobAnswer {
         match self {
             Self::Whole(answer) => outcome::JobAnswer::clone(answer),
-            Self::Dropped(ran) => failed(
-                outcome::RefusalCode::KeyClosed,
-                *ran,
-                "the key was used and its job has ended; the answer is no longer kept",
-            ),
+            Self::Dropped(ran) => ended(*ran),
         }
     }
 
@@ -136,6 +132,15 @@
     }
 }
 
+/// The answer for a key whose job has ended and whose answer is lost.
+pub fn ended(ran: outcome::RunStatus) -> outcome::JobAnswer {
+    failed(
+        outcome::RefusalCode::KeyClosed,
+        ran,
+        "the key was used and its job has ended; the answer is no longer kept",
+    )
+}
+
 /// The answer for a key whose fate can't be proved.
 pub fn unresolved(detail: &str) -> outcome::JobAnswer {
     failed(
--- a/crates/cuminkeel_outcome/src/ledger.rs
+++ b/crates/cuminkeel_outcome/src/ledger.rs
@@ -12,8 +12,8 @@
 use rand::SeedableRng;
 
 use crate::{
-    answer, digest, event, issuer, key, message, record, relay, rules, settings, stats, timer,
-    witness,
+    answer, digest, event, farewell, issuer, key, message, record, relay, rules, settings, stats,
+    timer, witness,
 };
 
 /// Seed of the generator that draws job identities.
@@ -36,6 +36,7 @@
     /// Positions that become the floor once their retention has passed.
     floors: collections::VecDeque<(time::TimePoint, u64)>,
     witness: witness::WitnessTable,
+    farewells: farewell::FarewellTable,
     relays: collections::BTreeMap<event::TicketId, relay::KeyRelay>,
     /// Jobs without a key: who waits, and how many outputs are complete.
     direct: collections::HashMap<names::JobId, (event::TicketId, usize)>,
@@ -77,6 +78,7 @@
             answers: answer::AnswerQueue::default(),
             floor: 0,
             floors: collections::VecDeque::new(),
+            farewells: farewell::FarewellTable::default(),
             witness: witness::WitnessTable::new(witness_limits, settings.rules),
             relays: collections::BTreeMap::new(),
             direct: collections::HashMap::new(),
@@ -305,6 +307,7 @@
                 timer::TimerTopic::Relay(ticket) => self.tend_relay(turn, ticket),
                 timer::TimerTopic::Ticket(ticket) => self.expire_ticket(turn, ticket),
                 timer::TimerTopic::Handover(witness) => self.tend_handover(turn, witness),
+                timer::TimerTopic::Farewell => self.tend_farewell(turn),
                 timer::TimerTopic::Purge => self.purge(turn.now),
             }
         }
@@ -337,6 +340,9 @@
         });
         self.drop_answers(now);
         self.witness.purge(now);
+        let limits = &self.settings.limits;
+        let lifetime = limits.key_lifetime + limits.record_retention;
+        self.farewells.purge(now - lifetime, limits.farewells);
         self.issuer.purge(now);
     }
 
@@ -385,6 +391,7 @@
             event::OutcomeEvent::WakeupDue => {}
         }
         self.run_timers(turn);
+        self.advance_drain(turn);
     }
 
     fn next_wakeup(&self) -> Option<time::TimePoint> {
--- a/crates/cuminkeel_outcome/src/ledger/drain.rs
+++ b/crates/cuminkeel_outcome/src/ledger/drain.rs
@@ -4,18 +4,34 @@
 
 use cuminkeel_types::{names, time};
 
-use super::{LedgerTurn, OutcomeLedger};
+use super::{LedgerTurn, OutcomeLedger, own_key};
 use crate::{event, message, record, relay, rules, timer};
 
-/// Most keys listed in a hand-over; more are given up as expired.
-const MAX_LISTED_KEYS: usize = 4_096;
-
 /// A drain under way.
 #[derive(Debug)]
 pub(super) struct DrainState {
     handovers: collections::BTreeMap<names::IncarnationId, HandoverState>,
     give_up: time::TimePoint,
-    finished: bool,
+    stage: DrainStage,
+}
+
+#[derive(Debug)]
+enum DrainStage {
+    /// Hand-overs or jobs are under way.
+    Working,
+    /// The farewell waits for receipts.
+    Parting(FarewellState),
+    /// Nothing is left to do.
+    Finished,
+}
+
+#[derive(Debug)]
+struct FarewellState {
+    farewell: message::KeyFarewell,
+    unheard: collections::BTreeSet<names::IncarnationId>,
+    give_up: time::TimePoint,
+    next_send: time::TimePoint,
+    interval: duration::Duration,
 }
 
 #[derive(Debug)]
@@ -52,7 +68,7 @@
         for heir in &heirs {
             let state = HandoverState {
                 status: HandoverStatus::Pending,
-                handover: self.write_handover(turn.now),
+                handover: self.write_handover(turn.now, *heir),
                 next_send: turn.now,
                 interval: self.settings.limits.resend_first,
             };
@@ -61,29 +77,36 @@
         self.draining = Some(DrainState {
             handovers,
             give_up: turn.now + self.settings.limits.handover_wait,
-            finished: false,
+            stage: DrainStage::Working,
         });
+        self.witness.freeze();
         for heir in heirs {
             self.tend_handover(turn, heir);
         }
-        self.finish_drain(turn);
     }
 
-    /// What a witness must know to open the remaining keys. All touched keys
-    /// are listed for each witness; those that name another do no harm.
-    fn write_handover(&mut self, now: time::TimePoint) -> message::KeyHandover {
+    /// What a witness must know to open the remaining keys that name it.
+    fn write_handover(
+        &mut self,
+        now: time::TimePoint,
+        heir: names::IncarnationId,
+    ) -> message::KeyHandover {
         let mut handover = message::KeyHandover {
             expired_through: self.issuer.expired_through(now).max(self.floor),
             ..message::KeyHandover::default()
         };
         for (key, record) in self.records.of(self.settings.incarnation) {
             match record.state {
+                _ if record.witness != Some(heir) => {}
                 record::KeyState::Closed(_) => handover.closed.push(key.sequence),
                 record::KeyState::Opening(_) => handover.opening.push(key.sequence),
                 record::KeyState::Running { .. } | record::KeyState::Finished(_) => {}
             }
         }
-        let excess = handover.closed.len().saturating_sub(MAX_LISTED_KEYS);
+        let excess = handover
+            .closed
+            .len()
+            .saturating_sub(self.settings.limits.listed_keys);
         if let Some(last) = handover.closed.drain(..excess).next_back() {
             handover.expired_through = handover.expired_through.max(last);
         }
@@ -182,8 +205,15 @@
         }
     }
 
-    /// Gives up the hand-overs to processes that are no longer members.
+    /// Gives up the hand-overs and farewells to processes that are no longer members.
     pub(super) fn drop_lost_heirs(&mut self, turn: &mut LedgerTurn<'_>) {
+        let Some(drain) = &mut self.draining else {
+            return;
+        };
+        if let DrainStage::Parting(state) = &mut drain.stage {
+            let live: Vec<_> = self.peers.iter().map(|peer| peer.incarnation).collect();
+            state.unheard.retain(|receiver| live.contains(receiver));
+        }
         let Some(drain) = &self.draining else {
             return;
         };
@@ -228,20 +258,108 @@
         for ticket in held {
             self.turn_relay(turn, ticket, phase);
         }
-        self.finish_drain(turn);
     }
 
-    fn finish_drain(&mut self, turn: &mut LedgerTurn<'_>) {
-        let Some(drain) = &mut self.draining else {
+    /// Says farewell once the hand-overs and the last job have ended.
+    pub(super) fn advance_drain(&mut self, turn: &mut LedgerTurn<'_>) {
+        match &self.draining {
+            Some(drain) if drain.is_handing_over() => {}
+            Some(drain) if matches!(drain.stage, DrainStage::Working) => {
+                if !self.records.is_busy() {
+                    self.begin_farewell(turn);
+                }
+            }
+            Some(_) | None => {}
+        }
+        if let Some(drain) = &mut self.draining
+            && drain.is_parted(turn.now)
+        {
+            drain.stage = DrainStage::Finished;
+            turn.actions.push(event::OutcomeAction::DrainFinished);
+        }
+    }
+
+    fn begin_farewell(&mut self, turn: &mut LedgerTurn<'_>) {
+        let farewell = self.write_farewell();
+        let state = FarewellState {
+            farewell,
+            unheard: self.peers.iter().map(|peer| peer.incarnation).collect(),
+            give_up: turn.now + self.settings.limits.handover_wait,
+            next_send: turn.now,
+            interval: self.settings.limits.resend_first,
+        };
+        if let Some(drain) = &mut self.draining {
+            drain.stage = DrainStage::Parting(state);
+        }
+        self.tend_farewell(turn);
+    }
+
+    fn write_farewell(&self) -> message::KeyFarewell {
+        let most = self.settings.limits.listed_keys;
+        let (mut witnessed, all_listed) = self.witness.farewell(most);
+        for keys in &mut witnessed {
+            for (sequence, fate) in &mut keys.fates {
+                let key = own_key(keys.authority, *sequence);
+                if let Some(record) = self.records.get(key) {
+                    *fate = record.fate();
+                }
+            }
+        }
+        let own: Vec<_> = self
+            .records
+            .of(self.settings.incarnation)
+            .map(|(key, record)| (key.sequence, record.fate()))
+            .collect();
+        let excess = own.len().saturating_sub(most);
+        message::KeyFarewell {
+            own: own.into_iter().skip(excess).collect(),
+            witnessed,
+            all_listed,
+        }
+    }
+
+    /// Sends the farewell again to those that have not confirmed it.
+    pub(super) fn tend_farewell(&mut self, turn: &mut LedgerTurn<'_>) {
+        let longest = self.settings.limits.resend_longest;
+        let Some(DrainStage::Parting(state)) = self.draining.as_mut().map(|drain| &mut drain.stage)
+        else {
             return;
         };
-        let pending = drain
-            .handovers
+        if turn.now < state.next_send {
+            return;
+        }
+        state.next_send = turn.now + state.interval;
+        state.interval = (state.interval * 2).min(longest);
+        let wake_at = state.next_send.min(state.give_up);
+        let receivers = state.unheard.clone();
+        let message = message::PeerMessage::Farewell(state.farewell.clone());
+        self.timers.set(wake_at, timer::TimerTopic::Farewell);
+        for receiver in receivers {
+            self.send(turn, receiver, &message);
+        }
+    }
+
+    /// Takes in a receipt for the farewell.
+    pub(super) fn end_farewell(&mut self, from: names::IncarnationId) {
+        if let Some(DrainStage::Parting(state)) =
+            self.draining.as_mut().map(|drain| &mut drain.stage)
+        {
+            state.unheard.remove(&from);
+        }
+    }
+}
+
+impl DrainState {
+    fn is_handing_over(&self) -> bool {
+        self.handovers
             .values()
-            .any(|state| state.status == HandoverStatus::Pending);
-        if !pending && !drain.finished {
-            drain.finished = true;
-            turn.actions.push(event::OutcomeAction::DrainFinished);
+            .any(|state| state.status == HandoverStatus::Pending)
+    }
+
+    fn is_parted(&self, now: time::TimePoint) -> bool {
+        match &self.stage {
+            DrainStage::Parting(state) => state.unheard.is_empty() || now >= state.give_up,
+            DrainStage::Working | DrainStage::Finished => false,
         }
     }
 }
--- a/crates/cuminkeel_outcome/src/ledger/inbox.rs
+++ b/crates/cuminkeel_outcome/src/ledger/inbox.rs
@@ -61,6 +61,12 @@
                 self.send(turn, from, &message::PeerMessage::HandoverReply);
             }
             message::PeerMessage::HandoverReply => self.end_handover(turn, from),
+            message::PeerMessage::Farewell(farewell) => {
+                self.farewells.keep(turn.now, from, farewell);
+                self.answer_told(turn);
+                self.send(turn, from, &message::PeerMessage::FarewellReply);
+            }
+            message::PeerMessage::FarewellReply => self.end_farewell(from),
         }
     }
 
--- a/crates/cuminkeel_outcome/src/ledger/passing.rs
+++ b/crates/cuminkeel_outcome/src/ledger/passing.rs
@@ -15,6 +15,10 @@
         call: relay::KeyCall,
     ) {
         let authority_live = self.is_live(call.key.id.authority);
+        let told = self.farewells.fate(&call.key);
+        if let Some(answer) = told.and_then(|fate| last_word(fate, authority_live)) {
+            return self.reply(turn, ticket, answer);
+        }
         let phase = match call.key.witness {
             Some(witness) if !authority_live && self.is_live(witness) => relay::RelayPhase::Heir,
             Some(_) | None => relay::RelayPhase::Authority,
@@ -133,15 +137,22 @@
         verdict: message::CloseVerdict,
     ) {
         let doubts = self.keeps(rules::OutcomeRule::DoubtOpened);
+        let told = self.told(ticket);
         let Some(relay) = self.relays.get_mut(&ticket) else {
             return;
         };
         let authority = relay.call.key.id.authority;
         let authority_live = self.peers.iter().any(|peer| peer.incarnation == authority);
         let refusal = match verdict {
+            message::CloseVerdict::Opened | message::CloseVerdict::Forgotten
+                if !authority_live && told.is_some() =>
+            {
+                return self.reply_told(turn, ticket, told);
+            }
             message::CloseVerdict::Served => {
                 return self.turn_relay(turn, ticket, relay::RelayPhase::Heir);
             }
+            message::CloseVerdict::Ended(ran) => answer::ended(ran),
             message::CloseVerdict::Opened if authority_live => {
                 relay.wait_out(turn.now, &self.settings.limits);
                 return self.tend_relay(turn, ticket);
@@ -160,6 +171,10 @@
     }
 
     fn give_up_relay(&mut self, turn: &mut LedgerTurn<'_>, ticket: event::TicketId) {
+        let told = self.told(ticket);
+        if told.is_some() {
+            return self.reply_told(turn, ticket, told);
+        }
         let refusal = if self.keeps(rules::OutcomeRule::DoubtUnwitnessed) {
             answer::unresolved("neither the key's authority nor its witness answers")
         } else {
@@ -168,6 +183,39 @@
         self.reply(turn, ticket, refusal);
     }
 
+    /// The last word that a process that has left told of a request's key.
+    fn told(&self, ticket: event::TicketId) -> Option<outcome::JobAnswer> {
+        let relay = self.relays.get(&ticket)?;
+        last_word(self.farewells.fate(&relay.call.key)?, false)
+    }
+
+    fn reply_told(
+        &mut self,
+        turn: &mut LedgerTurn<'_>,
+        ticket: event::TicketId,
+        told: Option<outcome::JobAnswer>,
+    ) {
+        if let Some(answer) = told {
+            self.reply(turn, ticket, answer);
+        }
+    }
+
+    /// Answers the requests whose keys' fate was told by a process that leaves.
+    pub(super) fn answer_told(&mut self, turn: &mut LedgerTurn<'_>) {
+        let told: Vec<_> = self
+            .relays
+            .iter()
+            .filter_map(|(ticket, relay)| {
+                let fate = self.farewells.fate(&relay.call.key)?;
+                let authority_live = self.is_live(relay.call.key.id.authority);
+                Some((*ticket, last_word(fate, authority_live)?))
+            })
+            .collect();
+        for (ticket, answer) in told {
+            self.reply(turn, ticket, answer);
+        }
+    }
+
     /// Asks again at once for the requests whose target is no longer a member.
     pub(super) fn hurry_relays(&mut self, turn: &mut LedgerTurn<'_>) {
         let lost: Vec<_> = self
@@ -291,3 +339,13 @@
         self.stats.messages_rejected += 1;
     }
 }
+
+/// The answer that a farewell proves. A live authority may still have the
+/// whole answer of a job that has ended.
+fn last_word(fate: message::KeyFate, authority_live: bool) -> Option<outcome::JobAnswer> {
+    match fate {
+        message::KeyFate::Closed => Some(answer::closed(outcome::RefusalCode::KeyClosed)),
+        message::KeyFate::Ended(ran) if !authority_live => Some(answer::ended(ran)),
+        message::KeyFate::Ended(_) | message::KeyFate::Opened => None,
+    }
+}
--- a/crates/cuminkeel_outcome/src/ledger/serving.rs
+++ b/crates/cuminkeel_outcome/src/ledger/serving.rs
@@ -98,6 +98,7 @@
         match self.witness.close(now, key) {
             message::CloseVerdict::Closed => answer::closed(outcome::RefusalCode::KeyClosed),
             message::CloseVerdict::Opened
+            | message::CloseVerdict::Ended(_)
             | message::CloseVerdict::Forgotten
             | message::CloseVerdict::Served => answer::unresolved("the key's fate can't be proved"),
         }
@@ -220,6 +221,7 @@
             key,
             record::KeyRecord {
                 digest: call.digest,
+                witness: call.key.witness,
                 state,
                 waiters: Vec::new(),
                 cancelled: false,
--- a/crates/cuminkeel_outcome/src/lib.rs
+++ b/crates/cuminkeel_outcome/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod digest;
 pub mod event;
+pub mod farewell;
 pub mod issuer;
 pub mod key;
 pub mod ledger;
--- a/crates/cuminkeel_outcome/src/message.rs
+++ b/crates/cuminkeel_outcome/src/message.rs
@@ -5,7 +5,7 @@
 
 use std::{sync, time};
 
-use cuminkeel_types::{job, outcome};
+use cuminkeel_types::{job, names, outcome};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +39,9 @@
     Closed,
     /// The authority announced its opening.
     Opened,
+    /// Its job has ended; the answer is no longer kept.
+    #[display("Ended ({_0})")]
+    Ended(outcome::RunStatus),
     /// The witness no longer remembers.
     Forgotten,
     /// The witness serves the key itself; the request should be sent to it.
@@ -134,6 +137,11 @@
     Handover(KeyHandover),
     /// Witness to leaving authority: the hand-over is in force.
     HandoverReply,
+    /// Leaving entry to all others, after its last job: what became of keys.
+    /// The sender opens and grants no key any more.
+    Farewell(KeyFarewell),
+    /// Receipt for a farewell.
+    FarewellReply,
 }
 
 /// The state of a leaving authority's keys that name one witness.
@@ -147,6 +155,40 @@
     pub opening: Vec<u64>,
 }
 
+/// What became of a key, as a leaving process tells it. Final.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum KeyFate {
+    /// Nothing ran, and nothing ever will.
+    Closed,
+    /// It was opened by its authority.
+    Opened,
+    /// Its job has ended.
+    Ended(outcome::RunStatus),
+}
+
+/// Everything that a leaving process knows of keys.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KeyFarewell {
+    /// Keys that the process issued and opened or closed. Nothing is told of others.
+    pub own: Vec<(u64, KeyFate)>,
+    /// Keys of others that name the process as witness.
+    pub witnessed: Vec<WitnessedKeys>,
+    /// Whether keys of authorities that are not listed were never opened.
+    pub all_listed: bool,
+}
+
+/// Keys of one authority that name the leaving process as witness. Those above
+/// the floor that are not listed were never opened, and never will be.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WitnessedKeys {
+    /// The authority.
+    pub authority: names::IncarnationId,
+    /// Keys up to this position are forgotten unless they are listed.
+    pub floor: u64,
+    /// The keys that were opened or closed, by position.
+    pub fates: Vec<(u64, KeyFate)>,
+}
+
 /// Why bytes are no message.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum MessageError {
--- a/crates/cuminkeel_outcome/src/record.rs
+++ b/crates/cuminkeel_outcome/src/record.rs
@@ -4,7 +4,7 @@
 
 use cuminkeel_types::{job, names, outcome, time};
 
-use crate::{answer, digest, event, key};
+use crate::{answer, digest, event, key, message};
 
 /// Who waits for the answer of a key's job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,6 +62,8 @@
 pub struct KeyRecord {
     /// Digest of the job that the key was used for; none if it was cancelled unused.
     pub digest: Option<digest::JobDigest>,
+    /// The witness that the key names.
+    pub witness: Option<names::IncarnationId>,
     /// How far the job is.
     pub state: KeyState,
     /// Who waits for its answer.
@@ -72,6 +74,17 @@
     pub settled_at: Option<time::TimePoint>,
 }
 
+impl KeyRecord {
+    /// What the key's fate is, as a leaving process tells it.
+    pub fn fate(&self) -> message::KeyFate {
+        match &self.state {
+            KeyState::Opening(_) | KeyState::Running { .. } => message::KeyFate::Opened,
+            KeyState::Finished(kept) => message::KeyFate::Ended(kept.ran()),
+            KeyState::Closed(_) => message::KeyFate::Closed,
+        }
+    }
+}
+
 /// All keys opened or closed by this process.
 #[derive(Debug, Default)]
 pub struct RecordTable {
@@ -108,6 +121,15 @@
         self.jobs.remove(&job)
     }
 
+    /// Whether a job runs or a key is being opened.
+    pub fn is_busy(&self) -> bool {
+        !self.jobs.is_empty()
+            || self
+                .records
+                .values()
+                .any(|record| matches!(record.state, KeyState::Opening(_)))
+    }
+
     /// Keys remembered.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/cuminkeel_outcome/src/rules.rs
+++ b/crates/cuminkeel_outcome/src/rules.rs
@@ -35,6 +35,10 @@
     ListOpening,
     /// A hand-over tells which keys have expired.
     ListExpired,
+    /// A leaving witness grants and opens no key any more.
+    FreezeWitness,
+    /// A farewell lists the keys that were opened.
+    ListOpened,
     /// An heir opens no key that was opened or closed before.
     HeirRecords,
     /// A key belongs to one customer.
@@ -53,7 +57,7 @@
 
 impl OutcomeRule {
     /// All rules.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::AwaitWitness,
         Self::RefuseClosed,
         Self::RememberClose,
@@ -68,6 +72,8 @@
         Self::ListClosed,
         Self::ListOpening,
         Self::ListExpired,
+        Self::FreezeWitness,
+        Self::ListOpened,
         Self::HeirRecords,
         Self::BindCustomer,
         Self::BindDigest,
--- a/crates/cuminkeel_outcome/src/settings.rs
+++ b/crates/cuminkeel_outcome/src/settings.rs
@@ -25,6 +25,10 @@
     pub witness_marks: usize,
     /// Most authorities remembered as a witness.
     pub witness_authorities: usize,
+    /// Most farewells of other processes kept.
+    pub farewells: usize,
+    /// Most keys of one authority listed in a hand-over or a farewell.
+    pub listed_keys: usize,
     /// Most requests of other entries that wait for one key.
     pub remote_waiters: usize,
     /// Longest wait for a witness before the key is closed.
@@ -43,7 +47,7 @@
     pub last_resort: time::Duration,
     /// Time after a deadline in which the dispatch policy's own answer is awaited.
     pub dispatch_grace: time::Duration,
-    /// Longest wait for acknowledgements of a hand-over.
+    /// Longest wait for receipts of a hand-over, and of a farewell.
     pub handover_wait: time::Duration,
     /// Interval between two removals of old records.
     pub purge_interval: time::Duration,
@@ -60,6 +64,8 @@
             key_records: 32_768,
             witness_marks: 16_384,
             witness_authorities: 65_536,
+            farewells: 64,
+            listed_keys: 4_096,
             remote_waiters: 32,
             open_wait: time::Duration::from_secs(1),
             silence_wait: time::Duration::from_millis(100),
--- a/crates/cuminkeel_outcome/src/stats.rs
+++ b/crates/cuminkeel_outcome/src/stats.rs
@@ -54,7 +54,9 @@
             message::PeerMessage::Close { .. }
             | message::PeerMessage::CloseReply { .. }
             | message::PeerMessage::Handover(_)
-            | message::PeerMessage::HandoverReply => &mut self.messages_recovery,
+            | message::PeerMessage::HandoverReply
+            | message::PeerMessage::Farewell(_)
+            | message::PeerMessage::FarewellReply => &mut self.messages_recovery,
         };
         *counter += 1;
     }
--- a/crates/cuminkeel_outcome/src/timer.rs
+++ b/crates/cuminkeel_outcome/src/timer.rs
@@ -17,6 +17,8 @@
     Ticket(event::TicketId),
     /// The hand-over to a witness.
     Handover(names::IncarnationId),
+    /// The farewell to all other entries.
+    Farewell,
     /// Removal of old records.
     Purge,
 }
--- a/crates/cuminkeel_outcome/src/witness.rs
+++ b/crates/cuminkeel_outcome/src/witness.rs
@@ -42,7 +42,11 @@
 pub struct WitnessTable {
     limits: WitnessLimits,
     rules: rules::RuleSet,
-    authorities: collections::HashMap<names::IncarnationId, AuthorityView>,
+    authorities: collections::BTreeMap<names::IncarnationId, AuthorityView>,
+    /// The process leaves: it grants and opens no key any more.
+    frozen: bool,
+    /// Some authority found no place in the table.
+    overflowed: bool,
 }
 
 /// Fate of one authority's keys.
@@ -72,7 +76,9 @@
         Self {
             limits,
             rules,
-            authorities: collections::HashMap::new(),
+            authorities: collections::BTreeMap::new(),
+            frozen: false,
+            overflowed: false,
         }
     }
 
@@ -80,12 +86,13 @@
     /// key is closed, forgotten or handed over, and must never be started.
     pub fn open(&mut self, now: clock::TimePoint, key: key::KeyId) -> bool {
         let rules = self.rules;
+        let frozen = self.is_frozen();
         let Some(view) = self.view(key.authority) else {
             return false;
         };
         let granted = match view.marks.get(&key.sequence) {
             Some(mark) => mark.opened || !rules.keeps(rules::OutcomeRule::RefuseClosed),
-            None => key.sequence > view.floor && view.inheritance.is_none(),
+            None => key.sequence > view.floor && view.inheritance.is_none() && !frozen,
         };
         if granted && rules.keeps(rules::OutcomeRule::RememberOpen) {
             view.mark(now, key.sequence, true);
@@ -98,6 +105,7 @@
     /// caller, who is told to send the whole request instead.
     pub fn close(&mut self, now: clock::TimePoint, key: key::KeyId) -> message::CloseVerdict {
         let rules = self.rules;
+        let frozen = self.is_frozen();
         let Some(view) = self.view(key.authority) else {
             return message::CloseVerdict::Forgotten;
         };
@@ -105,7 +113,9 @@
             Some(mark) if mark.opened => return message::CloseVerdict::Opened,
             Some(_) => return message::CloseVerdict::Closed,
             None if view.forgets(key.sequence, rules) => return message::CloseVerdict::Forgotten,
-            None if view.inherits(now, key.sequence) => return message::CloseVerdict::Served,
+            None if view.inherits(now, key.sequence) && !frozen => {
+                return message::CloseVerdict::Served;
+            }
             None => {}
         }
         if rules.keeps(rules::OutcomeRule::RememberClose) {
@@ -117,8 +127,11 @@
 
     /// Whether [`WitnessTable::claim`] would grant a key.
     pub fn offers(&self, now: clock::TimePoint, key: key::KeyId) -> bool {
-        self.authorities.get(&key.authority).is_some_and(|view| {
-            !view.marks.contains_key(&key.sequence)
+        let view = self.authorities.get(&key.authority);
+        let frozen = self.is_frozen();
+        view.is_some_and(|view| {
+            !frozen
+                && !view.marks.contains_key(&key.sequence)
                 && !view.forgets(key.sequence, self.rules)
                 && view.inherits(now, key.sequence)
         })
@@ -127,6 +140,7 @@
     /// Opens an inherited key for this process.
     pub fn claim(&mut self, now: clock::TimePoint, key: key::KeyId) -> ClaimVerdict {
         let rules = self.rules;
+        let frozen = self.is_frozen();
         let Some(view) = self.view(key.authority) else {
             return ClaimVerdict::Forgotten;
         };
@@ -138,7 +152,7 @@
             Some(mark) if mark.opened => return ClaimVerdict::Opened,
             Some(_) => return ClaimVerdict::Closed,
             None if view.forgets(key.sequence, rules) => return ClaimVerdict::Forgotten,
-            None if view.inherits(now, key.sequence) => {}
+            None if view.inherits(now, key.sequence) && !frozen => {}
             None => return ClaimVerdict::NotInherited,
         }
         view.mark(now, key.sequence, true);
@@ -147,7 +161,8 @@
     }
 
     /// Takes over the remaining keys of a leaving authority. Repeats and late
-    /// copies change nothing that was decided since.
+    /// copies change nothing that was decided since. A frozen table takes over
+    /// nothing: others may know already that its unlisted keys never open.
     pub fn inherit(
         &mut self,
         now: clock::TimePoint,
@@ -155,6 +170,9 @@
         handover: &message::KeyHandover,
     ) {
         let until = now + self.limits.inheritance;
+        if self.is_frozen() {
+            return;
+        }
         let Some(view) = self.view(authority) else {
             return;
         };
@@ -177,6 +195,34 @@
         self.trim(authority);
     }
 
+    /// Grants and opens no key any more, since the process leaves.
+    pub fn freeze(&mut self) {
+        self.frozen = true;
+    }
+
+    fn is_frozen(&self) -> bool {
+        self.frozen && self.rules.keeps(rules::OutcomeRule::FreezeWitness)
+    }
+
+    /// What a frozen table says of each authority's keys, and whether it lists
+    /// all authorities. The latest `most` keys of each authority are listed.
+    pub fn farewell(&self, most: usize) -> (Vec<message::WitnessedKeys>, bool) {
+        let lists = self.rules.keeps(rules::OutcomeRule::ListOpened);
+        let views = self.authorities.iter().map(|(authority, view)| {
+            let excess = view.marks.len().saturating_sub(most);
+            let dropped = view.marks.keys().take(excess).next_back().copied();
+            let fates = view.marks.iter().skip(excess).filter(|_| lists);
+            message::WitnessedKeys {
+                authority: *authority,
+                floor: dropped.map_or(view.floor, |dropped| view.floor.max(dropped)),
+                fates: fates
+                    .map(|(sequence, mark)| (*sequence, mark.fate()))
+                    .collect(),
+            }
+        });
+        (views.collect(), !self.overflowed)
+    }
+
     /// Forgets old marks. What is forgotten is never called unopened again.
     pub fn purge(&mut self, now: clock::TimePoint) {
         let retention = self.limits.retention;
@@ -199,9 +245,12 @@
     fn view(&mut self, authority: names::IncarnationId) -> Option<&mut AuthorityView> {
         let full = self.authorities.len() >= self.limits.authorities;
         match self.authorities.entry(authority) {
-            collections::hash_map::Entry::Occupied(entry) => Some(entry.into_mut()),
-            collections::hash_map::Entry::Vacant(_) if full => None,
-            collections::hash_map::Entry::Vacant(entry) => {
+            collections::btree_map::Entry::Occupied(entry) => Some(entry.into_mut()),
+            collections::btree_map::Entry::Vacant(_) if full => {
+                self.overflowed = true;
+                None
+            }
+            collections::btree_map::Entry::Vacant(entry) => {
                 Some(entry.insert(AuthorityView::default()))
             }
         }
@@ -220,6 +269,16 @@
     }
 }
 
+impl KeyMark {
+    fn fate(self) -> message::KeyFate {
+        if self.opened {
+            message::KeyFate::Opened
+        } else {
+            message::KeyFate::Closed
+        }
+    }
+}
+
 impl AuthorityView {
     fn mark(&mut self, now: clock::TimePoint, sequence: u64, opened: bool) {
         let since = self.marks.get(&sequence).map_or(now, |mark| mark.since);
--- a/crates/cuminkeel_outcome/tests/model/faults.rs
+++ b/crates/cuminkeel_outcome/tests/model/faults.rs
@@ -64,9 +64,12 @@
 asked at the leaver   | 9 submit 2, 10 drain 0, 10 submit 0  | complete, complete            | 1
 in the same instant   | 10 drain 0, 10 submit 0, 10 submit 2 | complete, complete            | 1
 while the job runs    | 10 submit 2, 60 drain 0, 61 submit 2 | complete, complete            | 1
-a resubmission later  | 10 submit 2, 60 drain 0, 900 submit 2 | complete, key_unresolved unknown | 1
-of the witness        | 10 drain 1, 900 submit 2             | key_unresolved not_run        | 0
-of both at once       | 10 drain 0, 10 drain 1, 900 submit 2 | key_unresolved unknown        | 0
+a resubmission later  | 10 submit 2, 60 drain 0, 900 submit 2 | complete, key_closed ran | 1
+of the witness        | 10 drain 1, 900 submit 2             | key_closed not_run            | 0
+of both at once       | 10 drain 0, 10 drain 1, 900 submit 2 | key_closed not_run            | 0
+one after the other   | 10 drain 0, 500 drain 1, 900 submit 2 | key_closed not_run           | 0
+both, after a job     | 10 submit 2, 300 drain 0, 300 drain 1, 900 submit 2 | complete, key_closed ran | 1
+heir after a job      | 10 drain 0, 400 submit 2, 900 drain 1, 1500 submit 2 | complete, key_closed ran | 1
 heir lost             | 10 drain 0, 20 crash 1, 900 submit 2 | key_unresolved unknown        | 0
 heir out of reach     | 9 block 0 1, 10 drain 0, 20 submit 2 | key_closed not_run            | 0
 ";
