--- a/crates/cuminkeel_outcome/tests/model/faults.rs
+++ b/crates/cuminkeel_outcome/tests/model/faults.rs
@@ -116,6 +116,7 @@
             ..call
         }),
         "cancel" => Command::Cancel(call),
+        "direct" => Command::SubmitDirect(first, call.wait_millis),
         "crash" => Command::Crash(first),
         "crash-within" => Command::CrashWithin(first, second),
         "start" => Command::Start(first),
@@ -142,27 +143,32 @@
     }
 }
 
+fn run(entries: usize, commands: &str) -> World {
+    let limits = settings::LedgerLimits::default();
+    let mut world = World::new(7, entries, limits, rules::RuleSet::whole());
+    world.weather = Weather {
+        run_millis: RUN_MILLIS,
+        ..Weather::default()
+    };
+    world.at(1, Command::Fetch(0, 0, 1));
+    for phrase in commands.split(", ") {
+        let (at, phrase) = phrase.split_once(' ').expect("a time and a command");
+        for command in parse(phrase) {
+            world.at(at.parse().expect("a time"), command);
+        }
+    }
+    world.run_until(END_MILLIS);
+    world.check_end();
+    world
+}
+
 fn check(entries: usize, table: &str) {
     for line in table.trim().lines() {
         let columns: Vec<_> = line.split('|').map(str::trim).collect();
         let [name, commands, replies, starts] = columns[..] else {
             panic!("not four columns: {line}");
         };
-        let limits = settings::LedgerLimits::default();
-        let mut world = World::new(7, entries, limits, rules::RuleSet::whole());
-        world.weather = Weather {
-            run_millis: RUN_MILLIS,
-            ..Weather::default()
-        };
-        world.at(1, Command::Fetch(0, 0, 1));
-        for phrase in commands.split(", ") {
-            let (at, phrase) = phrase.split_once(' ').expect("a time and a command");
-            for command in parse(phrase) {
-                world.at(at.parse().expect("a time"), command);
-            }
-        }
-        world.run_until(END_MILLIS);
-        world.check_end();
+        let world = run(entries, commands);
         let seen: Vec<_> = world
             .replies
             .iter()
@@ -178,6 +184,23 @@
     }
 }
 
+#[test]
+fn a_job_costs_these_messages() {
+    let cases = [
+        ("no key", "10 direct 2", 0),
+        ("at the authority", "10 submit 0", 2),
+        ("at the witness", "10 submit 1", 5),
+        ("at another entry", "10 submit 2", 5),
+        ("again at the authority", "10 submit 0, 500 submit 0", 2),
+        ("again at another entry", "10 submit 0, 500 submit 2", 4),
+        ("authority gone", "9 crash 0, 1000 submit 2", 7),
+        ("authority left", "9 drain 0, 1000 submit 2", 9),
+    ];
+    for (name, commands, messages) in cases {
+        assert_eq!(run(3, commands).counts.messages, messages, "{name}");
+    }
+}
+
 #[test]
 fn the_same_key_gives_one_run_and_one_answer() {
     check(3, RESUBMISSION);
--- a/crates/cuminkeel_outcome/tests/model/world.rs
+++ b/crates/cuminkeel_outcome/tests/model/world.rs
@@ -5,7 +5,7 @@
 use std::{collections, fmt, sync};
 
 use cuminkeel_outcome::event::OutcomePolicy;
-use cuminkeel_outcome::{event, rules, settings};
+use cuminkeel_outcome::{answer, event, rules, settings};
 use cuminkeel_types::{names, outcome};
 use derive_more::Display;
 use rand::{RngExt, SeedableRng};
@@ -130,6 +130,8 @@
     /// Replies for keys whose authority had crashed, and the unknown among them.
     pub crashed: u64,
     pub crashed_unknown: u64,
+    /// Unknown replies for keys whose job was never sent to a server.
+    pub unknown_unsent: u64,
     pub messages: u64,
     pub starts: u64,
 }
@@ -142,6 +144,7 @@
         self.ran += other.ran;
         self.crashed += other.crashed;
         self.crashed_unknown += other.crashed_unknown;
+        self.unknown_unsent += other.unknown_unsent;
         self.messages += other.messages;
         self.starts += other.starts;
     }
@@ -270,6 +273,18 @@
         for submission in stranded {
             self.violate(Promise::NeverAnswered, submission);
         }
+        self.count_unsent();
+    }
+
+    fn count_unsent(&mut self) {
+        let sent: collections::BTreeSet<_> = self.started.iter().map(|sent| sent.token).collect();
+        let unknown =
+            |answer: &outcome::JobAnswer| answer::ran(answer) == outcome::RunStatus::Unknown;
+        let unsent = self
+            .replies
+            .iter()
+            .filter(|(submission, answer)| unknown(answer) && !sent.contains(&submission.token));
+        self.counts.unknown_unsent = unsent.count() as u64;
     }
 
     /// Takes the next or the last message out of the network.
