Run the load tool over real entries: cuminkeel bench

Cause: the entry stands, so the scenarios can run.

Change: LoopbackFleet starts each entry on a runtime with one thread: blocking that thread suspends the entry, shutting the runtime down ends it as a crash. The mesh can lose all frames to chosen addresses (MeshService::cut_links, for fault drills), and the entry publishes its mesh's counts (MeshProbe). The bench command prints a table or one JSON object.

--- a/crates/cuminkeel/src/commands/mod.rs
+++ b/crates/cuminkeel/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod bench;
 mod check;
 mod demo;
 mod entry;
@@ -15,6 +16,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
+    Bench(bench::BenchCommand),
     Check(check::CheckCommand),
     Demo(demo::DemoCommand),
     Entry(entry::EntryCommand),
@@ -24,6 +26,7 @@
 /// Runs one command.
 pub(crate) fn run(command: Command) -> Result<process::ExitCode, error::CommandError> {
     match command {
+        Command::Bench(command) => bench::run(&command),
         Command::Check(command) => check::run(&command),
         Command::Demo(command) => demo::run(&command),
         Command::Entry(command) => entry::run(&command),
--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -4,7 +4,7 @@
 
 use cuminkeel_entry::{settings, telemetry};
 use cuminkeel_kernel::error;
-use cuminkeel_standin::fleet;
+use cuminkeel_standin::{fleet, load};
 use derive_more::{Display, Error, From};
 
 /// Exit status when the command line or a file is at fault.
@@ -51,6 +51,9 @@
     /// An entry can't be asked.
     #[display("{_0}")]
     Call(fleet::CallError),
+    /// A load run can't be made.
+    #[display("{_0}")]
+    Load(load::error::LoadError),
     /// A report can't be written.
     #[display("can't write the report: {_0}")]
     Report(serde_json::Error),
--- a/crates/cuminkeel_entry/src/daemon.rs
+++ b/crates/cuminkeel_entry/src/daemon.rs
@@ -127,6 +127,16 @@
         Ok(mesh.local().address)
     }
 
+    /// Counts of the mesh's traffic, and fault drills.
+    ///
+    /// # Errors
+    /// [`error::KernelError::NotFound`] if the mesh is not up.
+    pub fn mesh_probe(
+        &self,
+    ) -> Result<sync::Arc<dyn services::mesh::MeshProbe>, error::KernelError> {
+        self.kernel.registry().find(services::names::MESH_PROBE)
+    }
+
     /// Jobs and requests that wait for an answer.
     pub async fn unfinished(&self) -> usize {
         let core = self
--- a/crates/cuminkeel_entry/src/services/mesh.rs
+++ b/crates/cuminkeel_entry/src/services/mesh.rs
@@ -21,6 +21,25 @@
     }
 }
 
+/// Shows the mesh's traffic and cuts its links in fault drills.
+pub trait MeshProbe: std::fmt::Debug + Send + Sync {
+    /// Counts since the start.
+    fn traffic(&self) -> transport::counters::MeshCounters;
+
+    /// Loses all frames to these addresses and to no other.
+    fn cut_links(&self, addresses: Vec<net::SocketAddr>);
+}
+
+impl MeshProbe for transport::service::MeshService {
+    fn traffic(&self) -> transport::counters::MeshCounters {
+        self.counters()
+    }
+
+    fn cut_links(&self, addresses: Vec<net::SocketAddr>) {
+        Self::cut_links(self, addresses);
+    }
+}
+
 /// The service.
 #[derive(Debug)]
 pub struct MeshNode {
@@ -94,6 +113,10 @@
         registry
             .publish(names::SEEDS, sink)
             .map_err(error::ServiceError::new)?;
+        let probe: sync::Arc<dyn MeshProbe> = sync::Arc::clone(&mesh) as _;
+        registry
+            .publish(names::MESH_PROBE, probe)
+            .map_err(error::ServiceError::new)?;
         *self.running.lock().await = Some(mesh);
         Ok(())
     }
--- a/crates/cuminkeel_entry/src/services/names.rs
+++ b/crates/cuminkeel_entry/src/services/names.rs
@@ -16,3 +16,5 @@
 pub const API: &str = "api";
 /// `dyn SeedSink`: takes addresses of other entries.
 pub const SEEDS: &str = "seeds";
+/// `dyn MeshProbe`: counts of the mesh's traffic, and fault drills.
+pub const MESH_PROBE: &str = "mesh_probe";
--- a/crates/cuminkeel_mesh/src/transport/service.rs
+++ b/crates/cuminkeel_mesh/src/transport/service.rs
@@ -90,6 +90,7 @@
             events,
             last_tick_micros: atomic::AtomicU64::new(now.as_micros()),
             logger: settings.logger,
+            cut: sync::RwLock::default(),
         });
         let tasks = [
             task::spawn(inbound::receive_datagrams(shared.clone(), datagrams)),
@@ -107,6 +108,14 @@
         self.shared.lock().core.set_seeds(seeds);
     }
 
+    /// Loses all frames to these addresses, as a network partition does, and
+    /// those to no other. For fault drills.
+    pub fn cut_links(&self, addresses: impl IntoIterator<Item = net::SocketAddr>) {
+        let cut = self.shared.cut.write();
+        let mut cut = cut.unwrap_or_else(sync::PoisonError::into_inner);
+        *cut = addresses.into_iter().collect();
+    }
+
     /// Announces that this process leaves. It stays a member until it stops.
     pub fn leave(&self) {
         let now = self.shared.clock.now();
--- a/crates/cuminkeel_mesh/src/transport/state.rs
+++ b/crates/cuminkeel_mesh/src/transport/state.rs
@@ -37,6 +37,7 @@
     pub(super) events: mpsc::UnboundedSender<border::MemberEvent>,
     pub(super) last_tick_micros: atomic::AtomicU64,
     pub(super) logger: slog::Logger,
+    pub(super) cut: sync::RwLock<collections::HashSet<net::SocketAddr>>,
 }
 
 impl MeshShared {
@@ -134,6 +135,13 @@
         }
     }
 
+    /// Whether frames to an address are lost on purpose.
+    fn is_cut(&self, address: &net::SocketAddr) -> bool {
+        let cut = self.cut.read();
+        let cut = cut.unwrap_or_else(sync::PoisonError::into_inner);
+        cut.contains(address)
+    }
+
     /// Sends a frame by UDP if it is small, else by TCP.
     pub(super) fn transmit(
         self: &sync::Arc<Self>,
@@ -143,6 +151,9 @@
         bytes: Vec<u8>,
     ) -> Result<(), border::MeshError> {
         let length = bytes.len();
+        if self.is_cut(&address) {
+            return Ok(());
+        }
         let sent = match length {
             0..=frame::MAX_UDP_FRAME_BYTES => self.outbound.send_datagram(address, &bytes),
             _ => self.outbound.queue_stream(self, to, address, bytes),
--- a/crates/cuminkeel_standin/src/load/deployment.rs
+++ b/crates/cuminkeel_standin/src/load/deployment.rs
@@ -61,18 +61,18 @@
     }
 
     /// Weight of response time against [`Self::message_weight`].
-    pub fn response_weight(self) -> f64 {
+    pub fn response_weight(self) -> u32 {
         match self {
-            Self::Anadolu => 4.0,
-            Self::Perekat => 1.0,
+            Self::Anadolu => 4,
+            Self::Perekat => 1,
         }
     }
 
     /// Weight of wasted messages against [`Self::response_weight`].
-    pub fn message_weight(self) -> f64 {
+    pub fn message_weight(self) -> u32 {
         match self {
-            Self::Anadolu => 1.0,
-            Self::Perekat => 4.0,
+            Self::Anadolu => 1,
+            Self::Perekat => 4,
         }
     }
 
--- a/crates/cuminkeel_standin/src/load/fleet.rs
+++ b/crates/cuminkeel_standin/src/load/fleet.rs
@@ -11,9 +11,9 @@
     /// Name of the dispatch policy.
     pub policy: sync::Arc<str>,
     /// Weight of response time.
-    pub response_weight: f64,
+    pub response_weight: u32,
     /// Weight of wasted messages.
-    pub message_weight: f64,
+    pub message_weight: u32,
     /// Seed of the entries' generators.
     pub seed: u64,
 }
--- a/crates/cuminkeel_standin/src/load/mod.rs
+++ b/crates/cuminkeel_standin/src/load/mod.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod checks;
 pub mod deployment;
+pub mod entry_fleet;
 pub mod error;
 pub mod fleet;
 pub mod host;
@@ -17,6 +18,7 @@
 pub mod run;
 pub mod scenarios;
 pub mod stats;
+pub mod table;
 pub mod workload;
 
 mod calibration;
