--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -59,13 +59,14 @@
     ) -> Result<api::ApiContext, error::KernelError> {
         let core = registry.find::<core::CoreHandle>(names::CORE)?;
         let mesh = registry.find::<dyn border::MeshPort>(names::MESH)?;
-        let jobs = job_relay::JobRelay::start(sync::Arc::clone(&mesh), (*core).clone());
+        let jobs = job_relay::JobRelay::start(&mesh, (*core).clone());
         Ok(api::ApiContext {
             settings: self.settings.api.clone(),
             core: (*core).clone(),
             config: registry.find::<dyn config_feed::ConfigSource>(names::CONFIG)?,
             jobs,
             mesh,
+            mesh_probe: registry.find::<dyn super::mesh::MeshProbe>(names::MESH_PROBE)?,
             messages: sync::Arc::clone(&self.messages),
             traces: self.traces.clone(),
             metrics: self.metrics.clone(),
