--- a/crates/cuminkeel/src/commands/mod.rs
+++ b/crates/cuminkeel/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod bench;
 mod check;
 mod demo;
 mod entry;
@@ -20,6 +21,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
+    Bench(bench::BenchCommand),
     Check(check::CheckCommand),
     Customer(operator::customer::CustomerCommand),
     Demo(demo::DemoCommand),
@@ -35,6 +37,7 @@
 pub(crate) fn run(arguments: args::Arguments) -> Result<process::ExitCode, error::CommandError> {
     let platform = arguments.platform;
     match arguments.command {
+        Command::Bench(command) => bench::run(&command),
         Command::Customer(command) => lists::run_customer(command, platform),
         Command::Plan(command) => lists::run_plan(command, platform),
         Command::Check(command) => check::run(&command),
