--- a/crates/cuminkeel_dispatch/benches/placement.rs
+++ b/crates/cuminkeel_dispatch/benches/placement.rs
@@ -73,6 +73,7 @@
         let spec = job::JobSpec {
             customer: names::CustomerName::new(format!("customer-{customer}")),
             idempotent: false,
+            trace_parent: None,
             deadline: time::Duration::from_hours(1),
             tasks: vec![task; TASKS_PER_JOB],
         };
--- a/crates/cuminkeel_dispatch/examples/compare.rs
+++ b/crates/cuminkeel_dispatch/examples/compare.rs
@@ -5,20 +5,28 @@
 #[path = "../tests/harness/mod.rs"]
 mod harness;
 
-use std::{collections, env, time};
+use std::{collections, env, ops, time};
 
 use cuminkeel_dispatch::{event, factory};
 use cuminkeel_types::{outcome, time as clock};
 use rand::{RngExt, SeedableRng, rngs};
 
-const SERVERS: usize = 17;
 const SLOTS: u32 = 8;
-const SECONDS: f64 = 40.0;
-/// Time after which goodput is counted.
-const WARM_UP_SECS: f64 = 5.0;
-const SLOWNESS: [f64; 3] = [1.0, 2.5 / 1.5, 2.5];
-/// Classes with their mean run time on the fastest server, in seconds.
-const CLASSES: [(&str, f64); 3] = [("stock", 0.06), ("price", 0.2), ("reserve", 0.5)];
+const SECONDS: f64 = 30.0;
+/// Time after which jobs and goodput are counted.
+const WARM_UP_SECS: f64 = 3.0;
+/// Run time of each server relative to the fastest.
+const SLOWNESS: [f64; 4] = [1.0, 1.0, 1.6, 2.5];
+
+/// One kind of job.
+#[derive(Clone, Debug)]
+struct JobShape {
+    class: &'static str,
+    share: u32,
+    tasks: ops::RangeInclusive<usize>,
+    millis: ops::RangeInclusive<u64>,
+    deadline: f64,
+}
 
 /// One scenario of the comparison.
 #[derive(Clone, Copy, Debug)]
@@ -27,85 +35,71 @@
     load: f64,
     /// Share of the arrivals at the first entry.
     first_entry_share: f64,
-    customers: usize,
-    /// Tasks in the large jobs of one customer; zero for none.
-    large_tasks: usize,
+    /// Demand of each customer.
+    customers: &'static [u32],
+    large_jobs: bool,
     fault: harness::Fault,
-    deadline: f64,
     poison_share: f64,
-    declared: f64,
+    /// Largest factor between declared and true run time, either way.
+    declared_factor: f64,
 }
 
 const STEADY: Scenario = Scenario {
-    name: "steady-60",
+    name: "mixed-60",
     load: 0.6,
     first_entry_share: 1.0 / 3.0,
-    customers: 6,
-    large_tasks: 0,
+    customers: &[1, 1, 1],
+    large_jobs: false,
     fault: harness::Fault::None,
-    deadline: 5.0,
     poison_share: 0.0,
-    declared: 1.0,
+    declared_factor: 2.0,
 };
 
-const SCENARIOS: [Scenario; 14] = [
+const SCENARIOS: [Scenario; 11] = [
     STEADY,
     Scenario {
-        name: "single-60",
-        ..STEADY
-    },
-    Scenario {
-        name: "single-85",
-        load: 0.85,
-        ..STEADY
-    },
-    Scenario {
-        name: "steady-85",
+        name: "mixed-85",
         load: 0.85,
         ..STEADY
     },
-    Scenario {
-        name: "overload",
-        load: 2.0,
-        ..STEADY
-    },
     Scenario {
         name: "skewed",
+        load: 0.8,
         first_entry_share: 0.8,
         ..STEADY
     },
     Scenario {
-        name: "skewed-85",
-        load: 0.85,
-        first_entry_share: 0.6,
+        name: "overload",
+        load: 2.0,
         ..STEADY
     },
     Scenario {
         name: "rival-desks",
         load: 2.0,
-        customers: 4,
-        deadline: 8.0,
+        customers: &[2, 1, 1, 1],
         ..STEADY
     },
     Scenario {
         name: "large-jobs",
         load: 0.5,
-        large_tasks: 400,
-        deadline: 20.0,
+        large_jobs: true,
         ..STEADY
     },
     Scenario {
         name: "black-hole",
+        load: 0.5,
         fault: harness::Fault::FailsAll,
         ..STEADY
     },
     Scenario {
         name: "swallow",
+        load: 0.5,
         fault: harness::Fault::SwallowsAll,
         ..STEADY
     },
     Scenario {
         name: "straggler",
+        load: 0.5,
         fault: harness::Fault::SlowsDown {
             from_secs: 10.0,
             factor: 10.0,
@@ -114,16 +108,38 @@
     },
     Scenario {
         name: "poison",
+        load: 0.5,
         poison_share: 0.1,
         ..STEADY
     },
     Scenario {
         name: "false-sizes",
-        declared: 10.0,
+        declared_factor: 20.0,
         ..STEADY
     },
 ];
 
+fn shapes(scenario: &Scenario) -> Vec<JobShape> {
+    let shape = |class, share, tasks, millis| JobShape {
+        class,
+        share,
+        tasks,
+        millis,
+        deadline: 3.0,
+    };
+    let mut shapes = vec![
+        shape("price", 100, 1..=6, 50..=200),
+        shape("reservation", 40, 1..=1, 50..=150),
+        shape("stock", 60, 2..=8, 80..=300),
+    ];
+    if scenario.large_jobs {
+        let mut large = shape("catalogue", 1, 100..=850, 50..=100);
+        large.deadline = 20.0;
+        shapes.push(large);
+    }
+    shapes
+}
+
 /// Draws the jobs of a scenario.
 #[derive(Debug)]
 struct JobSource {
@@ -132,102 +148,61 @@
 }
 
 impl JobSource {
-    fn exponential(&mut self, mean: f64) -> f64 {
-        -mean * (1.0 - self.random.random::<f64>()).ln()
-    }
-
-    /// A run time around the mean of a class, now and then several times longer.
-    fn work(&mut self, mean: f64) -> f64 {
-        let spread = 0.6 + 0.8 * self.random.random::<f64>();
-        let long = if self.random.random::<f64>() < 0.02 {
-            4.0
-        } else {
-            1.0
-        };
-        mean * spread * long
-    }
-
-    fn task_count(&mut self) -> usize {
-        match self.random.random::<f64>() {
-            draw if draw < 0.7 => 1,
-            draw if draw < 0.95 => self.random.random_range(2..=8),
-            _ => self.random.random_range(9..=30),
+    fn pick(&mut self, shares: &[u32]) -> usize {
+        let mut rest = self.random.random_range(0..shares.iter().sum());
+        for (at, share) in shares.iter().enumerate() {
+            if rest < *share {
+                return at;
+            }
+            rest -= share;
         }
+        0
     }
 
-    fn job(&mut self, scenario: &Scenario, at: f64) -> harness::TrueJob {
-        let customer = self.random.random_range(0..scenario.customers);
-        let rivals = scenario.name == "rival-desks";
-        let count = match customer {
-            0 if rivals => self.random.random_range(40..=80),
-            1 if rivals => 1,
-            _ => self.task_count(),
-        };
-        self.sized_job(scenario, at, customer, count)
-    }
-
-    fn sized_job(
-        &mut self,
-        scenario: &Scenario,
-        at: f64,
-        customer: usize,
-        count: usize,
-    ) -> harness::TrueJob {
+    fn job(&mut self, scenario: &Scenario, shapes: &[JobShape], at: f64) -> harness::TrueJob {
         self.next_id += 1;
-        let mut classes = Vec::with_capacity(count);
+        let weights: Vec<u32> = shapes.iter().map(|shape| shape.share).collect();
+        let shape = &shapes[self.pick(&weights)];
+        let count = self.random.random_range(shape.tasks.clone());
         let mut work = Vec::with_capacity(count);
+        let mut declared = Vec::with_capacity(count);
         for _ in 0..count {
-            let (class, mean) = CLASSES[self.random.random_range(0..CLASSES.len())];
-            classes.push(class);
-            work.push(self.work(mean));
+            let secs = self.random.random_range(shape.millis.clone()) as f64 / 1e3;
+            let exponent = self.random.random::<f64>() * 2.0 - 1.0;
+            work.push(secs);
+            declared.push(secs * scenario.declared_factor.powf(exponent));
         }
-        let name = format!("customer-{customer}");
-        let declared = if customer == 0 {
-            scenario.declared
-        } else {
-            1.0
-        };
-        let deadline = scenario.deadline;
-        let request = harness::request(self.next_id, &name, &classes, &work, deadline, declared);
+        let customer = format!("customer-{}", self.pick(scenario.customers));
+        let classes = vec![shape.class; count];
+        let request =
+            harness::request(self.next_id, &customer, &classes, shape.deadline, &declared);
         let first = self.random.random::<f64>() < scenario.first_entry_share;
-        let entry = if first {
-            0
-        } else {
-            self.random.random_range(1..entry_count().max(2)) % entry_count()
-        };
+        let other = self.random.random_range(1..entry_count().max(2)) % entry_count();
         harness::TrueJob {
             at: point(at),
-            entry,
+            entry: if first { 0 } else { other },
             request,
             work,
             poison: self.random.random::<f64>() < scenario.poison_share,
         }
     }
 
-    /// Jobs at the scenario's load; at `rival-desks` each customer offers the same work.
+    /// Poisson arrivals at the scenario's load.
     fn jobs(&mut self, scenario: &Scenario, capacity: f64) -> Vec<harness::TrueJob> {
+        let shapes = shapes(scenario);
+        let mean = |shape: &JobShape| {
+            let tasks = (shape.tasks.start() + shape.tasks.end()) as f64 / 2.0;
+            let millis = (shape.millis.start() + shape.millis.end()) as f64 / 2.0;
+            f64::from(shape.share) * tasks * millis / 1e3
+        };
+        let all: f64 = shapes.iter().map(|shape| f64::from(shape.share)).sum();
+        let mean_work = shapes.iter().map(mean).sum::<f64>() / all;
+        let rate = scenario.load * capacity / mean_work;
         let mut jobs = Vec::new();
-        let per_customer = scenario.load * capacity / scenario.customers as f64;
-        for customer in 0..scenario.customers {
-            let mut at = 0.0;
-            while at < SECONDS {
-                let template = self.job(scenario, at);
-                let count = match customer {
-                    0 if scenario.name == "rival-desks" => self.random.random_range(40..=80),
-                    1 if scenario.name == "rival-desks" => 1,
-                    _ if scenario.name.starts_with("single") => 1,
-                    _ => template.work.len(),
-                };
-                let job = self.sized_job(scenario, at, customer, count);
-                let gap = job.work.iter().sum::<f64>() / per_customer;
-                at += self.exponential(gap);
-                jobs.push(job);
-            }
-        }
-        let mut at = 2.0;
-        while scenario.large_tasks > 0 && at < SECONDS {
-            jobs.push(self.sized_job(scenario, at, 0, scenario.large_tasks));
-            at += 5.0;
+        let mut at = 0.0;
+        while at < SECONDS {
+            jobs.push(self.job(scenario, &shapes, at));
+            at -= (1.0 - self.random.random::<f64>()).ln() / rate;
         }
         jobs
     }
@@ -242,20 +217,37 @@
 }
 
 fn servers(scenario: &Scenario) -> Vec<(event::ServerRecord, f64, harness::Fault)> {
-    let server = |at: usize| {
+    let server = |(at, slowness): (usize, &f64)| {
         let fault = if at == 0 {
             scenario.fault
         } else {
             harness::Fault::None
         };
-        (harness::record(at, SLOTS), SLOWNESS[at % 3], fault)
+        (harness::record(at, SLOTS), *slowness, fault)
     };
-    (0..SERVERS).map(server).collect()
+    SLOWNESS.iter().enumerate().map(server).collect()
 }
 
+/// Response of a job that has all slots to itself, longest tasks first.
 fn ideal_secs(job: &harness::TrueJob) -> f64 {
-    let longest = job.work.iter().copied().fold(0.0, f64::max);
-    longest + 2.0 * harness::SERVER_DELAY.as_secs_f64()
+    let mut work = job.work.clone();
+    work.sort_by(|a, b| b.total_cmp(a));
+    let slots = SLOWNESS
+        .iter()
+        .flat_map(|slowness| vec![*slowness; SLOTS as usize]);
+    let mut slots: Vec<(f64, f64)> = slots.map(|slowness| (slowness, 0.0)).collect();
+    let mut last = 0.0_f64;
+    for secs in work {
+        let finish = |slot: &(f64, f64)| slot.1 + secs * slot.0;
+        let best = slots
+            .iter_mut()
+            .min_by(|a, b| finish(a).total_cmp(&finish(b)));
+        if let Some(slot) = best {
+            slot.1 += secs * slot.0;
+            last = last.max(slot.1);
+        }
+    }
+    last + 2.0 * harness::SERVER_DELAY.as_secs_f64()
 }
 
 fn point(secs: f64) -> clock::TimePoint {
@@ -325,7 +317,8 @@
     let mut large = Vec::new();
     let mut refusals: collections::BTreeMap<outcome::RefusalCode, usize> =
         collections::BTreeMap::new();
-    for result in &domain.results {
+    let measured = |result: &&harness::JobResult| result.job.at >= point(WARM_UP_SECS);
+    for result in domain.results.iter().filter(measured) {
         let spent = result.finished.since(result.job.at).as_secs_f64();
         match &result.answer {
             outcome::JobAnswer::Complete { .. } if result.job.work.len() >= 100 => {
--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -485,24 +485,27 @@
     }
 }
 
-/// Makes a request from true work; the declared run times are the work times `declared`.
+/// Makes a request from true work and the declared run times, in seconds.
 pub fn request(
     id: u128,
     customer: &str,
     classes: &[&'static str],
-    work: &[f64],
     deadline: f64,
-    declared: f64,
+    declared: &[f64],
 ) -> event::JobRequest {
-    let tasks = classes.iter().zip(work).map(|(class, secs)| job::TaskSpec {
-        class: (*class).into(),
-        size_millicores: 500,
-        declared_run_time: time::Duration::from_secs_f64(secs * declared),
-        payload: "{}".into(),
-    });
+    let tasks = classes
+        .iter()
+        .zip(declared)
+        .map(|(class, secs)| job::TaskSpec {
+            class: (*class).into(),
+            size_millicores: 500,
+            declared_run_time: time::Duration::from_secs_f64(*secs),
+            payload: "{}".into(),
+        });
     let spec = job::JobSpec {
         customer: customer.into(),
         idempotent: false,
+        trace_parent: None,
         deadline: time::Duration::from_secs_f64(deadline),
         tasks: tasks.collect(),
     };
--- a/crates/cuminkeel_dispatch/tests/invariants.rs
+++ b/crates/cuminkeel_dispatch/tests/invariants.rs
@@ -84,7 +84,7 @@
             let work: Vec<f64> = millis.iter().map(|millis| *millis as f64 / 1e3).collect();
             let classes: Vec<&str> = (0..work.len()).map(|at| CLASSES[at % 3]).collect();
             let name = format!("customer-{customer}");
-            let request = harness::request(*next_id, &name, &classes, &work, DEADLINE_SECS, 1.0);
+            let request = harness::request(*next_id, &name, &classes, DEADLINE_SECS, &work);
             let (at, entry, poison) = (domain.now, *entry, *poison);
             domain.submit(harness::TrueJob {
                 at,
@@ -193,7 +193,7 @@
             id += 1;
             let work = [*run as f64 / 1e3];
             let name = format!("customer-{customer}");
-            let request = harness::request(id, &name, &[CLASSES[customer]], &work, 1.5, 1.0);
+            let request = harness::request(id, &name, &[CLASSES[customer]], 1.5, &work);
             domain.submit(harness::TrueJob {
                 at: clock::TimePoint::from_millis(at + 1),
                 entry: usize::try_from(id).unwrap() % domain.entries.len(),
@@ -239,7 +239,7 @@
     let mut domain = harness::FakeDomain::new("cuminkeel", (1.0, 1.0), 2, servers(&faults), &[], 3);
     offer_load(&mut domain, &[300, 300, 300], 5, 8);
     for at in 0..8 {
-        let request = harness::request(1_000_000 + at, "quiet", &["price"], &[0.1], 1.5, 1.0);
+        let request = harness::request(1_000_000 + at, "quiet", &["price"], 1.5, &[0.1]);
         domain.submit(harness::TrueJob {
             at: clock::TimePoint::from_millis(u64::try_from(at).unwrap() * 1_000 + 500),
             entry: 0,
@@ -291,9 +291,8 @@
                 1_000_000 + u128::from(at),
                 "poisoner",
                 &["bad"],
-                &[0.05],
                 1.5,
-                1.0,
+                &[0.05],
             );
             domain.submit(harness::TrueJob {
                 at: clock::TimePoint::from_millis(at * 10 + 1_000),
