Answer unverifiable keys 'unknown' and all closed keys 'key_closed'

Cause: an entry that holds another mesh secret than the one that issued a key answered 'key_invalid, not_run', although the key's job may have run. And a key closed for want of its witness was answered with a code of its own, so that callers had two codes for one step: fetch a new key.

Change: KeySealer and LedgerSettings accept further mesh keys during a change of secrets; a text that is not authentic is refused as 'unknown', only one that no mesh can have issued as 'not_run'. Closed keys answer key_closed; the code key_unresolved now always goes with 'unknown'. One request may fetch as many keys as the entry's settings allow.

Conclusion: a resubmission during a change of secrets is no longer told that nothing ran.

--- a/crates/cuminkeel_outcome/src/answer.rs
+++ b/crates/cuminkeel_outcome/src/answer.rs
@@ -113,7 +113,8 @@
     )
 }
 
-/// The answer for a key that is closed for good.
+/// The answer for a key that is closed for good. Callers see one code for all
+/// closings but their own cancellation.
 pub fn closed(code: outcome::RefusalCode) -> outcome::JobAnswer {
     match code {
         outcome::RefusalCode::Cancelled => failed(
@@ -122,7 +123,7 @@
             "the key was cancelled before its job started",
         ),
         outcome::RefusalCode::KeyUnresolved => not_run_retry(
-            code,
+            outcome::RefusalCode::KeyClosed,
             "the key's witness did not answer and the key was closed; fetch a new key and submit again",
         ),
         _ => not_run_retry(
--- a/crates/cuminkeel_outcome/src/key.rs
+++ b/crates/cuminkeel_outcome/src/key.rs
@@ -1,6 +1,6 @@
 //! Submission keys: which process may open them, and the proof that the mesh issued them.
 
-use std::{fmt, sync};
+use std::{fmt, iter, sync};
 
 use base64::Engine;
 use cuminkeel_types::{names, time};
@@ -61,10 +61,25 @@
     Forged,
 }
 
-/// Seals keys into text and opens them again, with a key derived from the mesh's.
+impl KeyError {
+    /// Whether no mesh, of whatever secret or release, issued such a text.
+    /// Otherwise another process may know the key, and its job may have run.
+    pub fn is_never_issued(self) -> bool {
+        match self {
+            Self::TooLong | Self::Malformed => true,
+            Self::UnknownVersion { .. } | Self::Forged => false,
+        }
+    }
+}
+
+/// Key of an authentication code.
+type MacKey = [u8; blake3::KEY_LEN];
+
+/// Seals keys into text and opens them again, with keys derived from the mesh's.
 #[derive(Clone)]
 pub struct KeySealer {
-    mac_key: [u8; blake3::KEY_LEN],
+    mac_key: MacKey,
+    accepted: smallvec::SmallVec<[MacKey; 1]>,
 }
 
 impl KeySealer {
@@ -72,9 +87,26 @@
     pub fn new(mesh_key: &[u8]) -> Self {
         Self {
             mac_key: blake3::derive_key(KEY_CONTEXT, mesh_key),
+            accepted: smallvec::SmallVec::new(),
         }
     }
 
+    /// Opens keys sealed with another mesh key too, while the mesh changes keys.
+    #[must_use]
+    pub fn accept(mut self, mesh_key: &[u8]) -> Self {
+        self.accepted
+            .push(blake3::derive_key(KEY_CONTEXT, mesh_key));
+        self
+    }
+
+    fn is_authentic(&self, sealed: &[u8], mac: [u8; MAC_BYTES]) -> bool {
+        let mac = blake3::Hash::from_bytes(mac);
+        // `blake3::Hash` compares in constant time.
+        iter::once(&self.mac_key)
+            .chain(&self.accepted)
+            .any(|mac_key| blake3::keyed_hash(mac_key, sealed) == mac)
+    }
+
     /// The key as text for the caller.
     pub fn seal(&self, key: &SubmissionKey) -> sync::Arc<str> {
         let mut bytes = vec![KEY_VERSION];
@@ -102,8 +134,7 @@
         if *version != KEY_VERSION {
             return Err(KeyError::UnknownVersion { version: *version });
         }
-        // `blake3::Hash` compares in constant time.
-        if blake3::keyed_hash(&self.mac_key, sealed) != blake3::Hash::from_bytes(*mac) {
+        if !self.is_authentic(sealed, *mac) {
             return Err(KeyError::Forged);
         }
         postcard::from_bytes(body).map_err(|_| KeyError::Malformed)
--- a/crates/cuminkeel_outcome/src/ledger.rs
+++ b/crates/cuminkeel_outcome/src/ledger.rs
@@ -192,8 +192,19 @@
         let bound = self.keeps(rules::OutcomeRule::BindCustomer);
         let key = match self.settings.sealer.open(&token) {
             Ok(key) if key.customer == *customer || !bound => key,
-            Ok(_) => return self.refuse_key(turn, ticket, "the key belongs to another customer"),
-            Err(error) => return self.refuse_key(turn, ticket, &error.to_string()),
+            Ok(_) => {
+                let detail = "the key belongs to another customer";
+                return self.refuse_key(turn, ticket, outcome::RunStatus::NotRun, detail);
+            }
+            Err(error) if error.is_never_issued() => {
+                let detail = error.to_string();
+                return self.refuse_key(turn, ticket, outcome::RunStatus::NotRun, &detail);
+            }
+            // A process with another mesh key may have run the key's job.
+            Err(error) => {
+                let detail = error.to_string();
+                return self.refuse_key(turn, ticket, outcome::RunStatus::Unknown, &detail);
+            }
         };
         let call = relay::KeyCall {
             digest: request.digest(),
@@ -210,12 +221,14 @@
         }
     }
 
-    fn refuse_key(&mut self, turn: &mut LedgerTurn<'_>, ticket: event::TicketId, detail: &str) {
-        let refusal = answer::failed(
-            outcome::RefusalCode::KeyInvalid,
-            outcome::RunStatus::NotRun,
-            detail,
-        );
+    fn refuse_key(
+        &mut self,
+        turn: &mut LedgerTurn<'_>,
+        ticket: event::TicketId,
+        ran: outcome::RunStatus,
+        detail: &str,
+    ) {
+        let refusal = answer::failed(outcome::RefusalCode::KeyInvalid, ran, detail);
         self.reply(turn, ticket, refusal);
     }
 
--- a/crates/cuminkeel_outcome/src/settings.rs
+++ b/crates/cuminkeel_outcome/src/settings.rs
@@ -56,7 +56,7 @@
 impl Default for LedgerLimits {
     fn default() -> Self {
         Self {
-            keys_per_request: 64,
+            keys_per_request: 1_000,
             key_lifetime: time::Duration::from_mins(5),
             record_retention: time::Duration::from_mins(5),
             answer_retention: time::Duration::from_mins(2),
@@ -108,4 +108,11 @@
             rules: rules::RuleSet::whole(),
         }
     }
+
+    /// Takes keys sealed with another mesh key too, while the mesh changes keys.
+    #[must_use]
+    pub fn accept_mesh_key(mut self, mesh_key: &[u8]) -> Self {
+        self.sealer = self.sealer.accept(mesh_key);
+        self
+    }
 }
