--- a/crates/cuminkeel_mesh/examples/mesh_capacity.rs
+++ b/crates/cuminkeel_mesh/examples/mesh_capacity.rs
@@ -1,8 +1,8 @@
 //! Prints what membership costs at several sizes, one line of JSON for each.
 //!
 //! Usage: `mesh_capacity [SEED] [SECONDS] [VARIANT] [LOSS] [SIZES...]`, where the
-//! variant is `domains`, `flat` (one ring over all entries) or `mesh` (heartbeats
-//! from everyone to everyone).
+//! variant is `domains`, `flat` (one ring over all entries), `mesh` (heartbeats
+//! from everyone to everyone) or `slow-mesh` (the same at two a second).
 
 use std::{env, fs, time};
 
@@ -28,9 +28,14 @@
     for nodes in sizes {
         let mut membership = settings::MembershipSettings::default();
         let domains = if variant == "domains" { DOMAINS } else { 1 };
-        if variant == "mesh" {
+        if variant.ends_with("mesh") {
             membership.observers = nodes;
         }
+        if variant == "slow-mesh" {
+            membership.heartbeat = time::Duration::from_millis(500);
+            membership.probe_after = time::Duration::from_millis(1_050);
+            membership.suspect_after = time::Duration::from_millis(1_400);
+        }
         let plan = capacity::MeasurePlan {
             nodes,
             domains: domains.min(nodes),
