Let only the smaller side of a cut inside a domain be rejected

Cause: after a cut between racks of one failure domain, both sides had declared the other gone, so the heal rejected every entry of the domain.

Change: an observer that hears neither most of its domain nor any other domain hides the silent entries from its view instead of declaring them gone. A paused process that was hidden learns it when it asks.

Conclusion: the larger side goes on when the cut heals. In a site of one domain with two entries neither can tell, and both are rejected.

--- a/crates/cuminkeel_mesh/src/membership/answers.rs
+++ b/crates/cuminkeel_mesh/src/membership/answers.rs
@@ -267,6 +267,9 @@
     fn answer_ask(&mut self, now: clock::TimePoint, from: names::IncarnationId) {
         let settled = self.standing() == standing::MemberStanding::Confirmed
             && self.standing.age(now) >= SETTLED_AFTER;
+        if self.was_hidden(now, from) {
+            self.declare_gone(now, from);
+        }
         let verdict = match (self.table.get(from), self.table.tombstone(from)) {
             (Some(_), _) => message::MemberVerdict::Member,
             (None, Some(_)) => message::MemberVerdict::Gone,
--- a/crates/cuminkeel_mesh/src/membership/decision.rs
+++ b/crates/cuminkeel_mesh/src/membership/decision.rs
@@ -81,6 +81,7 @@
     pub(super) seed: clock::TimePoint,
     pub(super) sync: clock::TimePoint,
     pub(super) obituary: clock::TimePoint,
+    pub(super) survey: clock::TimePoint,
     cleanup: clock::TimePoint,
 }
 
@@ -103,9 +104,15 @@
     pub(super) due: DueTimes,
     pub(super) news: Vec<message::MemberState>,
     pub(super) local_news: bool,
+    /// News of this process's own that is sent again, and how often.
+    pub(super) repeats: Vec<(message::MemberState, u32)>,
     pub(super) counters: MembershipCounters,
     visible: collections::BTreeMap<names::IncarnationId, border::MemberRecord>,
-    stale_view: bool,
+    /// Silent processes that this one, being cut off, has not declared gone.
+    pub(super) hidden: collections::BTreeSet<names::IncarnationId>,
+    pub(super) revealed: Vec<(names::IncarnationId, clock::TimePoint)>,
+    pub(super) isolated: bool,
+    pub(super) stale_view: bool,
     last_tick: clock::TimePoint,
     last_wall: clock::WallTime,
     pub(super) actions: Vec<MembershipAction>,
@@ -141,8 +148,12 @@
             due: DueTimes::default(),
             news: Vec::new(),
             local_news: false,
+            repeats: Vec::new(),
             counters: MembershipCounters::default(),
             visible: collections::BTreeMap::new(),
+            hidden: collections::BTreeSet::new(),
+            revealed: Vec::new(),
+            isolated: false,
             stale_view: true,
             last_tick: now,
             last_wall: started,
@@ -292,6 +303,7 @@
             self.domains.hear(&state.record.domain, heard);
             self.stale_view |= !self.visible.contains_key(&from);
         }
+        self.reveal(now, from);
         let contact = self.contacts.entry(from).or_insert(heard);
         *contact = heard.max(*contact);
         let watch = self.watches.get_mut(&from);
@@ -380,13 +392,26 @@
         for (target, step) in steps {
             match step {
                 watch::WatchStep::Wait => {}
-                watch::WatchStep::Probe { suspected } => self.probe(target, suspected),
+                watch::WatchStep::Probe { suspected } => {
+                    self.probe(target, suspected);
+                    if suspected {
+                        self.survey(now);
+                    }
+                }
+                watch::WatchStep::Declare if self.is_isolated(now) => {
+                    self.hide_silent(now);
+                    self.survey(now);
+                }
+                watch::WatchStep::Declare if self.isolated => {
+                    self.isolated = false;
+                    self.restart_watches(now);
+                }
                 watch::WatchStep::Declare => self.declare_gone(now, target),
             }
         }
     }
 
-    fn declare_gone(&mut self, now: clock::TimePoint, target: names::IncarnationId) {
+    pub(super) fn declare_gone(&mut self, now: clock::TimePoint, target: names::IncarnationId) {
         let may_declare = self.standing.standing() == standing::MemberStanding::Confirmed;
         let Some(state) = self.table.get(target).filter(|_| may_declare) else {
             return;
@@ -425,6 +450,8 @@
         }
         let table = &self.table;
         self.contacts.retain(|peer, _| table.get(*peer).is_some());
+        self.hidden.retain(|peer| table.get(*peer).is_some());
+        self.revealed.clear();
     }
 
     pub(super) fn refresh_ring(&mut self, now: clock::TimePoint) {
@@ -460,7 +487,7 @@
             .map(|state| &state.record)
             .filter(|record| record.incarnation != local.incarnation)
             .filter(|record| {
-                record.domain == local.domain
+                (record.domain == local.domain && !self.hidden.contains(&record.incarnation))
                     || self
                         .domains
                         .is_reachable(now, &record.domain, &self.settings)
--- a/crates/cuminkeel_mesh/src/membership/gossip.rs
+++ b/crates/cuminkeel_mesh/src/membership/gossip.rs
@@ -9,6 +9,7 @@
 
 const NEWS_FANOUT: usize = 4;
 const ORIGIN_FANOUT: usize = 32;
+const ORIGIN_REPEATS: u32 = 2;
 const JOIN_SEEDS: usize = 3;
 const SETTLED_SEED_FACTOR: u32 = 10;
 
@@ -102,15 +103,22 @@
     /// Passes on what was learnt since the last tick: widely if this process is
     /// the origin, else to a few.
     pub(super) fn spread_news(&mut self) {
-        if self.news.is_empty() {
+        let mut news = std::mem::take(&mut self.news);
+        let mut fanout = NEWS_FANOUT;
+        let repeats = std::mem::take(&mut self.repeats);
+        if std::mem::take(&mut self.local_news) {
+            let first = news.iter().cloned();
+            self.repeats = first.map(|state| (state, ORIGIN_REPEATS)).collect();
+            fanout = ORIGIN_FANOUT;
+        }
+        for (state, left) in repeats.into_iter().filter(|(_, left)| *left > 0) {
+            self.repeats.push((state.clone(), left - 1));
+            news.push(state);
+            fanout = ORIGIN_FANOUT;
+        }
+        if news.is_empty() {
             return;
         }
-        let news = std::mem::take(&mut self.news);
-        let fanout = if std::mem::take(&mut self.local_news) {
-            ORIGIN_FANOUT
-        } else {
-            NEWS_FANOUT
-        };
         let mut peers = self.random_peers(fanout, |core, record| {
             record.domain == core.local.record.domain
         });
--- a/crates/cuminkeel_mesh/src/membership/mod.rs
+++ b/crates/cuminkeel_mesh/src/membership/mod.rs
@@ -14,6 +14,7 @@
 pub mod decision;
 mod domains;
 mod gossip;
+mod isolation;
 pub mod message;
 pub mod ring;
 pub mod settings;
--- a/crates/cuminkeel_mesh/tests/membership.rs
+++ b/crates/cuminkeel_mesh/tests/membership.rs
@@ -156,6 +156,47 @@
     }
 }
 
+#[test]
+fn after_a_cut_inside_a_domain_only_the_smaller_side_is_rejected() {
+    let cases = [
+        ("one of three", 3, 3, 1, CLEAN),
+        ("two of five", 3, 5, 2, CLEAN),
+        ("two of five, lossy", 3, 5, 2, LOSSY),
+        ("one of two", 3, 2, 1, CLEAN),
+        ("a rack of twenty", 1, 20, 8, CLEAN),
+    ];
+    for (name, domains, per_domain, cut, faults) in cases {
+        let count = domains * per_domain;
+        let mut cluster = cluster(domains, per_domain, faults, 14);
+        let inside = in_domain(&cluster, count, "domain-0")[..cut].to_vec();
+        let mut outside = nodes(count);
+        outside.retain(|node| !inside.contains(node));
+        cluster.partition(&inside, &outside);
+        cluster.run_for(REACHABILITY);
+        assert_full_view(&cluster, &outside);
+        assert_full_view(&cluster, &inside);
+        cluster.heal();
+        cluster.run_for(REACHABILITY);
+        assert_full_view(&cluster, &outside);
+        for node in inside {
+            assert!(was_rejected(&cluster, node), "{name}: {node:?} goes on");
+        }
+    }
+}
+
+#[test]
+fn a_crash_in_a_domain_that_is_cut_off_is_detected() {
+    let mut cluster = cluster(3, 3, CLEAN, 15);
+    let inside = in_domain(&cluster, 9, "domain-0");
+    let mut outside = nodes(9);
+    outside.retain(|node| !inside.contains(node));
+    cluster.partition(&inside, &outside);
+    cluster.run_for(REACHABILITY);
+    cluster.crash(inside[0]);
+    cluster.run_for(DETECTION);
+    assert_full_view(&cluster, &inside[1..]);
+}
+
 #[test]
 fn domains_that_reach_each_other_through_a_third_stay_members() {
     let mut cluster = cluster(3, 3, CLEAN, 10);
