--- a/crates/cuminkeel_mesh/src/transport/inbound.rs
+++ b/crates/cuminkeel_mesh/src/transport/inbound.rs
@@ -12,6 +12,7 @@
 const MAX_CONNECTIONS: usize = 512;
 const PROOF_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_mins(2);
+const RECEIVE_RETRY: time::Duration = time::Duration::from_millis(1);
 const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(50);
 
 /// Receives datagrams until the task is aborted.
@@ -21,9 +22,12 @@
 ) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
-        // An error here is that of an earlier send, reported by the system.
-        if let Ok((length, address)) = socket.recv_from(&mut buffer).await {
-            take_frame(&shared, address, &buffer[..length]);
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, address)) => {
+                take_frame(&shared, address, &buffer[..length]);
+            }
+            // The system may report the error of an earlier send here.
+            Err(_) => tokio::time::sleep(RECEIVE_RETRY).await,
         }
     }
 }
