Hold allowances over all entries and domains by seats and loans

Cause: each entry granted each plan's whole limit by itself, so nine entries allowed nine times the limit. Change: the share ledger runs as a service between configuration and the decision loop; the dispatch policy starts a task only with its permit; a leaving entry passes its seats on after its last job; status shows the seats in use.

--- a/crates/cuminkeel/src/commands/status.rs
+++ b/crates/cuminkeel/src/commands/status.rs
@@ -41,6 +41,7 @@
     println!("failure domain  {}", status.failure_domain);
     println!("incarnation     {}", status.incarnation);
     println!("config offset   {} (newest {age})", status.config_offset);
+    println!("seats           {}", status.seats);
     println!("draining        {}", status.draining);
     println!("waiting         {}", status.waiting_requests);
     println!("members         {}", status.members.len());
--- a/crates/cuminkeel_entry/src/api/body.rs
+++ b/crates/cuminkeel_entry/src/api/body.rs
@@ -108,6 +108,8 @@
     pub config_offset: u64,
     /// Milliseconds since the lists were last known to be the newest.
     pub config_age_ms: Option<u64>,
+    /// Seats, each a share of every allowance, that this entry may use.
+    pub seats: u64,
     /// Whether new jobs are refused.
     pub draining: bool,
     /// Requests that wait for an answer.
--- a/crates/cuminkeel_entry/src/api/server.rs
+++ b/crates/cuminkeel_entry/src/api/server.rs
@@ -8,7 +8,7 @@
 use tokio::sync as tokio_sync;
 
 use super::{body, endpoints, extract};
-use crate::{config_feed, config_view, core, job_relay, services, settings, telemetry};
+use crate::{clock, config_feed, config_view, core, job_relay, services, settings, telemetry};
 
 /// Time after which a caller should try again when an entry is busy.
 const BUSY_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -34,6 +34,10 @@
     pub traces: telemetry::TraceSource,
     /// Records metrics.
     pub metrics: telemetry::MetricsSource,
+    /// This entry's shares of the allowances.
+    pub allowance: sync::Arc<services::allowance::AllowanceDesk>,
+    /// The process's clock.
+    pub clock: clock::MonotonicClock,
     /// Bounds the requests at once.
     pub permits: tokio_sync::Semaphore,
     /// Whether new jobs are taken.
@@ -107,6 +111,7 @@
             incarnation: local.incarnation.to_string(),
             config_offset: self.view().lists().offset,
             config_age_ms: self.config.age().map(millis),
+            seats: u64::try_from(self.allowance.usable_seats(self.clock.now())).unwrap_or(0),
             draining: core.draining,
             waiting_requests: u64::try_from(core.waiting_requests).unwrap_or(u64::MAX),
             members,
--- a/crates/cuminkeel_entry/src/daemon.rs
+++ b/crates/cuminkeel_entry/src/daemon.rs
@@ -71,6 +71,11 @@
             draw(),
             parts.log.clone(),
         )))?;
+        kernel.add(sync::Arc::new(services::allowance::AllowanceService::new(
+            sync::Arc::clone(&settings),
+            clock,
+            draw(),
+        )))?;
         kernel.add(sync::Arc::new(services::core::CoreService::new(
             sync::Arc::clone(&settings),
             clock,
@@ -85,6 +90,7 @@
         )))?;
         kernel.add(sync::Arc::new(services::api::ApiService::new(
             sync::Arc::clone(&settings),
+            clock,
             parts.traces,
             parts.metrics,
             parts.messages,
--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -7,7 +7,7 @@
 use tokio::sync as tokio_sync;
 
 use super::names;
-use crate::{api, config_feed, core, job_relay, settings, telemetry};
+use crate::{api, clock, config_feed, core, job_relay, settings, telemetry};
 
 /// Time for which a leaving entry still takes jobs, so that the balancer sees
 /// its health first.
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct ApiService {
     settings: sync::Arc<settings::EntrySettings>,
+    clock: clock::MonotonicClock,
     traces: telemetry::TraceSource,
     metrics: telemetry::MetricsSource,
     messages: sync::Arc<telemetry::MessageCounters>,
@@ -38,6 +39,7 @@
     /// A service that is not started.
     pub fn new(
         settings: sync::Arc<settings::EntrySettings>,
+        clock: clock::MonotonicClock,
         traces: telemetry::TraceSource,
         metrics: telemetry::MetricsSource,
         messages: sync::Arc<telemetry::MessageCounters>,
@@ -45,6 +47,7 @@
     ) -> Self {
         Self {
             settings,
+            clock,
             traces,
             metrics,
             messages,
@@ -70,6 +73,8 @@
             messages: sync::Arc::clone(&self.messages),
             traces: self.traces.clone(),
             metrics: self.metrics.clone(),
+            allowance: registry.find(names::ALLOWANCE)?,
+            clock: self.clock,
             permits: tokio_sync::Semaphore::new(self.settings.api.max_concurrent_requests),
             accepting: atomic::AtomicBool::new(true),
         })
--- a/crates/cuminkeel_entry/src/services/core.rs
+++ b/crates/cuminkeel_entry/src/services/core.rs
@@ -2,14 +2,14 @@
 
 use std::{sync, time};
 
-use cuminkeel_dispatch::{event, factory, share};
+use cuminkeel_dispatch::{event, factory};
 use cuminkeel_kernel::{error, registry, service};
 use cuminkeel_mesh::border;
 use cuminkeel_outcome::event as outcome_event;
 use cuminkeel_types::names as types;
 use tokio::{sync as tokio_sync, task};
 
-use super::names;
+use super::{allowance, names};
 use crate::{backend, clock, config_feed, core, settings, telemetry};
 
 /// Seed of a process's identity and choices.
@@ -91,6 +91,7 @@
     fn policy(
         &self,
         local: &border::MemberRecord,
+        desk: &allowance::AllowanceDesk,
     ) -> Result<Box<dyn cuminkeel_dispatch::policy::DispatchPolicy>, factory::PolicyError> {
         let dispatch = &self.settings.dispatch;
         let policy_settings = factory::PolicySettings {
@@ -102,7 +103,7 @@
             response_weight: f64::from(dispatch.response_weight),
             message_weight: f64::from(dispatch.message_weight),
         };
-        let gate = Box::new(share::LocalGate::default());
+        let gate = Box::new(desk.gate());
         let seed = u64::from_le_bytes(self.seed[..8].try_into().unwrap_or_default());
         factory::policy_by_name(&dispatch.policy, &policy_settings, gate, seed)
     }
@@ -122,6 +123,9 @@
         let config = registry
             .find::<dyn config_feed::ConfigSource>(names::CONFIG)
             .map_err(failed)?;
+        let desk = registry
+            .find::<allowance::AllowanceDesk>(names::ALLOWANCE)
+            .map_err(failed)?;
         let local = mesh.local();
         let backend = sync::Arc::new(backend::BackendClient::new(
             self.settings.backend.clone(),
@@ -131,7 +135,9 @@
         let parts = core::CoreParts {
             clock: self.clock,
             outcome: self.outcomes.make(&local, &self.settings, self.seed),
-            dispatch: self.policy(&local).map_err(error::ServiceError::new)?,
+            dispatch: self
+                .policy(&local, &desk)
+                .map_err(error::ServiceError::new)?,
             mesh: sync::Arc::clone(&mesh),
             traces: self.traces.clone(),
             backend: sync::Arc::clone(&backend) as sync::Arc<dyn backend::TaskSender>,
--- a/crates/cuminkeel_entry/src/services/mod.rs
+++ b/crates/cuminkeel_entry/src/services/mod.rs
@@ -1,5 +1,6 @@
 //! The services of an entry, in the order in which they start.
 
+pub mod allowance;
 pub mod api;
 pub mod config;
 pub mod core;
--- a/crates/cuminkeel_entry/src/services/names.rs
+++ b/crates/cuminkeel_entry/src/services/names.rs
@@ -18,3 +18,5 @@
 pub const SEEDS: &str = "seeds";
 /// `dyn MeshProbe`: counts of the mesh's traffic, and fault drills.
 pub const MESH_PROBE: &str = "mesh_probe";
+/// `AllowanceDesk`: this entry's shares of the allowances.
+pub const ALLOWANCE: &str = "allowance";
--- a/crates/cuminkeel_standin/src/fleet/site.rs
+++ b/crates/cuminkeel_standin/src/fleet/site.rs
@@ -239,6 +239,7 @@
             .is_some_and(|servers| !servers.is_empty());
         status.config_offset >= edits
             && status.members.len() + 1 == self.entries.len()
+            && status.seats > 0
             && has_servers
     }
 }
