--- a/crates/cuminkeel_dispatch/benches/placement.rs
+++ b/crates/cuminkeel_dispatch/benches/placement.rs
@@ -73,8 +73,10 @@
         let spec = job::JobSpec {
             customer: names::CustomerName::new(format!("customer-{customer}")),
             idempotent: false,
+            trace_parent: None,
             deadline: time::Duration::from_hours(1),
             tasks: vec![task; TASKS_PER_JOB],
+            trace_parent: None,
         };
         self.waiting += TASKS_PER_JOB;
         self.tell(event::DispatchEvent::JobSubmitted(event::JobRequest {
