--- a/crates/cuminkeel_mesh/src/capacity/mod.rs
+++ b/crates/cuminkeel_mesh/src/capacity/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::membership;
 
+mod delivery;
 pub mod network;
 mod queue;
 
--- a/crates/cuminkeel_mesh/src/membership/isolation.rs
+++ b/crates/cuminkeel_mesh/src/membership/isolation.rs
@@ -60,6 +60,7 @@
         if self.hidden.remove(&target) {
             self.stale_view = true;
             self.revealed.push((target, now));
+            self.isolated = !self.hidden.is_empty();
         }
     }
 
--- a/crates/cuminkeel_mesh/src/membership/mod.rs
+++ b/crates/cuminkeel_mesh/src/membership/mod.rs
@@ -12,6 +12,7 @@
 
 mod answers;
 pub mod decision;
+mod detection;
 mod domains;
 mod gossip;
 mod isolation;
