Wait for members of all domains, and leave leaving peers out as witnesses

Cause: an entry of another failure domain, and a leaving one, counted as gone after 100 ms of silence, since the ledger knew only the peers of its domain.

Change: the additive event MembersChanged names all live entries. The long match on messages is split.

Conclusion: the shell should send MembersChanged next to PeersChanged.

--- a/crates/cuminkeel_outcome/src/event.rs
+++ b/crates/cuminkeel_outcome/src/event.rs
@@ -69,8 +69,13 @@
         /// Encoded message, the policy's own format.
         payload: Vec<u8>,
     },
-    /// The live entries of this failure domain without this one, after any change.
+    /// The live entries of this failure domain without this one, after any
+    /// change. Leaving ones are left out: they become no witness.
     PeersChanged(Vec<PeerEntry>),
+    /// All live entries of all failure domains, leaving ones too, after any
+    /// change. Shortens the wait for lost entries and prolongs that for slow
+    /// ones; without it only the peers count as live.
+    MembersChanged(Vec<names::IncarnationId>),
     /// This entry was told to leave: hand the authority over.
     DrainStarted,
     /// The time named by [`OutcomePolicy::next_wakeup`] has come.
--- a/crates/cuminkeel_outcome/src/ledger.rs
+++ b/crates/cuminkeel_outcome/src/ledger.rs
@@ -28,6 +28,7 @@
     settings: settings::LedgerSettings,
     rng: rand::rngs::StdRng,
     peers: Vec<event::PeerEntry>,
+    members: collections::HashSet<names::IncarnationId>,
     issuer: issuer::KeyIssuer,
     records: record::RecordTable,
     answers: answer::AnswerQueue,
@@ -69,6 +70,7 @@
         Self {
             rng: rand::rngs::StdRng::from_seed(seed),
             peers: Vec::new(),
+            members: collections::HashSet::new(),
             issuer: issuer::KeyIssuer::new(
                 settings.incarnation,
                 settings.rack.clone(),
@@ -110,7 +112,13 @@
         self.settings.rules.keeps(rule)
     }
 
+    /// Whether another process is a peer or a member. A wrong answer costs
+    /// time or a refusal, never a second start.
     fn is_live(&self, incarnation: names::IncarnationId) -> bool {
+        self.is_peer(incarnation) || self.members.contains(&incarnation)
+    }
+
+    fn is_peer(&self, incarnation: names::IncarnationId) -> bool {
         self.peers
             .iter()
             .any(|peer| peer.incarnation == incarnation)
@@ -308,6 +316,15 @@
 
     fn change_peers(&mut self, turn: &mut LedgerTurn<'_>, peers: Vec<event::PeerEntry>) {
         self.peers = peers;
+        self.review_liveness(turn);
+    }
+
+    fn change_members(&mut self, turn: &mut LedgerTurn<'_>, members: Vec<names::IncarnationId>) {
+        self.members = members.into_iter().collect();
+        self.review_liveness(turn);
+    }
+
+    fn review_liveness(&mut self, turn: &mut LedgerTurn<'_>) {
         self.close_unwitnessed(turn);
         self.hurry_relays(turn);
         self.drop_lost_heirs(turn);
@@ -400,6 +417,7 @@
                 self.receive(turn, from, &payload);
             }
             event::OutcomeEvent::PeersChanged(peers) => self.change_peers(turn, peers),
+            event::OutcomeEvent::MembersChanged(members) => self.change_members(turn, members),
             event::OutcomeEvent::DrainStarted => self.start_drain(turn),
             event::OutcomeEvent::WakeupDue => {}
         }
--- a/crates/cuminkeel_outcome/src/ledger/drain.rs
+++ b/crates/cuminkeel_outcome/src/ledger/drain.rs
@@ -62,7 +62,7 @@
             .issuer
             .witnesses(turn.now)
             .into_iter()
-            .filter(|witness| self.is_live(*witness))
+            .filter(|witness| self.is_peer(*witness))
             .collect();
         let mut handovers = collections::BTreeMap::new();
         for heir in &heirs {
--- a/crates/cuminkeel_outcome/src/ledger/inbox.rs
+++ b/crates/cuminkeel_outcome/src/ledger/inbox.rs
@@ -27,21 +27,6 @@
                 key,
                 digest,
             } => self.receive_ask(turn, from, ticket, key, digest),
-            message::PeerMessage::Accepted { ticket, key } => {
-                self.relay_accepted(turn, from, ticket, key);
-            }
-            message::PeerMessage::Unheard { ticket, key } => {
-                self.relay_unheard(turn, from, ticket, key);
-            }
-            message::PeerMessage::NotServed { ticket, key } => {
-                self.relay_not_served(turn, from, ticket, key);
-            }
-            message::PeerMessage::Answer {
-                ticket,
-                key,
-                digest,
-                answer,
-            } => self.relay_answered(turn, from, ticket, key, digest, answer),
             message::PeerMessage::Close { ticket, key } => {
                 let verdict = self.close_witnessed(turn, key);
                 let reply = message::PeerMessage::CloseReply {
@@ -51,11 +36,6 @@
                 };
                 self.send(turn, from, &reply);
             }
-            message::PeerMessage::CloseReply {
-                ticket,
-                key,
-                verdict,
-            } => self.receive_verdict(turn, from, ticket, key, verdict),
             message::PeerMessage::Handover(handover) => {
                 self.witness.inherit(turn.now, from, &handover);
                 self.send(turn, from, &message::PeerMessage::HandoverReply);
@@ -67,6 +47,45 @@
                 self.send(turn, from, &message::PeerMessage::FarewellReply);
             }
             message::PeerMessage::FarewellReply => self.end_farewell(from),
+            message::PeerMessage::Accepted { .. }
+            | message::PeerMessage::Unheard { .. }
+            | message::PeerMessage::NotServed { .. }
+            | message::PeerMessage::Answer { .. }
+            | message::PeerMessage::CloseReply { .. } => {
+                self.receive_reply(turn, from, message);
+            }
+        }
+    }
+
+    /// Takes in a reply to a request that this entry passed on.
+    fn receive_reply(
+        &mut self,
+        turn: &mut LedgerTurn<'_>,
+        from: names::IncarnationId,
+        message: message::PeerMessage,
+    ) {
+        match message {
+            message::PeerMessage::Accepted { ticket, key } => {
+                self.relay_accepted(turn, from, ticket, key);
+            }
+            message::PeerMessage::Unheard { ticket, key } => {
+                self.relay_unheard(turn, from, ticket, key);
+            }
+            message::PeerMessage::NotServed { ticket, key } => {
+                self.relay_not_served(turn, from, ticket, key);
+            }
+            message::PeerMessage::Answer {
+                ticket,
+                key,
+                digest,
+                answer,
+            } => self.relay_answered(turn, from, ticket, key, digest, answer),
+            message::PeerMessage::CloseReply {
+                ticket,
+                key,
+                verdict,
+            } => self.receive_verdict(turn, from, ticket, key, verdict),
+            _ => self.reject(),
         }
     }
 
--- a/crates/cuminkeel_outcome/src/ledger/passing.rs
+++ b/crates/cuminkeel_outcome/src/ledger/passing.rs
@@ -138,11 +138,14 @@
     ) {
         let doubts = self.keeps(rules::OutcomeRule::DoubtOpened);
         let told = self.told(ticket);
+        let authority = self
+            .relays
+            .get(&ticket)
+            .map(|relay| relay.call.key.id.authority);
+        let authority_live = authority.is_some_and(|authority| self.is_live(authority));
         let Some(relay) = self.relays.get_mut(&ticket) else {
             return;
         };
-        let authority = relay.call.key.id.authority;
-        let authority_live = self.peers.iter().any(|peer| peer.incarnation == authority);
         let refusal = match verdict {
             message::CloseVerdict::Opened | message::CloseVerdict::Forgotten
                 if !authority_live && told.is_some() =>
--- a/crates/cuminkeel_outcome/tests/model/membership.rs
+++ b/crates/cuminkeel_outcome/tests/model/membership.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use super::{
-    process::Process,
+    process,
     world::{Happening, MESH_KEY, MILLI, World},
 };
 
@@ -17,7 +17,7 @@
         settings.limits = self.limits.clone();
         settings.rules = self.rules;
         let rate = self.between(900, 1_100);
-        self.places[place] = Some(Process::new(settings, self.now, rate));
+        self.places[place] = Some(process::Process::new(settings, self.now, rate));
         self.places_of.insert(incarnation, place);
     }
 
@@ -41,6 +41,17 @@
         }
     }
 
+    pub fn drain(&mut self, place: usize) {
+        match &mut self.places[place] {
+            Some(process) if !process.paused && process.standing == process::Standing::Serving => {
+                process.standing = process::Standing::Leaving;
+            }
+            _ => return,
+        }
+        self.spread_views();
+        self.feed(place, event::OutcomeEvent::DrainStarted);
+    }
+
     pub fn resume(&mut self, place: usize) {
         let now = self.now;
         let held = match &mut self.places[place] {
@@ -84,17 +95,21 @@
         let Some(viewer) = &self.places[place] else {
             return;
         };
-        let peers = (0..self.places.len())
+        let seen = (0..self.places.len())
             .filter(|other| *other != place && !viewer.suspects.contains(other))
-            .filter_map(|other| {
-                let process = self.places[other].as_ref()?;
-                Some(event::PeerEntry {
+            .filter_map(|other| Some((other, self.places[other].as_ref()?)));
+        let (mut peers, mut members) = (Vec::new(), Vec::new());
+        for (other, process) in seen {
+            members.push(process.incarnation);
+            if process.standing == process::Standing::Serving {
+                peers.push(event::PeerEntry {
                     vm: names::VmName::new(format!("vm-{other}")),
                     incarnation: process.incarnation,
                     rack: names::RackName::new(format!("rack-{}", other % 2)),
-                })
-            })
-            .collect();
+                });
+            }
+        }
+        self.feed(place, event::OutcomeEvent::MembersChanged(members));
         self.feed(place, event::OutcomeEvent::PeersChanged(peers));
     }
 }
--- a/crates/cuminkeel_outcome/tests/model/process.rs
+++ b/crates/cuminkeel_outcome/tests/model/process.rs
@@ -17,6 +17,14 @@
     Overloaded,
 }
 
+/// How far a process is in its drain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    Serving,
+    Leaving,
+    Parted,
+}
+
 #[derive(Debug)]
 pub struct FakeJob {
     pub submission: Submission,
@@ -32,7 +40,7 @@
     pub jobs: collections::BTreeMap<names::JobId, FakeJob>,
     pub paused: bool,
     pub held: Vec<Happening>,
-    pub drain_finished: bool,
+    pub standing: Standing,
     pub suspects: collections::BTreeSet<usize>,
     pub next_ticket: u64,
     /// Reading of the local clock when the process last began to run.
@@ -57,7 +65,7 @@
             jobs: collections::BTreeMap::new(),
             paused: false,
             held: Vec::new(),
-            drain_finished: false,
+            standing: Standing::Serving,
             suspects: collections::BTreeSet::new(),
             next_ticket: 0,
             woke_at: local,
@@ -115,6 +123,6 @@
 
     /// Whether a drained process has nothing left to do.
     pub fn is_finished(&self) -> bool {
-        self.drain_finished && self.jobs.is_empty() && self.ledger.waiting() == 0
+        self.standing == Standing::Parted && self.jobs.is_empty() && self.ledger.waiting() == 0
     }
 }
--- a/crates/cuminkeel_outcome/tests/model/world.rs
+++ b/crates/cuminkeel_outcome/tests/model/world.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use rand::{RngExt, SeedableRng};
 
-use super::process::Process;
+use super::process;
 
 pub const MESH_KEY: &[u8] = b"model";
 pub const MILLI: u64 = 1_000;
@@ -174,7 +174,7 @@
     pub violations: Vec<Violation>,
     pub counts: Counts,
     pub replies: Vec<(Submission, outcome::JobAnswer)>,
-    pub places: Vec<Option<Process>>,
+    pub places: Vec<Option<process::Process>>,
     pub rng: rand::rngs::StdRng,
     pub queue: collections::BTreeMap<(u64, u64), Happening>,
     pub serial: u64,
@@ -392,7 +392,7 @@
             }
             Command::Suspect(by, whom) => self.suspect(by, whom, true),
             Command::Unsuspect(by, whom) => self.suspect(by, whom, false),
-            Command::Drain(place) => self.feed_running(place, event::OutcomeEvent::DrainStarted),
+            Command::Drain(place) => self.drain(place),
             Command::StepClock(place, millis) => {
                 if let Some(process) = &mut self.places[place] {
                     process.step_clock(self.now, millis * MILLI);
@@ -473,7 +473,7 @@
             }
             event::OutcomeAction::DrainFinished => {
                 if let Some(process) = &mut self.places[place] {
-                    process.drain_finished = true;
+                    process.standing = process::Standing::Parted;
                 }
             }
         }
