Answer a model job twice, and drain it twice

Change: the fake dispatcher answers each job a second time and differently, and each drain is told twice; two more drain cases are tabled.

--- a/crates/cuminkeel_outcome/tests/model/backend.rs
+++ b/crates/cuminkeel_outcome/tests/model/backend.rs
@@ -111,6 +111,9 @@
             }
         };
         self.feed(place, event::OutcomeEvent::JobFinished { job, answer });
+        // A second answer to the same job, and a different one.
+        let answer = refusal(outcome::RefusalCode::Overloaded, outcome::RunStatus::NotRun);
+        self.feed(place, event::OutcomeEvent::JobFinished { job, answer });
     }
 
     pub fn cancel_job(&mut self, place: usize, job: names::JobId) {
--- a/crates/cuminkeel_outcome/tests/model/faults.rs
+++ b/crates/cuminkeel_outcome/tests/model/faults.rs
@@ -65,6 +65,8 @@
 in the same instant   | 10 drain 0, 10 submit 0, 10 submit 2 | complete, complete            | 1
 while the job runs    | 10 submit 2, 60 drain 0, 61 submit 2 | complete, complete            | 1
 a resubmission later  | 10 submit 2, 60 drain 0, 900 submit 2 | complete, key_closed ran | 1
+with many waiting     | 10 submit 0, 10 submit 1, 10 submit 2, 11 submit 2, 11 drain 0 | complete, complete, complete, complete | 1
+of the entry asked    | 10 submit 2, 11 drain 2              | complete                      | 1
 of the witness        | 10 drain 1, 900 submit 2             | key_closed not_run            | 0
 of both at once       | 10 drain 0, 10 drain 1, 900 submit 2 | key_closed not_run            | 0
 one after the other   | 10 drain 0, 500 drain 1, 900 submit 2 | key_closed not_run           | 0
--- a/crates/cuminkeel_outcome/tests/model/membership.rs
+++ b/crates/cuminkeel_outcome/tests/model/membership.rs
@@ -50,6 +50,7 @@
         }
         self.spread_views();
         self.feed(place, event::OutcomeEvent::DrainStarted);
+        self.feed(place, event::OutcomeEvent::DrainStarted);
     }
 
     pub fn resume(&mut self, place: usize) {
