--- a/crates/cuminkeel_standin/src/load/caller.rs
+++ b/crates/cuminkeel_standin/src/load/caller.rs
@@ -275,6 +275,12 @@
         *sync_lock::lock(&self.answers).entry(kind).or_insert(0) += 1;
     }
 
+    /// Forgets the keys of a batch of which one was refused: its entry is gone
+    /// or leaving.
+    async fn drop_keys(&self, customer: usize) {
+        self.submission_keys[customer].lock().await.clear();
+    }
+
     /// Takes a submission key, fetching more when none is left.
     async fn submission_key(&self, customer: usize) -> Option<sync::Arc<str>> {
         let mut keys = self.submission_keys[customer].lock().await;
@@ -328,6 +334,7 @@
                     submission += 1;
                     if fresh_key {
                         self.key = None;
+                        self.pool.drop_keys(self.job.customer).await;
                     }
                     tokio::time::sleep(delay).await;
                 }
@@ -350,10 +357,10 @@
             } => {
                 let delay = retry_after.unwrap_or(RETRY_DELAY);
                 match code {
-                    RefusalCode::KeyClosed | RefusalCode::KeyInvalid => resubmit(true, delay),
-                    RefusalCode::KeyUnresolved
-                    | RefusalCode::Draining
-                    | RefusalCode::NoConfiguration => resubmit(false, delay),
+                    RefusalCode::KeyClosed
+                    | RefusalCode::KeyInvalid
+                    | RefusalCode::KeyUnresolved => resubmit(true, delay),
+                    RefusalCode::Draining | RefusalCode::NoConfiguration => resubmit(false, delay),
                     _ => NextStep::Finish,
                 }
             }
