Dispatch: share servers by the busy slots that their answers tell

Cause: at 3 entries and 4 servers a domain the fixed division costs most of the response, and loans of slots can't be frequent enough within 0.05 to 0.2 messages per task.

Change: the additive event ServerReported tells how many slots of a server are in use, as a field of an answer that is sent anyway. While it is believed (half a mean run time) an entry may use free slots beyond its share, but for a margin of 1 to 4 that grows as refusals use up the message budget. Without reports nothing changes. Loans are asked for only with 8 messages saved.

--- a/crates/cuminkeel_dispatch/examples/compare.rs
+++ b/crates/cuminkeel_dispatch/examples/compare.rs
@@ -208,7 +208,8 @@
     }
 }
 
-/// Entries of the domain; 1 shows what undivided slots would give.
+/// Entries of the domain, from the environment variable `ENTRIES`; with `REPORTS`
+/// set, servers report their busy slots with each answer. 1 shows what undivided slots would give.
 fn entry_count() -> usize {
     env::var("ENTRIES")
         .ok()
@@ -284,6 +285,7 @@
         &terms,
         seed,
     );
+    domain.reports = env::var("REPORTS").is_ok();
     let tasks: usize = jobs.iter().map(|job| job.work.len()).sum();
     let count = jobs.len();
     for job in jobs {
--- a/crates/cuminkeel_dispatch/src/baseline.rs
+++ b/crates/cuminkeel_dispatch/src/baseline.rs
@@ -351,6 +351,7 @@
             } => self.probed(now, probe, (server, busy), actions),
             event::DispatchEvent::DrainStarted => self.draining = true,
             event::DispatchEvent::SiblingsChanged(_)
+            | event::DispatchEvent::ServerReported { .. }
             | event::DispatchEvent::SiblingMessage { .. }
             | event::DispatchEvent::WakeupDue => {}
         }
--- a/crates/cuminkeel_dispatch/src/event.rs
+++ b/crates/cuminkeel_dispatch/src/event.rs
@@ -69,6 +69,14 @@
         /// How it ended.
         outcome: outcome::TaskOutcome,
     },
+    /// An answer of a server told how many of its slots were in use when it was
+    /// sent, over all entries. Comes before the event of the answer itself.
+    ServerReported {
+        /// The server.
+        server: names::ServerName,
+        /// Slots in use, without the task that the answer belongs to.
+        busy: u32,
+    },
     /// The backend servers that this entry may use, whole, after any change.
     ServersChanged(Vec<ServerRecord>),
     /// All customers' terms, whole, after any change.
--- a/crates/cuminkeel_dispatch/src/server_pool.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// What a server told of its busy slots, and how far to trust it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BusyReport {
+    /// Slots in use by all entries, without the task just answered.
+    pub busy: u32,
+    /// Free slots beyond the own share that are left to others.
+    pub margin: u32,
+    /// Time for which the report is believed.
+    pub believed_for: time::Duration,
+}
+
+/// Order of free servers: fastest first, then most free slots.
 type FreeKey = (speed_buckets::SpeedBucket, u32, ServerIndex);
 
 /// All servers of one entry.
@@ -136,7 +148,8 @@
             server.usable = usable;
             server.bucket = bucket;
         }
-        let free_key = (server.free() > 0).then_some((bucket, running, index));
+        let in_use = server.record.slots.saturating_sub(server.free());
+        let free_key = (server.free() > 0).then_some((bucket, in_use, index));
         if free_key == server.free_key {
             return;
         }
@@ -256,6 +269,28 @@
         self.refresh(now, index);
     }
 
+    /// Takes in how many slots of a server are in use by all entries.
+    pub fn on_report(
+        &mut self,
+        now: clock::TimePoint,
+        name: &names::ServerName,
+        report: BusyReport,
+    ) {
+        let Some(index) = self.index(name) else {
+            return;
+        };
+        let server = &mut self.servers[index.as_usize()];
+        let own = server.running().saturating_sub(1);
+        server.others = report.busy.saturating_sub(own);
+        server.margin = report.margin;
+        let believed_until = now + report.believed_for;
+        if server.believed_until <= now {
+            self.timers.insert((believed_until, index));
+        }
+        server.believed_until = believed_until;
+        self.refresh(now, index);
+    }
+
     /// Gives a server no more work, since it said that it leaves.
     pub fn on_leaving(&mut self, now: clock::TimePoint, index: ServerIndex) {
         self.servers[index.as_usize()].refused_leaving = true;
@@ -301,6 +336,10 @@
             let server = &mut self.servers[index.as_usize()];
             let was_ejected = server.is_ejected();
             server.health.on_time(now);
+            let believed_until = server.believed_until;
+            if believed_until > now {
+                self.timers.insert((believed_until, index));
+            }
             self.after_health(now, index, was_ejected);
         }
     }
--- a/crates/cuminkeel_dispatch/src/server_pool/pool_server.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool/pool_server.rs
@@ -26,6 +26,12 @@
     pub(super) cut: u32,
     pub(super) cut_until: clock::TimePoint,
     pub(super) refusals: u32,
+    /// Slots that others use, as last reported.
+    pub(super) others: u32,
+    /// Free slots beyond the granted ones that are left to others.
+    pub(super) margin: u32,
+    /// Until when the report is believed.
+    pub(super) believed_until: clock::TimePoint,
     pub(super) running: SmallVec<[RunningSlot; 4]>,
     pub(super) last_done: clock::TimePoint,
     pub(super) usable: u32,
@@ -53,6 +59,9 @@
             cut: 0,
             cut_until: clock::TimePoint::ZERO,
             refusals: 0,
+            others: 0,
+            margin: 0,
+            believed_until: clock::TimePoint::ZERO,
             running: SmallVec::new(),
             last_done: clock::TimePoint::ZERO,
             usable: 0,
@@ -82,6 +91,10 @@
             server_health::HealthState::Suspect | server_health::HealthState::OnTrial { .. } => {
                 granted.min(1)
             }
+            server_health::HealthState::Healthy if now < self.believed_until => {
+                let free = self.record.slots.saturating_sub(self.others);
+                free.min(granted.max(free.saturating_sub(self.margin)))
+            }
             server_health::HealthState::Healthy => granted.saturating_sub(cut),
         }
     }
--- a/crates/cuminkeel_dispatch/src/slot_lending.rs
+++ b/crates/cuminkeel_dispatch/src/slot_lending.rs
@@ -31,8 +31,19 @@
 const MAX_WANTED: u32 = 256;
 /// Messages that one request costs: itself and its answer.
 const ASK_COST: f64 = 2.0;
+/// Saved messages from which a sibling is asked; refusals by servers that are
+/// shared by guess are paid from the same budget and are worth more.
+const ASK_BUDGET: f64 = 8.0;
+/// Budget below which servers are shared with the widest margin.
+const DEEP_DEBT: f64 = -4.0;
+/// Wasted messages per task from which servers are shared with a narrow margin.
+const GENEROUS_MESSAGES: f64 = 0.1;
+/// Free slots left to others with messages to spare.
+const GENEROUS_MARGIN: u32 = 1;
+/// Free slots left to others with few messages to spare.
+const THRIFTY_MARGIN: u32 = 2;
 /// Most messages that are saved up.
-const MAX_BUDGET: f64 = 8.0;
+const MAX_BUDGET: f64 = 16.0;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum LoanSide {
@@ -128,6 +139,21 @@
         self.budget -= messages;
     }
 
+    /// Free slots beyond its own share that this entry leaves to others on each
+    /// server: the fewer messages it may waste, the more.
+    pub fn margin(&self) -> u32 {
+        let base = if self.messages_per_task >= GENEROUS_MESSAGES {
+            GENEROUS_MARGIN
+        } else {
+            THRIFTY_MARGIN
+        };
+        match self.budget {
+            budget if budget >= 0.0 => base,
+            budget if budget >= DEEP_DEBT => base + 1,
+            _ => base + 2,
+        }
+    }
+
     /// Ends the loans whose time has come.
     pub fn on_time(&mut self, now: clock::TimePoint, pool: &mut server_pool::ServerPool) {
         if self.next_lapse.is_some_and(|lapse| lapse <= now) {
@@ -192,7 +218,7 @@
         wanted: u32,
         actions: &mut Vec<event::DispatchAction>,
     ) {
-        if self.pending.is_some() || self.budget < ASK_COST || wanted == 0 {
+        if self.pending.is_some() || self.budget < ASK_BUDGET || wanted == 0 {
             return;
         }
         let candidates = self.peers.iter().filter(|peer| peer.ask_after <= now);
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -18,8 +18,10 @@
 const FORGET_PERIOD: time::Duration = time::Duration::from_secs(10);
 /// Run times for which a job yields to shorter ones that arrive later.
 const YIELD_RATIO: f64 = 4.0;
+/// Mean run times for which a server's report of its busy slots is believed.
+const BELIEVED_RUNS: f64 = 0.5;
 /// Wasted messages per task that equal weights of response and messages pay for.
-const BALANCED_MESSAGES: f64 = 0.08;
+const BALANCED_MESSAGES: f64 = 0.075;
 /// Fewest and most wasted messages per task, whatever the weights.
 const MESSAGE_RANGE: (f64, f64) = (0.02, 0.16);
 
@@ -220,6 +222,16 @@
             .set_servers(now, records, &self.local, &self.entries);
     }
 
+    fn take_report(&mut self, now: clock::TimePoint, server: &names::ServerName, busy: u32) {
+        let believed_secs = self.model.mix_secs() * BELIEVED_RUNS;
+        let report = server_pool::BusyReport {
+            busy,
+            margin: self.lending.margin(),
+            believed_for: time::Duration::from_secs_f64(believed_secs),
+        };
+        self.pool.on_report(now, server, report);
+    }
+
     fn set_siblings(&mut self, now: clock::TimePoint, siblings: Vec<event::SiblingEntry>) {
         self.entries = siblings.iter().map(|sibling| sibling.vm.clone()).collect();
         self.entries.push(self.local.clone());
@@ -292,6 +304,9 @@
                 self.lending
                     .on_message(now, &from, &payload, &mut own, actions);
             }
+            event::DispatchEvent::ServerReported { server, busy } => {
+                self.take_report(now, &server, busy);
+            }
             event::DispatchEvent::DrainStarted => self.draining = true,
             event::DispatchEvent::ServerProbed { .. } | event::DispatchEvent::WakeupDue => {}
         }
--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -117,6 +117,8 @@
     pub check_slots: bool,
     /// Every so many sibling messages one is lost and the next one doubled; zero for none.
     pub loss_period: u64,
+    /// Whether servers report their busy slots with each answer.
+    pub reports: bool,
     heap: collections::BinaryHeap<Scheduled>,
     sequence: u64,
 }
@@ -180,6 +182,7 @@
             sent: collections::BTreeSet::new(),
             check_slots: false,
             loss_period: 0,
+            reports: false,
             heap: collections::BinaryHeap::new(),
             sequence: 0,
         };
@@ -475,6 +478,12 @@
         server: usize,
         outcome: outcome::TaskOutcome,
     ) {
+        if self.reports {
+            let busy = u32::try_from(self.servers[server].busy.len()).unwrap();
+            let name = self.servers[server].record.name.clone();
+            let report = event::DispatchEvent::ServerReported { server: name, busy };
+            self.schedule(self.now + SERVER_DELAY, Happening::Tell(at, report));
+        }
         let server = self.servers[server].record.name.clone();
         let event = event::DispatchEvent::TaskEnded {
             task,
--- a/crates/cuminkeel_dispatch/tests/invariants.rs
+++ b/crates/cuminkeel_dispatch/tests/invariants.rs
@@ -143,11 +143,13 @@
         faults in prop::collection::vec(fault(), 4),
         steps in prop::collection::vec(step(), 1..120),
         loss_period in 0_u64..5,
+        reports in any::<bool>(),
         seed in 0_u64..1_000,
     ) {
         let mut domain =
             harness::FakeDomain::new(name, (1.0, 1.0), 3, servers(&faults), &[], seed);
         domain.loss_period = loss_period;
+        domain.reports = reports;
         domain.check_slots = name == "cuminkeel";
         let mut next_id = 0;
         for step in &steps {
