Dispatch: learn how far declared run times tell the truth

Cause: tasks of one class differ in length by a factor of 4, so that the longest task of a job, which decides its response, was not known.

Change: declared_fit fits a line through declared and true run times for each customer and class; the expected run time of a task follows its declared time as far as the slope, shrunk until known, says.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod baseline;
+pub mod declared_fit;
 pub mod event;
 pub mod factory;
 pub mod fair_queue;
--- a/crates/cuminkeel_dispatch/src/server_pool/choice.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool/choice.rs
@@ -17,6 +17,8 @@
 pub struct TaskNeed {
     /// Class of the task.
     pub class: speed_model::ClassIndex,
+    /// Expected run time on an average server, in seconds.
+    pub mean_secs: f64,
     /// Declared size.
     pub size: u32,
     /// Whether it is the only task of its job, as trials of servers want it.
@@ -40,13 +42,8 @@
 
 impl ServerPool {
     /// The slowest free server that ends a task within its slack, if any.
-    pub fn slowest_within(
-        &self,
-        now: clock::TimePoint,
-        model: &speed_model::SpeedModel,
-        need: &TaskNeed,
-    ) -> Option<ServerOffer> {
-        let ratio = need.slack_secs / model.mean_secs(need.class);
+    pub fn slowest_within(&self, now: clock::TimePoint, need: &TaskNeed) -> Option<ServerOffer> {
+        let ratio = need.slack_secs / need.mean_secs;
         let slowest = speed_buckets::SpeedBucket::of(ratio.max(f64::MIN_POSITIVE).ln());
         let within = self
             .free
@@ -56,33 +53,26 @@
             .take(LOOKED_AT_SERVERS)
             .filter(|key| self.takes(now, key, need))
             .take(COMPARED_SERVERS)
-            .map(|key| self.offer(model, key, need))
+            .map(|key| self.offer(key, need))
             .find(|offer| offer.run_secs <= need.slack_secs)
     }
 
     /// The free server where a task ends soonest, of the few that are fastest
     /// for all classes. Servers with silent overdue tasks are passed over.
-    pub fn fastest(
-        &self,
-        now: clock::TimePoint,
-        model: &speed_model::SpeedModel,
-        need: &TaskNeed,
-    ) -> Option<ServerOffer> {
-        let offer = self.fastest_from(now, model, need, None)?;
+    pub fn fastest(&self, now: clock::TimePoint, need: &TaskNeed) -> Option<ServerOffer> {
+        let offer = self.fastest_from(now, need, None)?;
         let limit = offer.bucket.slower_by(SAME_SPEED_RATIO);
         let alike = self.buckets.up_to(limit);
         let reserved = f64::from(alike.usable) * need.reserve_share;
         if f64::from(alike.free()) > reserved {
             return Some(offer);
         }
-        self.fastest_from(now, model, need, Some(limit))
-            .or(Some(offer))
+        self.fastest_from(now, need, Some(limit)).or(Some(offer))
     }
 
     fn fastest_from(
         &self,
         now: clock::TimePoint,
-        model: &speed_model::SpeedModel,
         need: &TaskNeed,
         beyond: Option<speed_buckets::SpeedBucket>,
     ) -> Option<ServerOffer> {
@@ -94,7 +84,7 @@
             .range((from, 0, ServerIndex(0))..)
             .filter(|key| self.takes(now, key, need))
             .take(COMPARED_SERVERS)
-            .map(|key| self.offer(model, key, need))
+            .map(|key| self.offer(key, need))
             .min_by(|a, b| a.run_secs.total_cmp(&b.run_secs))
     }
 
@@ -105,16 +95,11 @@
             && !server.is_overdue(now)
     }
 
-    fn offer(
-        &self,
-        model: &speed_model::SpeedModel,
-        key: &FreeKey,
-        need: &TaskNeed,
-    ) -> ServerOffer {
+    fn offer(&self, key: &FreeKey, need: &TaskNeed) -> ServerOffer {
         ServerOffer {
             server: key.2,
             bucket: key.0,
-            run_secs: model.run_secs(need.class, &self.server(key.2).speed),
+            run_secs: need.mean_secs * self.server(key.2).speed.class_factor(need.class).exp(),
         }
     }
 }
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -10,8 +10,8 @@
 use cuminkeel_types::{job, names, outcome, time as clock};
 
 use crate::{
-    admission, event, factory, fair_queue, job_table, length_ranks, policy, server_health,
-    server_pool, share, slot_lending, speed_model,
+    admission, declared_fit, event, factory, fair_queue, job_table, length_ranks, policy,
+    server_health, server_pool, share, slot_lending, speed_model,
 };
 
 /// Pause between two looks at servers without recent observations.
@@ -47,6 +47,7 @@
     queue: fair_queue::FairQueue,
     pool: server_pool::ServerPool,
     model: speed_model::SpeedModel,
+    fits: declared_fit::DeclaredFits,
     rates: server_health::FailureRates,
     lending: slot_lending::SlotLending,
     gate: Box<dyn share::AllowanceGate>,
@@ -73,6 +74,7 @@
             queue: fair_queue::FairQueue::default(),
             pool: server_pool::ServerPool::default(),
             model: speed_model::SpeedModel::default(),
+            fits: declared_fit::DeclaredFits::default(),
             rates: server_health::FailureRates::default(),
             lending: slot_lending::SlotLending::new(messages),
             gate,
@@ -173,17 +175,25 @@
 
     /// Expected run time of all tasks and of the longest, in seconds of an average slot.
     fn expected_secs(&mut self, spec: &job::JobSpec) -> (f64, f64) {
+        let customer = self.queue.customer(&spec.customer);
         let mut sum = 0.0;
         let mut longest = 0.0_f64;
         for task in &spec.tasks {
-            let class = self.model.class(&task.class);
-            let secs = self.model.mean_secs(class);
+            let secs = self.task_secs(customer, task);
             sum += secs;
             longest = longest.max(secs);
         }
         (sum, longest)
     }
 
+    /// Expected run time of a task in seconds of an average slot, by its class and
+    /// as far as its customer's declared times have told the truth.
+    fn task_secs(&mut self, customer: fair_queue::CustomerIndex, task: &job::TaskSpec) -> f64 {
+        let class = self.model.class(&task.class);
+        let effect = self.fits.effect(customer, class, task.declared_run_time);
+        self.model.mean_secs(class) * effect.exp()
+    }
+
     /// Ranks a job by its age plus a multiple of its length, but no later than
     /// the last time at which it can start.
     fn place_of(&mut self, now: clock::TimePoint, request: &event::JobRequest) -> JobPlace {
@@ -204,14 +214,12 @@
     }
 
     fn queued_tasks(&mut self, spec: &job::JobSpec) -> Vec<fair_queue::QueuedTask> {
+        let customer = self.queue.customer(&spec.customer);
         let indexes = 0..u32::try_from(spec.tasks.len()).unwrap_or(u32::MAX);
         let tasks = indexes.zip(&spec.tasks);
-        let queued = tasks.map(|(index, task)| {
-            let class = self.model.class(&task.class);
-            fair_queue::QueuedTask {
-                task: names::TaskIndex(index),
-                secs: self.model.mean_secs(class),
-            }
+        let queued = tasks.map(|(index, task)| fair_queue::QueuedTask {
+            task: names::TaskIndex(index),
+            secs: self.task_secs(customer, task),
         });
         queued.collect()
     }
--- a/crates/cuminkeel_dispatch/src/slot_policy/endings.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/endings.rs
@@ -19,6 +19,7 @@
     customer: fair_queue::CustomerIndex,
     class: speed_model::ClassIndex,
     size: u32,
+    declared: time::Duration,
     server: Option<server_pool::ServerIndex>,
     elapsed: time::Duration,
     verdict: job_table::EndVerdict,
@@ -77,6 +78,7 @@
             customer,
             class: self.model.find(&task.class),
             size: task.size_millicores,
+            declared: task.declared_run_time,
             server,
             elapsed: now.since(running.started),
             verdict: ended.verdict,
@@ -94,13 +96,18 @@
         let Some(server) = attempt.server else {
             return;
         };
+        let (customer, class) = (attempt.customer, attempt.class);
+        let effect = self.fits.effect(customer, class, attempt.declared);
+        let factor = self.pool.server(server).speed.class_factor(class).exp();
+        let average_secs = attempt.elapsed.as_secs_f64() / factor;
+        self.fits
+            .observe(customer, class, attempt.declared, average_secs);
         let model = &mut self.model;
         self.pool.on_done(now, server, |speed| {
-            model.observe(attempt.class, speed, attempt.elapsed);
+            model.observe(class, speed, attempt.elapsed, effect);
         });
-        let at = server.as_usize();
         self.rates
-            .observe(attempt.customer, attempt.class, at, false);
+            .observe(customer, class, server.as_usize(), false);
     }
 
     /// Weighs a failure, unless this entry itself had the task stopped.
--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -186,7 +186,7 @@
         else {
             return Placement::Dropped;
         };
-        let Some(need) = self.need(now, record, &key) else {
+        let Some(need) = self.need(now, record, held) else {
             return Placement::Dropped;
         };
         let Some(offer) = self.offer(now, &need) else {
@@ -210,13 +210,15 @@
         &self,
         now: clock::TimePoint,
         record: &job_table::JobRecord,
-        key: &outcome::TaskKey,
+        held: &HeldTask,
     ) -> Option<server_pool::TaskNeed> {
+        let key = held.key();
         let spec = record.spec.tasks.get(key.task.0 as usize)?;
         let place = self.places.get(&key.job)?;
         let slack = place.ideal_end.since(now).as_secs_f64();
         Some(server_pool::TaskNeed {
             class: self.model.find(&spec.class),
+            mean_secs: held.task.secs,
             size: spec.size_millicores,
             single: record.spec.tasks.len() == 1,
             slack_secs: slack * SLACK_SHARE,
@@ -230,9 +232,8 @@
         now: clock::TimePoint,
         need: &server_pool::TaskNeed,
     ) -> Option<server_pool::ServerOffer> {
-        let model = &self.model;
-        let spare = self.pool.slowest_within(now, model, need);
-        spare.or_else(|| self.pool.fastest(now, model, need))
+        let spare = self.pool.slowest_within(now, need);
+        spare.or_else(|| self.pool.fastest(now, need))
     }
 
     /// Whether a faster server is likely to come free soon enough, with
--- a/crates/cuminkeel_dispatch/src/speed_model.rs
+++ b/crates/cuminkeel_dispatch/src/speed_model.rs
@@ -141,7 +141,14 @@
     }
 
     /// Takes in the run time of a task that was done. Failures never come here.
-    pub fn observe(&mut self, class: ClassIndex, server: &mut ServerSpeed, run: time::Duration) {
+    /// `effect` is the part of its logarithm that the declared time explains.
+    pub fn observe(
+        &mut self,
+        class: ClassIndex,
+        server: &mut ServerSpeed,
+        run: time::Duration,
+        effect: f64,
+    ) {
         let Some(known) = self.classes.get_mut(usize::from(class.0)) else {
             return;
         };
@@ -156,7 +163,7 @@
             _ => known.shortest_secs.min(secs),
         };
         known.count = known.count.saturating_add(1);
-        server.observe(class, secs.ln() - known.log_mean);
+        server.observe(class, secs.ln() - effect - known.log_mean);
         let weight = (1.0 / (f64::from(self.mix_count) + 1.0)).max(CLASS_WEIGHT);
         self.mix_secs += weight * (at_average - self.mix_secs);
         self.mix_count = self.mix_count.saturating_add(1);
