Dispatch: wait longer for a faster server when the free one is much slower

Cause: at 85% load many jobs took the slowest servers at once.

Change: a task may wait for up to 30% instead of 5% of the time saved if the free server is 1.9 times slower than those waited for; long jobs leave 10% instead of 20% of the fast slots to short ones; a refusal counts as a report that the server is full.

--- a/crates/cuminkeel_dispatch/src/server_pool.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool.rs
@@ -263,6 +263,7 @@
     pub fn on_slots_full(&mut self, now: clock::TimePoint, index: ServerIndex) {
         let server = &mut self.servers[index.as_usize()];
         server.cut = server.granted().saturating_sub(server.running());
+        server.others = server.record.slots.saturating_sub(server.running());
         server.cut_until = now + REFUSED_CUT * (1 << server.refusals.min(MAX_CUT_DOUBLINGS));
         server.refusals += 1;
         self.timers.insert((server.cut_until, index));
--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -12,11 +12,15 @@
 const WORTH_WAITING_RATIO: f64 = 0.85;
 /// Share of the time saved on a faster server that may be spent waiting for it.
 const WAIT_SHARE: f64 = 0.05;
+/// The same share if the free server is much slower than those waited for.
+const SLOW_WAIT_SHARE: f64 = 0.3;
+/// Ratio of run times from which a server is much slower.
+const MUCH_SLOWER_RATIO: f64 = 1.9;
 /// Share of the time until a job's ideal end that a task's expected run time may
 /// take up on a slower server.
 const SLACK_SHARE: f64 = 0.85;
 /// Share of the fast slots that the longest jobs leave free for shorter ones.
-const FAST_RESERVE_SHARE: f64 = 0.2;
+const FAST_RESERVE_SHARE: f64 = 0.1;
 /// A job is given up if this share of a task's expected run time on the fastest
 /// server is more than the time left.
 const DOOMED_SHARE: f64 = 0.8;
@@ -249,7 +253,13 @@
         let releases = faster.release_rate / self.model.mix_secs();
         let wait_secs = (ahead + 1) as f64 / releases;
         let there_secs = offer.run_secs * faster.factor / offer.bucket.factor();
-        wait_secs < WAIT_SHARE * (offer.run_secs - there_secs)
+        let much_slower = offer.run_secs > there_secs * MUCH_SLOWER_RATIO;
+        let share = if much_slower {
+            SLOW_WAIT_SHARE
+        } else {
+            WAIT_SHARE
+        };
+        wait_secs < share * (offer.run_secs - there_secs)
     }
 
     fn start(
