--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -5,7 +5,7 @@
 use cuminkeel::operator;
 use cuminkeel_entry::{api, settings, telemetry};
 use cuminkeel_kernel::error;
-use cuminkeel_standin::fleet;
+use cuminkeel_standin::{fleet, load};
 use derive_more::{Display, Error, From};
 
 /// Exit status when the command line or a file is at fault.
@@ -62,9 +62,12 @@
     /// An entry can't be asked.
     #[display("{_0}")]
     Call(fleet::CallError),
-    /// A report can't be written.
-    #[display("can't write the report: {_0}")]
-    Report(serde_json::Error),
+    /// JSON can't be read or written.
+    #[display("JSON is at fault: {_0}")]
+    Json(serde_json::Error),
+    /// A load run can't be made.
+    #[display("{_0}")]
+    Load(load::error::LoadError),
 }
 
 impl CommandError {
