--- a/crates/cuminkeel_dispatch/benches/placement.rs
+++ b/crates/cuminkeel_dispatch/benches/placement.rs
@@ -76,7 +76,6 @@
             trace_parent: None,
             deadline: time::Duration::from_hours(1),
             tasks: vec![task; TASKS_PER_JOB],
-            trace_parent: None,
         };
         self.waiting += TASKS_PER_JOB;
         self.tell(event::DispatchEvent::JobSubmitted(event::JobRequest {
--- a/crates/cuminkeel_dispatch/tests/harness/mod.rs
+++ b/crates/cuminkeel_dispatch/tests/harness/mod.rs
@@ -517,7 +517,6 @@
         trace_parent: None,
         deadline: time::Duration::from_secs_f64(deadline),
         tasks: tasks.collect(),
-        trace_parent: None,
     };
     event::JobRequest {
         id: names::JobId(id),
