--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -12,11 +12,15 @@
 const WORTH_WAITING_RATIO: f64 = 0.85;
 /// Share of the time saved on a faster server that may be spent waiting for it.
 const WAIT_SHARE: f64 = 0.05;
+/// The same share if the free server is much slower than those waited for.
+const SLOW_WAIT_SHARE: f64 = 0.3;
+/// Ratio of run times from which a server is much slower.
+const MUCH_SLOWER_RATIO: f64 = 1.9;
 /// Share of the time until a job's ideal end that a task's expected run time may
 /// take up on a slower server.
 const SLACK_SHARE: f64 = 0.85;
 /// Share of the fast slots that the longest jobs leave free for shorter ones.
-const FAST_RESERVE_SHARE: f64 = 0.2;
+const FAST_RESERVE_SHARE: f64 = 0.1;
 /// A job is given up if this share of a task's expected run time on the fastest
 /// server is more than the time left.
 const DOOMED_SHARE: f64 = 0.8;
@@ -186,7 +190,7 @@
         else {
             return Placement::Dropped;
         };
-        let Some(need) = self.need(now, record, &key) else {
+        let Some(need) = self.need(now, record, held) else {
             return Placement::Dropped;
         };
         let Some(offer) = self.offer(now, &need) else {
@@ -210,13 +214,15 @@
         &self,
         now: clock::TimePoint,
         record: &job_table::JobRecord,
-        key: &outcome::TaskKey,
+        held: &HeldTask,
     ) -> Option<server_pool::TaskNeed> {
+        let key = held.key();
         let spec = record.spec.tasks.get(key.task.0 as usize)?;
         let place = self.places.get(&key.job)?;
         let slack = place.ideal_end.since(now).as_secs_f64();
         Some(server_pool::TaskNeed {
             class: self.model.find(&spec.class),
+            mean_secs: held.task.secs,
             size: spec.size_millicores,
             single: record.spec.tasks.len() == 1,
             slack_secs: slack * SLACK_SHARE,
@@ -230,9 +236,8 @@
         now: clock::TimePoint,
         need: &server_pool::TaskNeed,
     ) -> Option<server_pool::ServerOffer> {
-        let model = &self.model;
-        let spare = self.pool.slowest_within(now, model, need);
-        spare.or_else(|| self.pool.fastest(now, model, need))
+        let spare = self.pool.slowest_within(now, need);
+        spare.or_else(|| self.pool.fastest(now, need))
     }
 
     /// Whether a faster server is likely to come free soon enough, with
@@ -248,7 +253,13 @@
         let releases = faster.release_rate / self.model.mix_secs();
         let wait_secs = (ahead + 1) as f64 / releases;
         let there_secs = offer.run_secs * faster.factor / offer.bucket.factor();
-        wait_secs < WAIT_SHARE * (offer.run_secs - there_secs)
+        let much_slower = offer.run_secs > there_secs * MUCH_SLOWER_RATIO;
+        let share = if much_slower {
+            SLOW_WAIT_SHARE
+        } else {
+            WAIT_SHARE
+        };
+        wait_secs < share * (offer.run_secs - there_secs)
     }
 
     fn start(
