Keep over-lent shares from renewing after a lowered limit

Cause: the schedules showed 21 tasks where 20 are allowed, 13 s after a limit fell: a lender that had lent more than it still owned renewed all of it, because two saturating subtractions hid the deficit.

Change: deficits count against what is lent, borrowed and used.

--- a/crates/cuminkeel_dispatch/src/allowance/customer_share.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/customer_share.rs
@@ -153,14 +153,16 @@
 
     /// Running tasks that the own units do not cover.
     pub(super) fn uncovered(&self, now: TimePoint, own: ShareUnits) -> u32 {
-        let free = own.minus(self.lent_total(now));
-        self.running.saturating_sub(free.tasks)
+        let lent = self.lent_total(now);
+        self.running
+            .saturating_add(lent.tasks)
+            .saturating_sub(own.tasks)
     }
 
     /// Units that this entry may use now, given those of its seats.
     pub(super) fn usable(&self, now: TimePoint, own: ShareUnits) -> ShareUnits {
-        own.minus(self.lent_total(now))
-            .plus(self.borrowed_total(now))
+        own.plus(self.borrowed_total(now))
+            .minus(self.lent_total(now))
     }
 
     /// Borrowers that hold units now.
@@ -223,7 +225,8 @@
             grant.units = grant.units.min(request.keep);
         }
         let kept = lent.outstanding(now);
-        let free = own.minus(self.lent_total(now)).plus(kept).minus(reserved);
+        let taken = self.lent_total(now).plus(reserved);
+        let free = own.plus(kept).minus(taken);
         let free = match rivals {
             0 => free,
             rivals => ShareUnits {
@@ -255,7 +258,7 @@
         now: TimePoint,
         own: ShareUnits,
     ) -> Vec<names::IncarnationId> {
-        let free = own.minus(self.lent_total(now)).minus(self.reserved(now));
+        let free = own.minus(self.lent_total(now).plus(self.reserved(now)));
         if free.is_none() {
             return Vec::new();
         }
--- a/crates/cuminkeel_dispatch/src/allowance/mod.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/mod.rs
@@ -166,7 +166,7 @@
         let Some(limits) = share.map(customer_share::CustomerShare::limits) else {
             return message::ShareUnits::NONE;
         };
-        let seats: Vec<_> = self.keeper.usable(now).collect();
+        let seats: smallvec::SmallVec<[_; 4]> = self.keeper.usable(now).collect();
         self.seats_units(customer, limits, &seats)
     }
 
--- a/crates/cuminkeel_dispatch/src/allowance/seat_keeper.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/seat_keeper.rs
@@ -70,6 +70,7 @@
     pub(super) claims: super::seat_claims::ClaimState,
     rounds: collections::VecDeque<(u64, TimePoint)>,
     next_round: TimePoint,
+    next_claim: TimePoint,
     heartbeats: collections::VecDeque<(u64, TimePoint)>,
     next_number: u64,
     pub(super) leaving: bool,
@@ -88,6 +89,7 @@
             claims: super::seat_claims::ClaimState::new(now, settings.refresh_interval),
             rounds: collections::VecDeque::new(),
             next_round: now,
+            next_claim: now,
             heartbeats: collections::VecDeque::new(),
             next_number: 0,
             leaving: false,
@@ -164,18 +166,23 @@
 
     /// When [`Self::run_due`] is wanted next; none if there is nothing to do.
     pub(super) fn next_wakeup(&self) -> Option<TimePoint> {
-        self.domain.map(|_| self.next_round)
+        self.domain.map(|_| self.next_round.min(self.next_claim))
     }
 
     /// Proofs, claims and handovers that are due.
     pub(super) fn run_due(&mut self, now: TimePoint, actions: &mut Vec<event::LedgerAction>) {
-        if now < self.next_round || self.domain.is_none() {
+        if self.domain.is_none() {
             return;
         }
-        self.next_round = now + settings::VOUCH_INTERVAL;
-        self.ask_votes(now, actions);
-        self.write_heartbeat(now, actions);
-        self.run_claims(now, actions);
+        if now >= self.next_round {
+            self.next_round = now + settings::VOUCH_INTERVAL;
+            self.write_heartbeat(now, actions);
+            self.ask_votes(now, actions);
+        }
+        if now >= self.next_claim {
+            self.next_claim = now + settings::CLAIM_INTERVAL;
+            self.run_claims(now, actions);
+        }
     }
 
     fn ask_votes(&mut self, now: TimePoint, actions: &mut Vec<event::LedgerAction>) {
--- a/crates/cuminkeel_dispatch/src/allowance/settings.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/settings.rs
@@ -7,9 +7,11 @@
 
 /// Time for which a seat may be used after the last proof that it still belongs
 /// to its holder.
-pub const SEAT_VALID: time::Duration = time::Duration::from_secs(2);
+pub const SEAT_VALID: time::Duration = time::Duration::from_secs(3);
 /// Time between two rounds of proofs.
-pub const VOUCH_INTERVAL: time::Duration = time::Duration::from_millis(600);
+pub const VOUCH_INTERVAL: time::Duration = time::Duration::from_millis(1_200);
+/// Time between two looks at claims and handovers under way.
+pub const CLAIM_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Time for which a loan within a failure domain lasts.
 pub const NEAR_LOAN_TERM: time::Duration = time::Duration::from_secs(2);
 /// Time for which a loan between failure domains lasts.
