--- a/crates/cuminkeel_mesh/src/membership/gossip.rs
+++ b/crates/cuminkeel_mesh/src/membership/gossip.rs
@@ -77,15 +77,16 @@
         if now < self.due.seed || self.seeds.is_empty() {
             return;
         }
-        let joining = self.standing() == standing::MemberStanding::Joining;
-        let (count, factor) = if joining {
+        let joining =
+            self.standing() == standing::MemberStanding::Joining || self.members().next().is_none();
+        let (count, factor) = if searching {
             (JOIN_SEEDS, 1)
         } else {
             (1, SETTLED_SEED_FACTOR)
         };
         self.due.seed = now + self.settings.seed_interval * factor;
         let is_member = |seed: &net::SocketAddr| {
-            !joining && self.members().any(|record| record.address == *seed)
+            !searching && self.members().any(|record| record.address == *seed)
         };
         let seeds = self.seeds.iter().copied();
         let strangers: Vec<_> = seeds.filter(|seed| !is_member(seed)).collect();
