--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -5,9 +5,10 @@
 //! with the time of each into a [`policy::DispatchPolicy`] and carries out the
 //! [`event::DispatchAction`]s that come back.
 
-pub mod allowance;
 pub mod admission;
+pub mod allowance;
 pub mod baseline;
+pub mod declared_fit;
 pub mod event;
 pub mod factory;
 pub mod fair_queue;
