--- a/crates/cuminkeel_mesh/src/membership/gossip.rs
+++ b/crates/cuminkeel_mesh/src/membership/gossip.rs
@@ -77,7 +77,7 @@
         if now < self.due.seed || self.seeds.is_empty() {
             return;
         }
-        let joining =
+        let searching =
             self.standing() == standing::MemberStanding::Joining || self.members().next().is_none();
         let (count, factor) = if searching {
             (JOIN_SEEDS, 1)
