Callers tell a refusal of one request from one of its key

Change: after a submission without an answer, such a refusal counts as unknown, and the same key is sent again.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -5,8 +5,8 @@
 //! with the time of each into a [`policy::DispatchPolicy`] and carries out the
 //! [`event::DispatchAction`]s that come back.
 
-pub mod allowance;
 pub mod admission;
+pub mod allowance;
 pub mod baseline;
 pub mod event;
 pub mod factory;
--- a/crates/cuminkeel_standin/src/load/caller.rs
+++ b/crates/cuminkeel_standin/src/load/caller.rs
@@ -200,6 +200,7 @@
             submissions: Vec::new(),
             cancelled: None,
             key: None,
+            unsettled: false,
         };
         let limit = job.deadline + DEADLINE_GRACE;
         let answer = tokio::time::timeout(limit, attempt.follow(sent))
@@ -309,6 +310,7 @@
     submissions: Vec<Submission>,
     cancelled: Option<time::Duration>,
     key: Option<sync::Arc<str>>,
+    unsettled: bool,
 }
 
 /// What a caller does after an answer.
@@ -365,10 +367,10 @@
                 }
             }
             CallAnswer::Refused {
-                code: RefusalCode::KeyUnresolved,
+                code,
+                ran: RunStatus::Unknown,
                 retry_after: Some(delay),
-                ..
-            } => resubmit(false, *delay),
+            } if is_about_request(*code) => resubmit(false, *delay),
             _ => NextStep::Finish,
         }
     }
@@ -397,10 +399,34 @@
             CallAnswer::Pending(job) => self.fetch(pick.first, &job).await,
             answer => answer,
         };
+        let answer = self.settled(answer);
         self.note_not_run(&answer);
         answer
     }
 
+    /// A refusal of one request says nothing of an earlier request with the
+    /// same key that got no answer.
+    fn settled(&mut self, answer: CallAnswer) -> CallAnswer {
+        match answer {
+            CallAnswer::Broken | CallAnswer::NoAnswer | CallAnswer::Malformed(_) => {
+                self.unsettled = true;
+                answer
+            }
+            CallAnswer::Refused {
+                code,
+                ran: outcome::RunStatus::NotRun,
+                retry_after,
+            } if self.unsettled && !self.job.idempotent && is_about_request(code) => {
+                CallAnswer::Refused {
+                    code,
+                    ran: outcome::RunStatus::Unknown,
+                    retry_after,
+                }
+            }
+            answer => answer,
+        }
+    }
+
     fn note_not_run(&mut self, answer: &CallAnswer) {
         if let Some(submission) = self.submissions.last_mut() {
             submission.not_run = matches!(
@@ -494,6 +520,16 @@
     }
 }
 
+/// Whether a code refuses a request before its key is looked at.
+const fn is_about_request(code: outcome::RefusalCode) -> bool {
+    matches!(
+        code,
+        outcome::RefusalCode::Busy
+            | outcome::RefusalCode::Draining
+            | outcome::RefusalCode::NoConfiguration
+    )
+}
+
 fn resubmit(fresh_key: bool, delay: time::Duration) -> NextStep {
     NextStep::Resubmit { fresh_key, delay }
 }
