--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`event::DispatchAction`]s that come back.
 
 pub mod admission;
+pub mod allowance;
 pub mod baseline;
 pub mod declared_fit;
 pub mod event;
--- a/crates/cuminkeel_mesh/src/membership/mod.rs
+++ b/crates/cuminkeel_mesh/src/membership/mod.rs
@@ -12,8 +12,10 @@
 
 mod answers;
 pub mod decision;
+mod detection;
 mod domains;
 mod gossip;
+mod isolation;
 pub mod message;
 pub mod ring;
 pub mod settings;
