Dispatch: learn faster that a server has slowed down

Cause: a server that became 10 times slower kept getting tasks for some 15 results per entry.

Change: after three results in a row of more than 2.7 times the expected run time the server's factor is learnt with weight 0.4 instead of 0.06.

--- a/crates/cuminkeel_dispatch/src/speed_model.rs
+++ b/crates/cuminkeel_dispatch/src/speed_model.rs
@@ -21,6 +21,12 @@
 const CLASS_WEIGHT: f64 = 0.02;
 /// Weight of a new observation of a server that is known well.
 const SERVER_WEIGHT: f64 = 0.06;
+/// Excess over the expected run time, in logarithm, that counts as a surprise.
+const SURPRISE: f64 = 1.0;
+/// Surprises in a row from which a server is taken to have slowed down.
+const SURPRISES_IN_ROW: u32 = 3;
+/// Weight of a new observation of a server that has slowed down.
+const SLOWED_WEIGHT: f64 = 0.4;
 /// Weight of a new observation of a class on one server.
 const INTERACTION_WEIGHT: f64 = 0.05;
 /// Observations at which half of a server's learnt factor counts.
@@ -53,6 +59,7 @@
 pub struct ServerSpeed {
     count: f64,
     log_factor: f64,
+    slow_in_row: u32,
     interactions: SmallVec<[Interaction; 4]>,
 }
 
@@ -92,8 +99,19 @@
     }
 
     fn observe(&mut self, class: ClassIndex, log_residual: f64) {
-        let weight = (1.0 / (self.count + 2.0)).max(SERVER_WEIGHT);
         let error = log_residual - self.log_factor;
+        self.slow_in_row = if error > SURPRISE {
+            self.slow_in_row + 1
+        } else {
+            0
+        };
+        let slowed_down = self.slow_in_row >= SURPRISES_IN_ROW;
+        let known = if slowed_down {
+            SLOWED_WEIGHT
+        } else {
+            SERVER_WEIGHT
+        };
+        let weight = (1.0 / (self.count + 2.0)).max(known);
         self.log_factor = (self.log_factor + weight * error).clamp(-MAX_FACTOR, MAX_FACTOR);
         self.count += 1.0;
         let at = usize::from(class.0);
