Measure the slopes of each role's cost in one command

Change: bench capacity runs the deciding code of membership, allowance, configuration, dispatch and outcome at three or four sizes each and fits lines. Conclusion: to be run from a release build when the machine is quiet.

--- a/crates/cuminkeel/src/commands/bench.rs
+++ b/crates/cuminkeel/src/commands/bench.rs
@@ -5,9 +5,12 @@
 use argh::FromArgs;
 use cuminkeel_dispatch::factory;
 use cuminkeel_entry::{settings, telemetry};
-use cuminkeel_standin::load::{
-    catalog, deployment, entry_fleet, error as load_error, plan, report, run, scenarios::base,
-    table,
+use cuminkeel_standin::{
+    capacity,
+    load::{
+        catalog, deployment, entry_fleet, error as load_error, plan, report, run, scenarios::base,
+        table,
+    },
 };
 
 use crate::error;
@@ -42,6 +45,9 @@
         list_scenarios();
         return Ok(process::ExitCode::SUCCESS);
     }
+    if command.scenario == "capacity" {
+        return measure_capacity(command);
+    }
     let report = super::runtime()?.block_on(measure(command))?;
     if command.json {
         println!("{}", serde_json::to_string_pretty(&report)?);
@@ -51,7 +57,30 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+/// Measures the slopes of each role's cost.
+fn measure_capacity(command: &BenchCommand) -> Result<process::ExitCode, error::CommandError> {
+    let report = capacity::measure(command.seed);
+    if command.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    println!("machine busy {:.0}%", report.machine_busy_share * 100.0);
+    for series in &report.series {
+        println!("{}: {} by {}", series.role, series.figure, series.size_unit);
+        for point in &series.points {
+            println!("  {:>6}  {:.2}", point.size, point.value);
+        }
+        let fit = &series.fit;
+        println!(
+            "  fit {:.2} + {:.4} n, rms residual {:.2}",
+            fit.base, fit.slope, fit.rms_residual
+        );
+    }
+    Ok(process::ExitCode::SUCCESS)
+}
+
 fn list_scenarios() {
+    println!("{:16} slopes of each role's cost", "capacity");
     for scenario in catalog::SCENARIOS {
         println!("{:16} {}", scenario.name, scenario.summary);
     }
--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backend;
 pub mod balancer;
+pub mod capacity;
 pub mod control;
 pub mod demo;
 pub mod fleet;
