Bar a handed-over vote from proving seats that its giver consented against

Change: promises travel with the seat and void the receiver's own older epochs. Entries that are short themselves lend nothing new, and tell of free units only when they are not, which ends a storm of requests when every entry is short.

--- a/crates/cuminkeel_dispatch/src/allowance/customer_share.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/customer_share.rs
@@ -81,6 +81,8 @@
     refused: (bool, bool),
     /// Whether a start was refused since the last look.
     refused_lately: (bool, bool),
+    /// Whether a start was refused between the last two looks.
+    refused_before: (bool, bool),
     peak_running: u32,
     starts: u32,
     looked_at: TimePoint,
@@ -234,6 +236,21 @@
                 starts: free.starts.div_ceil(rivals + 1),
             },
         };
+        // An entry that is short itself lends nothing new: units that go round
+        // between hungry entries serve nobody.
+        let short = self.demand.is_short();
+        let free = ShareUnits {
+            tasks: if short.0 {
+                free.tasks.min(kept.tasks)
+            } else {
+                free.tasks
+            },
+            starts: if short.1 {
+                free.starts.min(kept.starts)
+            } else {
+                free.starts
+            },
+        };
         let units = request.want.min(free);
         let rate = own.minus(self.lent_total(now)).starts;
         let given = units.starts.saturating_sub(kept.starts);
@@ -259,7 +276,8 @@
         own: ShareUnits,
     ) -> Vec<names::IncarnationId> {
         let free = own.minus(self.lent_total(now).plus(self.reserved(now)));
-        if free.is_none() {
+        let short = self.demand.is_short();
+        if free.is_none() || short.0 || short.1 {
             return Vec::new();
         }
         let lately = |at: TimePoint| now.since(at) < super::lending::OFFER_TIME;
@@ -342,6 +360,13 @@
         self.refused_lately.0 || self.refused_lately.1
     }
 
+    /// Whether tasks, and whether starts, are short here.
+    fn is_short(&self) -> (bool, bool) {
+        let tasks = self.refused_lately.0 || self.refused_before.0;
+        let starts = self.refused_lately.1 || self.refused_before.1;
+        (tasks, starts)
+    }
+
     /// Raises the target after refusals, each time by twice as much.
     pub(super) fn grow(&mut self, usable: ShareUnits, limits: ShareUnits) {
         if self.refused.0 {
@@ -371,6 +396,7 @@
         }
         self.peak_running = running;
         self.starts = 0;
+        self.refused_before = self.refused_lately;
         self.refused_lately = (false, false);
         self.looked_at = now;
     }
--- a/crates/cuminkeel_dispatch/src/allowance/lending.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/lending.rs
@@ -19,7 +19,7 @@
 /// First delay between two rounds of requests for more.
 pub(super) const FIRST_PULL_DELAY: time::Duration = time::Duration::from_millis(20);
 /// Longest delay between two rounds that bring nothing.
-const MAX_PULL_DELAY: time::Duration = time::Duration::from_secs(4);
+const MAX_PULL_DELAY: time::Duration = time::Duration::from_secs(16);
 /// Lenders asked in the first round; twice as many after each success.
 pub(super) const FIRST_FANOUT: usize = 4;
 const MAX_FANOUT: usize = 32;
@@ -481,7 +481,7 @@
     if short {
         share.refusals.insert(from, now + REFUSED_TIME);
     }
-    if !grew.is_none() {
+    if !grew.is_none() && !short {
         share.pull_delay = FIRST_PULL_DELAY;
         share.next_pull = now;
         share.fanout = (share.fanout * 2).min(MAX_FANOUT);
--- a/crates/cuminkeel_dispatch/src/allowance/seat_claims.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/seat_claims.rs
@@ -390,21 +390,32 @@
             if given.taken {
                 continue;
             }
-            let promises = self.promises.iter().map(|(seat, epoch)| claims::SeatEpoch {
-                seat: *seat,
-                epoch: *epoch,
-            });
             let message = message::ShareMessage::Handover {
                 seat: claims::SeatEpoch {
                     seat: *seat,
                     epoch: given.epoch,
                 },
-                promises: promises.collect(),
+                promises: self.known_epochs(),
             };
             send(given.to, &message, actions);
         }
     }
 
+    /// The epochs below which this entry vouches for no holder.
+    fn known_epochs(&self) -> Vec<claims::SeatEpoch> {
+        let mut epochs = self.promises.clone();
+        for (seat, known) in self.table.holders() {
+            let epoch = epochs.entry(seat).or_default();
+            *epoch = (*epoch).max(known.epoch);
+        }
+        let epochs = epochs
+            .into_iter()
+            .filter(|(seat, _)| Some(seat.domain) == self.domain);
+        epochs
+            .map(|(seat, epoch)| claims::SeatEpoch { seat, epoch })
+            .collect()
+    }
+
     /// Takes a seat from its holder.
     pub(super) fn take_handover(
         &mut self,
@@ -432,6 +443,11 @@
                 let own = self.promises.entry(promise.seat).or_default();
                 *own = (*own).max(promise.epoch);
             }
+            // The seat's earlier holder consented to claims against these, and
+            // its vote must not count for them in other hands.
+            let promises = &self.promises;
+            self.own
+                .retain(|seat, own| promises.get(seat).is_none_or(|epoch| own.epoch >= *epoch));
             let usable_at = now + quiet_time(&self.settings);
             let own = OwnSeat::new(seat.epoch, usable_at, now, TimePoint::ZERO);
             self.own.insert(seat.seat, own);
