Ignore a claim that lands after its seat was handed over

Cause: the schedules showed one seat in two hands: a leaving entry's claim of the next epoch landed late, after it had handed the seat over, and it handed it over again.

Change: such a claim is not taken up; the receiver of the handover, or a later claim with consents, goes on.

--- a/crates/cuminkeel_dispatch/src/allowance/seat_claims.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/seat_claims.rs
@@ -295,7 +295,10 @@
         let Some(known) = self.table.holder(claim.seat) else {
             return;
         };
-        if known.holder != Some(local) || known.epoch != claim.epoch {
+        // A claim that lands after the seat was handed over does not bring it
+        // back: its receiver may use it without having read the claim.
+        let given = self.claims.given.contains_key(&claim.seat);
+        if given || known.holder != Some(local) || known.epoch != claim.epoch {
             return;
         }
         let pending = self
@@ -375,6 +378,11 @@
     }
 
     fn hand_over(&mut self, seat: settings::SeatId, to: names::IncarnationId) {
+        if let Some(pending) = &self.claims.pending
+            && pending.seat.seat == seat
+        {
+            self.claims.pending = None;
+        }
         if let Some(own) = self.own.remove(&seat) {
             let given = GivenSeat {
                 epoch: own.epoch,
