--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -2,9 +2,10 @@
 
 use std::{io, process, sync};
 
-use cuminkeel_entry::{settings, telemetry};
+use cuminkeel::operator;
+use cuminkeel_entry::{api, settings, telemetry};
 use cuminkeel_kernel::error;
-use cuminkeel_standin::fleet;
+use cuminkeel_standin::{fleet, load};
 use derive_more::{Display, Error, From};
 
 /// Exit status when the command line or a file is at fault.
@@ -36,9 +37,19 @@
     /// The runtime or a signal handler can't be had.
     #[display("the system refused: {_0}")]
     System(io::Error),
+    /// The platform's address is missing.
+    #[display("give the platform's address: cuminkeel --platform IP:PORT …")]
+    #[from(skip)]
+    NoPlatform,
+    /// An edit was not accepted, or not in force.
+    #[display("{_0}")]
+    Operator(operator::error::OperatorError),
     /// The entry can't start.
     #[display("{_0}")]
     Kernel(error::KernelError),
+    /// The interface can't be described.
+    #[display("{_0}")]
+    Api(api::ApiServerError),
     /// Traces can't be exported.
     #[display("{_0}")]
     Traces(telemetry::TraceError),
@@ -51,15 +62,19 @@
     /// An entry can't be asked.
     #[display("{_0}")]
     Call(fleet::CallError),
-    /// A report can't be written.
-    #[display("can't write the report: {_0}")]
-    Report(serde_json::Error),
+    /// JSON can't be read or written.
+    #[display("JSON is at fault: {_0}")]
+    Json(serde_json::Error),
+    /// A load run can't be made.
+    #[display("{_0}")]
+    Load(load::error::LoadError),
 }
 
 impl CommandError {
     pub(crate) fn exit_code(&self) -> process::ExitCode {
         match self {
-            Self::File { .. } | Self::Settings { .. } => USAGE_STATUS.into(),
+            Self::File { .. } | Self::Settings { .. } | Self::NoPlatform => USAGE_STATUS.into(),
+            Self::Operator(failure) => failure.exit_status().into(),
             _ => FAILURE_STATUS.into(),
         }
     }
--- a/crates/cuminkeel_dispatch/src/baseline.rs
+++ b/crates/cuminkeel_dispatch/src/baseline.rs
@@ -104,7 +104,8 @@
             let refusal = outcome::Refusal::not_run(
                 outcome::RefusalCode::Draining,
                 "this entry is leaving; ask another",
-            );
+            )
+            .retry_after(time::Duration::ZERO);
             job_table::refuse(request.id, refusal, actions);
             return;
         }
@@ -351,6 +352,7 @@
             } => self.probed(now, probe, (server, busy), actions),
             event::DispatchEvent::DrainStarted => self.draining = true,
             event::DispatchEvent::SiblingsChanged(_)
+            | event::DispatchEvent::ServerReported { .. }
             | event::DispatchEvent::SiblingMessage { .. }
             | event::DispatchEvent::WakeupDue => {}
         }
--- a/crates/cuminkeel_entry/src/api/server.rs
+++ b/crates/cuminkeel_entry/src/api/server.rs
@@ -2,13 +2,13 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use cuminkeel_mesh::border;
+use cuminkeel_mesh::{border, transport::counters};
 use cuminkeel_types::{names, outcome};
 use derive_more::{Display, Error};
 use tokio::sync as tokio_sync;
 
 use super::{body, endpoints, extract};
-use crate::{config_feed, config_view, core, settings, telemetry};
+use crate::{clock, config_feed, config_view, core, job_relay, services, settings, telemetry};
 
 /// Time after which a caller should try again when an entry is busy.
 const BUSY_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -22,14 +22,22 @@
     pub core: core::CoreHandle,
     /// The lists in force.
     pub config: sync::Arc<dyn config_feed::ConfigSource>,
+    /// Finds jobs that other entries run.
+    pub jobs: sync::Arc<job_relay::JobRelay>,
     /// Other entries.
     pub mesh: sync::Arc<dyn border::MeshPort>,
+    /// Traffic of the mesh.
+    pub mesh_probe: sync::Arc<dyn services::mesh::MeshProbe>,
     /// Counts of messages to backend servers.
     pub messages: sync::Arc<telemetry::MessageCounters>,
     /// Makes spans.
     pub traces: telemetry::TraceSource,
     /// Records metrics.
     pub metrics: telemetry::MetricsSource,
+    /// This entry's shares of the allowances.
+    pub allowance: sync::Arc<services::allowance::AllowanceDesk>,
+    /// The process's clock.
+    pub clock: clock::MonotonicClock,
     /// Bounds the requests at once.
     pub permits: tokio_sync::Semaphore,
     /// Whether new jobs are taken.
@@ -70,6 +78,30 @@
         self.accepting.load(atomic::Ordering::Acquire)
     }
 
+    fn message_counts(&self) -> body::MessagesBody {
+        let counters = self.mesh_probe.traffic();
+        let mesh = counters::TOPICS.iter().map(|topic| {
+            let traffic = counters.topic(*topic);
+            let body = body::TrafficBody {
+                messages_out: traffic.messages_out,
+                bytes_out: traffic.bytes_out,
+                messages_in: traffic.messages_in,
+                bytes_in: traffic.bytes_in,
+            };
+            (topic.to_string().to_lowercase(), body)
+        });
+        let backend = self.messages.read();
+        body::MessagesBody {
+            attempts: backend.attempts,
+            not_started: backend.not_started,
+            lost: backend.lost,
+            stops: backend.stops,
+            probes: backend.probes,
+            mesh: mesh.collect(),
+            mesh_drops: counters.drops.iter().sum(),
+        }
+    }
+
     pub(super) fn status_body(&self, core: &core::CoreStatus) -> body::StatusBody {
         let local = self.mesh.local();
         let members = self.mesh.members().iter().map(member_body).collect();
@@ -79,11 +111,12 @@
             incarnation: local.incarnation.to_string(),
             config_offset: self.view().lists().offset,
             config_age_ms: self.config.age().map(millis),
+            seats: u64::try_from(self.allowance.usable_seats(self.clock.now())).unwrap_or(0),
             draining: core.draining,
             waiting_requests: u64::try_from(core.waiting_requests).unwrap_or(u64::MAX),
             members,
             dispatch: serde_json::to_value(&core.dispatch).unwrap_or_default(),
-            messages: serde_json::to_value(self.messages.read()).unwrap_or_default(),
+            messages: self.message_counts(),
         }
     }
 }
@@ -185,6 +218,7 @@
         .and_then(|()| api.register(endpoints::fetch_job))
         .and_then(|()| api.register(endpoints::cancel_job))
         .and_then(|()| api.register(endpoints::issue_keys))
+        .and_then(|()| api.register(endpoints::cancel_key))
         .and_then(|()| api.register(endpoints::health))
         .and_then(|()| api.register(endpoints::status));
     registered.map_err(|source| ApiServerError::Endpoint { source })?;
--- a/crates/cuminkeel_entry/src/daemon.rs
+++ b/crates/cuminkeel_entry/src/daemon.rs
@@ -71,6 +71,11 @@
             draw(),
             parts.log.clone(),
         )))?;
+        kernel.add(sync::Arc::new(services::allowance::AllowanceService::new(
+            sync::Arc::clone(&settings),
+            clock,
+            draw(),
+        )))?;
         kernel.add(sync::Arc::new(services::core::CoreService::new(
             sync::Arc::clone(&settings),
             clock,
@@ -85,6 +90,7 @@
         )))?;
         kernel.add(sync::Arc::new(services::api::ApiService::new(
             sync::Arc::clone(&settings),
+            clock,
             parts.traces,
             parts.metrics,
             parts.messages,
@@ -127,6 +133,16 @@
         Ok(mesh.local().address)
     }
 
+    /// Counts of the mesh's traffic, and fault drills.
+    ///
+    /// # Errors
+    /// [`error::KernelError::NotFound`] if the mesh is not up.
+    pub fn mesh_probe(
+        &self,
+    ) -> Result<sync::Arc<dyn services::mesh::MeshProbe>, error::KernelError> {
+        self.kernel.registry().find(services::names::MESH_PROBE)
+    }
+
     /// Jobs and requests that wait for an answer.
     pub async fn unfinished(&self) -> usize {
         let core = self
--- a/crates/cuminkeel_entry/src/services/names.rs
+++ b/crates/cuminkeel_entry/src/services/names.rs
@@ -16,3 +16,7 @@
 pub const API: &str = "api";
 /// `dyn SeedSink`: takes addresses of other entries.
 pub const SEEDS: &str = "seeds";
+/// `dyn MeshProbe`: counts of the mesh's traffic, and fault drills.
+pub const MESH_PROBE: &str = "mesh_probe";
+/// `AllowanceDesk`: this entry's shares of the allowances.
+pub const ALLOWANCE: &str = "allowance";
--- a/crates/cuminkeel_mesh/src/frame.rs
+++ b/crates/cuminkeel_mesh/src/frame.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// A ring of one key.
+    pub fn single(key: MeshKey) -> Self {
+        Self(smallvec::smallvec![key])
+    }
+
     fn sign(&self, bytes: &[u8], to: names::IncarnationId) -> [u8; MAC_BYTES] {
         mac(&self.0[0], bytes, to)
     }
@@ -125,6 +130,7 @@
             Self::Topic(border::MeshTopic::Dispatch) => 18,
             Self::Topic(border::MeshTopic::Outcome) => 19,
             Self::Topic(border::MeshTopic::Allowance) => 20,
+            Self::Topic(border::MeshTopic::Jobs) => 21,
         }
     }
 
@@ -137,6 +143,7 @@
             18 => Some(Self::Topic(border::MeshTopic::Dispatch)),
             19 => Some(Self::Topic(border::MeshTopic::Outcome)),
             20 => Some(Self::Topic(border::MeshTopic::Allowance)),
+            21 => Some(Self::Topic(border::MeshTopic::Jobs)),
             _ => None,
         }
     }
--- a/crates/cuminkeel_mesh/src/membership/gossip.rs
+++ b/crates/cuminkeel_mesh/src/membership/gossip.rs
@@ -5,17 +5,15 @@
 use cuminkeel_types::{names, time};
 use rand::seq::{IndexedRandom, SliceRandom};
 
-use super::{
-    core::{MembershipAction, MembershipCore, MessageTarget},
-    domains, message, standing, table,
-};
+use super::{decision, domains, message, standing, table};
 
 const NEWS_FANOUT: usize = 4;
 const ORIGIN_FANOUT: usize = 32;
+const ORIGIN_REPEATS: u32 = 2;
 const JOIN_SEEDS: usize = 3;
 const SETTLED_SEED_FACTOR: u32 = 10;
 
-impl MembershipCore {
+impl decision::MembershipCore {
     pub(super) fn send_heartbeats(&mut self, now: time::TimePoint) {
         if now < self.due.heartbeat {
             return;
@@ -79,41 +77,49 @@
         if now < self.due.seed || self.seeds.is_empty() {
             return;
         }
-        let joining = self.standing() == standing::MemberStanding::Joining;
-        let (count, factor) = if joining {
+        let searching =
+            self.standing() == standing::MemberStanding::Joining || self.members().next().is_none();
+        let (count, factor) = if searching {
             (JOIN_SEEDS, 1)
         } else {
             (1, SETTLED_SEED_FACTOR)
         };
         self.due.seed = now + self.settings.seed_interval * factor;
         let is_member = |seed: &net::SocketAddr| {
-            !joining && self.members().any(|record| record.address == *seed)
+            !searching && self.members().any(|record| record.address == *seed)
         };
         let seeds = self.seeds.iter().copied();
         let strangers: Vec<_> = seeds.filter(|seed| !is_member(seed)).collect();
         let chosen: Vec<_> = strangers.sample(&mut self.rng, count).copied().collect();
         for address in chosen {
-            let target = MessageTarget::Address(address);
+            let target = decision::MessageTarget::Address(address);
             let message = message::MembershipMessage::Join {
                 state: self.local.clone(),
             };
             self.actions
-                .push(MembershipAction::Send { target, message });
+                .push(decision::MembershipAction::Send { target, message });
         }
     }
 
     /// Passes on what was learnt since the last tick: widely if this process is
     /// the origin, else to a few.
     pub(super) fn spread_news(&mut self) {
-        if self.news.is_empty() {
+        let mut news = std::mem::take(&mut self.news);
+        let mut fanout = NEWS_FANOUT;
+        let repeats = std::mem::take(&mut self.repeats);
+        if std::mem::take(&mut self.local_news) {
+            let first = news.iter().cloned();
+            self.repeats = first.map(|state| (state, ORIGIN_REPEATS)).collect();
+            fanout = ORIGIN_FANOUT;
+        }
+        for (state, left) in repeats.into_iter().filter(|(_, left)| *left > 0) {
+            self.repeats.push((state.clone(), left - 1));
+            news.push(state);
+            fanout = ORIGIN_FANOUT;
+        }
+        if news.is_empty() {
             return;
         }
-        let news = std::mem::take(&mut self.news);
-        let fanout = if std::mem::take(&mut self.local_news) {
-            ORIGIN_FANOUT
-        } else {
-            NEWS_FANOUT
-        };
         let mut peers = self.random_peers(fanout, |core, record| {
             record.domain == core.local.record.domain
         });
--- a/crates/cuminkeel_mesh/src/transport/service.rs
+++ b/crates/cuminkeel_mesh/src/transport/service.rs
@@ -7,7 +7,7 @@
 use tokio::{net as sockets, runtime, sync::mpsc, task};
 
 use super::{clock, counters, inbound, outbound, state};
-use crate::{border, frame, membership};
+use crate::{border, frame, membership, sequence};
 
 const BIND_ATTEMPTS: u32 = 16;
 const FRAME_OVERHEAD_BYTES: usize = 64;
@@ -66,7 +66,7 @@
         let bound = bound.map_err(|source| MeshStartError { address, source })?;
         record.address.set_port(bound.port());
         let now = settings.clock.now();
-        let core = membership::core::MembershipCore::new(
+        let core = membership::decision::MembershipCore::new(
             settings.membership,
             record,
             settings.clock.wall(),
@@ -82,7 +82,7 @@
             settings: settings.membership,
             state: sync::Mutex::new(state::MeshState {
                 core,
-                sequences: state::SequenceBook::default(),
+                sequences: sequence::SequenceBook::default(),
             }),
             audience: sync::RwLock::default(),
             counters: counters::CounterCells::default(),
@@ -90,6 +90,7 @@
             events,
             last_tick_micros: atomic::AtomicU64::new(now.as_micros()),
             logger: settings.logger,
+            cut: sync::RwLock::default(),
         });
         let tasks = [
             task::spawn(inbound::receive_datagrams(shared.clone(), datagrams)),
@@ -107,6 +108,14 @@
         self.shared.lock().core.set_seeds(seeds);
     }
 
+    /// Loses all frames to these addresses, as a network partition does, and
+    /// those to no other. For fault drills.
+    pub fn cut_links(&self, addresses: impl IntoIterator<Item = net::SocketAddr>) {
+        let cut = self.shared.cut.write();
+        let mut cut = cut.unwrap_or_else(sync::PoisonError::into_inner);
+        *cut = addresses.into_iter().collect();
+    }
+
     /// Announces that this process leaves. It stays a member until it stops.
     pub fn leave(&self) {
         let now = self.shared.clock.now();
--- a/crates/cuminkeel_outcome/src/answer.rs
+++ b/crates/cuminkeel_outcome/src/answer.rs
@@ -23,11 +23,7 @@
     pub fn to_answer(&self) -> outcome::JobAnswer {
         match self {
             Self::Whole(answer) => outcome::JobAnswer::clone(answer),
-            Self::Dropped(ran) => failed(
-                outcome::RefusalCode::KeyClosed,
-                *ran,
-                "the key was used and its job has ended; the answer is no longer kept",
-            ),
+            Self::Dropped(ran) => ended(*ran),
         }
     }
 
@@ -117,7 +113,8 @@
     )
 }
 
-/// The answer for a key that is closed for good.
+/// The answer for a key that is closed for good. Callers see one code for all
+/// closings but their own cancellation.
 pub fn closed(code: outcome::RefusalCode) -> outcome::JobAnswer {
     match code {
         outcome::RefusalCode::Cancelled => failed(
@@ -126,7 +123,7 @@
             "the key was cancelled before its job started",
         ),
         outcome::RefusalCode::KeyUnresolved => not_run_retry(
-            code,
+            outcome::RefusalCode::KeyClosed,
             "the key's witness did not answer and the key was closed; fetch a new key and submit again",
         ),
         _ => not_run_retry(
@@ -136,6 +133,15 @@
     }
 }
 
+/// The answer for a key whose job has ended and whose answer is lost.
+pub fn ended(ran: outcome::RunStatus) -> outcome::JobAnswer {
+    failed(
+        outcome::RefusalCode::KeyClosed,
+        ran,
+        "the key was used and its job has ended; the answer is no longer kept",
+    )
+}
+
 /// The answer for a key whose fate can't be proved.
 pub fn unresolved(detail: &str) -> outcome::JobAnswer {
     failed(
--- a/crates/cuminkeel_outcome/src/rules.rs
+++ b/crates/cuminkeel_outcome/src/rules.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 
-/// A rule that the model test must miss when it is broken.
+/// A rule whose breach the model test must catch.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum OutcomeRule {
     /// A job starts only after the witness has granted its opening.
@@ -35,6 +35,10 @@
     ListOpening,
     /// A hand-over tells which keys have expired.
     ListExpired,
+    /// A leaving witness grants and opens no key any more.
+    FreezeWitness,
+    /// A farewell lists the keys that were opened.
+    ListOpened,
     /// An heir opens no key that was opened or closed before.
     HeirRecords,
     /// A key belongs to one customer.
@@ -51,6 +55,35 @@
     AnswerOnce,
 }
 
+impl OutcomeRule {
+    /// All rules.
+    pub const ALL: [Self; 23] = [
+        Self::AwaitWitness,
+        Self::RefuseClosed,
+        Self::RememberClose,
+        Self::RememberOpen,
+        Self::OpenOnce,
+        Self::CloseUnwitnessed,
+        Self::DoubtOpened,
+        Self::DoubtUnwitnessed,
+        Self::DoubtForgotten,
+        Self::FloorAuthority,
+        Self::FreezeHandover,
+        Self::ListClosed,
+        Self::ListOpening,
+        Self::ListExpired,
+        Self::FreezeWitness,
+        Self::ListOpened,
+        Self::HeirRecords,
+        Self::BindCustomer,
+        Self::BindDigest,
+        Self::MatchAnswer,
+        Self::WholeAnswer,
+        Self::AnswerDeadline,
+        Self::AnswerOnce,
+    ];
+}
+
 /// The rules in force: all, or all but one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RuleSet {
--- a/crates/cuminkeel_standin/src/lib.rs
+++ b/crates/cuminkeel_standin/src/lib.rs
@@ -8,8 +8,10 @@
 
 pub mod backend;
 pub mod balancer;
+pub mod control;
 pub mod demo;
 pub mod fleet;
 pub mod http_listener;
+pub mod load;
 pub mod platform;
 mod sync_lock;
