Give each operator of a load run a generator of its own

Cause: operator 0 drew from the seed that the run's first edits are drawn from, so one of its edits had the id of an edit made before the run. The verdict was that of the older edit, and its time in force counted from then.

Change: operators draw from a digest of seed and number. The report names the offset of the slowest edit.

--- a/crates/cuminkeel_standin/src/load/operators.rs
+++ b/crates/cuminkeel_standin/src/load/operators.rs
@@ -51,6 +51,13 @@
     }
 }
 
+/// A generator that no other part of the run draws from, so that no edit gets
+/// the id of another.
+fn operator_rng(seed: u64, operator: usize) -> rngs::StdRng {
+    let digest = blake3::hash(format!("operator {operator} of run {seed}").as_bytes());
+    rngs::StdRng::from_seed(*digest.as_bytes())
+}
+
 /// Operators and their referee.
 #[derive(Debug)]
 pub(super) struct OperatorDesk {
@@ -83,8 +90,7 @@
         plan: plan::EditPlan,
         start: tokio::time::Instant,
     ) {
-        let seed = self.site.options.seed.wrapping_add(operator as u64);
-        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        let mut rng = operator_rng(self.site.options.seed, operator);
         let end = start + self.site.options.span;
         let mut number = 0_usize;
         while tokio::time::Instant::now() < end {
--- a/crates/cuminkeel_standin/src/load/report.rs
+++ b/crates/cuminkeel_standin/src/load/report.rs
@@ -144,6 +144,8 @@
     pub in_force_ms_p99: Option<f64>,
     /// The same, worst.
     pub in_force_ms_max: Option<f64>,
+    /// Log offset of the edit that took longest.
+    pub slowest_edit_offset: Option<u64>,
     /// Times that an entry showed an older state than before.
     pub reverts: u64,
     /// Accepted edits that an entry alive at the end does not have.
--- a/crates/cuminkeel_standin/src/load/run.rs
+++ b/crates/cuminkeel_standin/src/load/run.rs
@@ -393,6 +393,7 @@
     let running = site.running();
     let mut lost = 0;
     let mut spans = Vec::new();
+    let mut slowest_edit: Option<(time::Duration, u64)> = None;
     for edit in &tally.accepted {
         let mut slowest = time::Duration::ZERO;
         for entry in &running {
@@ -411,6 +412,7 @@
             }
         }
         spans.push(slowest.as_secs_f64() * 1_000.0);
+        slowest_edit = slowest_edit.max(Some((slowest, edit.offset)));
     }
     let spans = stats::ValueHistogram::of(spans);
     report::ConfigReport {
@@ -420,6 +422,7 @@
         in_force_ms_p50: spans.quantile(0.5),
         in_force_ms_p99: spans.quantile(0.99),
         in_force_ms_max: spans.max(),
+        slowest_edit_offset: slowest_edit.map(|(_, offset)| offset),
         reverts: traces.values().map(|trace| trace.reverts).sum(),
         lost_edits: lost,
         control_core_share: idle.core_share,
