Let the entries take their seats before a load run begins

Change: two seconds without jobs once the entries are ready. Entries that are replaced during a run get no such time.

Conclusion: figures of a steady site; the refusals of a fresh entry stay visible in rolling-replace and crash-entry.

--- a/crates/cuminkeel_standin/src/load/site.rs
+++ b/crates/cuminkeel_standin/src/load/site.rs
@@ -15,6 +15,9 @@
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Time between two looks at the entries.
 const READY_POLL: time::Duration = time::Duration::from_millis(50);
+/// Time that the entries have after that before jobs arrive, to take their
+/// seats in the allowances.
+const SETTLE_SPAN: time::Duration = time::Duration::from_secs(2);
 /// Servers in a rack.
 const SERVERS_PER_RACK: usize = 8;
 /// Partner firm of the entries.
@@ -84,6 +87,7 @@
         site.list_servers();
         site.start_entries().await?;
         site.wait_ready().await;
+        tokio::time::sleep(SETTLE_SPAN).await;
         site.platform.set_list_lag(plan.list_lag);
         Ok(site)
     }
