Measure memory of dispatch and outcome before any is freed

Cause: the first run told 0 bytes at larger sizes, since the allocator gave them what smaller ones had freed. Change: what was measured is kept, and the roles that tell memory come first.

--- a/crates/cuminkeel_standin/src/capacity/dispatch.rs
+++ b/crates/cuminkeel_standin/src/capacity/dispatch.rs
@@ -20,11 +20,14 @@
 pub(super) fn measure(seed: u64) -> Vec<CapacitySeries> {
     let mut micros = Vec::new();
     let mut memory = Vec::new();
+    // Kept, so that no measurement reuses the memory of an earlier one.
+    let mut kept = Vec::new();
     for size in SERVERS {
         let (mut loaded, grown) = memory_growth(|| LoadedPolicy::new(size, seed));
         let value = micros_each(ENDED_TASKS, || loaded.end_tasks(ENDED_TASKS));
         micros.push(CapacityPoint { size, value });
         memory.push(CapacityPoint { size, value: grown });
+        kept.push(loaded);
     }
     let jobs = JOB_SIZES
         .iter()
--- a/crates/cuminkeel_standin/src/capacity/mod.rs
+++ b/crates/cuminkeel_standin/src/capacity/mod.rs
@@ -70,11 +70,13 @@
 /// Measures all roles, one after the other.
 pub fn measure(seed: u64) -> CapacityReport {
     let before = host::HostSample::take();
-    let mut series = membership::measure(seed);
+    // Memory is told by the growth of the process, so those that measure it
+    // come before others have freed any.
+    let mut series = dispatch::measure(seed);
+    series.extend(outcome::measure(seed));
+    series.extend(membership::measure(seed));
     series.extend(allowance::measure(seed));
     series.extend(configuration::measure());
-    series.extend(dispatch::measure(seed));
-    series.extend(outcome::measure(seed));
     CapacityReport {
         seed,
         machine_busy_share: host::HostSample::take().machine_busy_share(&before),
--- a/crates/cuminkeel_standin/src/capacity/outcome.rs
+++ b/crates/cuminkeel_standin/src/capacity/outcome.rs
@@ -13,17 +13,17 @@
 pub(super) fn measure(seed: u64) -> Vec<CapacitySeries> {
     let mut micros = Vec::new();
     let mut memory = Vec::new();
+    // Kept, so that no measurement reuses the memory of an earlier one.
+    let mut kept = Vec::new();
     for size in JOBS {
-        let (value, grown) = memory_growth(|| {
+        let ((pair, value), grown) = memory_growth(|| {
             let mut pair = LedgerPair::new(seed);
             let value = micros_each(size, || pair.run_jobs(size));
             (pair, value)
         });
-        micros.push(CapacityPoint {
-            size,
-            value: value.1,
-        });
+        micros.push(CapacityPoint { size, value });
         memory.push(CapacityPoint { size, value: grown });
+        kept.push(pair);
     }
     vec![
         CapacitySeries::new(
