--- a/crates/cuminkeel_dispatch/src/allowance/mod.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/mod.rs
@@ -12,6 +12,7 @@
 mod lending;
 pub mod message;
 mod seat_claims;
+mod seat_handover;
 mod seat_keeper;
 pub mod settings;
 pub mod split;
