Dispatch: send servers on trial the tasks that prove them

Cause: a server on trial that ranked behind free ones got no task and stayed on trial for good; without jobs of one task no server ever left its trial.

Change: a free server on trial gets the next task that has three run times to spare, of one-task jobs while such come, after 5 s without any of all jobs. A test brings a black hole back once it works, with jobs of 1 and of 3 tasks; it failed before.

--- a/crates/cuminkeel_dispatch/src/server_pool.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool.rs
@@ -61,6 +61,7 @@
     servers: Vec<PoolServer>,
     by_name: collections::HashMap<names::ServerName, ServerIndex>,
     free: collections::BTreeSet<FreeKey>,
+    on_trial: collections::BTreeSet<ServerIndex>,
     buckets: speed_buckets::SpeedBuckets,
     timers: collections::BTreeSet<(clock::TimePoint, ServerIndex)>,
     ejected: u32,
@@ -174,6 +175,11 @@
             server.usable = usable;
             server.bucket = bucket;
         }
+        if server.is_on_trial() && server.free() > 0 {
+            self.on_trial.insert(index);
+        } else {
+            self.on_trial.remove(&index);
+        }
         let in_use = server.record.slots.saturating_sub(server.free());
         let free_key = (server.free() > 0).then_some((bucket, in_use, index));
         if free_key == server.free_key {
--- a/crates/cuminkeel_dispatch/src/server_pool/choice.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool/choice.rs
@@ -12,6 +12,9 @@
 /// Servers count as equally fast if they take at most this ratio of run time.
 const SAME_SPEED_RATIO: f64 = 1.2;
 
+/// Expected run times that must fit before the deadline of a task used for a trial.
+const TRIAL_MARGIN: f64 = 3.0;
+
 /// What a task needs of a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TaskNeed {
@@ -21,8 +24,8 @@
     pub mean_secs: f64,
     /// Declared size.
     pub size: u32,
-    /// Whether it is the only task of its job, as trials of servers want it.
-    pub single: bool,
+    /// Whether it may go to a server that has to prove itself.
+    pub may_prove: bool,
     /// Time in which it may run without holding up its job, in seconds.
     pub slack_secs: f64,
     /// Share of the fast slots that is kept free for shorter jobs.
@@ -41,6 +44,25 @@
 }
 
 impl ServerPool {
+    /// A free server on trial, for a task that may prove it and has time to spare.
+    pub fn trial(
+        &self,
+        now: clock::TimePoint,
+        need: &TaskNeed,
+        time_left_secs: f64,
+    ) -> Option<ServerOffer> {
+        if !need.may_prove {
+            return None;
+        }
+        let keys = self
+            .on_trial
+            .iter()
+            .filter_map(|index| self.server(*index).free_key);
+        keys.filter(|key| self.takes(now, key, need))
+            .map(|key| self.offer(&key, need))
+            .find(|offer| offer.run_secs * TRIAL_MARGIN < time_left_secs)
+    }
+
     /// The slowest free server that ends a task within its slack, if any.
     pub fn slowest_within(&self, now: clock::TimePoint, need: &TaskNeed) -> Option<ServerOffer> {
         let ratio = need.slack_secs / need.mean_secs;
@@ -91,7 +113,7 @@
     fn takes(&self, now: clock::TimePoint, key: &FreeKey, need: &TaskNeed) -> bool {
         let server = self.server(key.2);
         need.size <= server.record.max_size_millicores
-            && (need.single || !server.is_on_probation())
+            && (need.may_prove || !server.is_on_probation())
             && !server.is_overdue(now)
     }
 
--- a/crates/cuminkeel_dispatch/src/server_pool/pool_server.rs
+++ b/crates/cuminkeel_dispatch/src/server_pool/pool_server.rs
@@ -146,6 +146,11 @@
         )
     }
 
+    pub(super) fn is_on_trial(&self) -> bool {
+        let state = self.health.state();
+        matches!(state, server_health::HealthState::OnTrial { .. })
+    }
+
     pub(super) fn is_ejected(&self) -> bool {
         let state = self.health.state();
         matches!(state, server_health::HealthState::Ejected { .. })
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -16,6 +16,8 @@
 
 /// Pause between two looks at servers without recent observations.
 const FORGET_PERIOD: time::Duration = time::Duration::from_secs(10);
+/// Time without jobs of one task after which larger jobs serve for trials.
+const SINGLE_TASK_WAIT: time::Duration = time::Duration::from_secs(5);
 /// Run times for which a job yields to shorter ones that arrive later.
 const YIELD_RATIO: f64 = 4.0;
 /// Mean run times for which a server's report of its busy slots is believed.
@@ -56,6 +58,8 @@
     lengths: length_ranks::LengthRanks,
     blocked: collections::BTreeSet<(clock::TimePoint, fair_queue::CustomerIndex)>,
     next_forget: clock::TimePoint,
+    /// When tasks of larger jobs may be used for trials, for want of jobs of one task.
+    trials_open: clock::TimePoint,
     draining: bool,
 }
 
@@ -83,6 +87,7 @@
             lengths: length_ranks::LengthRanks::default(),
             blocked: collections::BTreeSet::new(),
             next_forget: clock::TimePoint::ZERO,
+            trials_open: clock::TimePoint::ZERO,
             draining: false,
         }
     }
@@ -106,6 +111,9 @@
             .observe(place.ideal_end.since(now).as_secs_f64());
         let tasks = self.queued_tasks(&request.spec);
         self.places.insert(request.id, place);
+        if request.spec.tasks.len() == 1 {
+            self.trials_open = now + SINGLE_TASK_WAIT;
+        }
         self.queue.add(place.customer, place.rank, tasks);
     }
 
--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -193,10 +193,13 @@
         let Some(need) = self.need(now, record, held) else {
             return Placement::Dropped;
         };
+        let time_left = record.deadline.since(now).as_secs_f64();
+        if let Some(trial) = self.pool.trial(now, &need, time_left) {
+            return self.start(now, held, trial, actions);
+        }
         let Some(offer) = self.offer(now, &need) else {
             return Placement::WaitLarger;
         };
-        let time_left = record.deadline.since(now).as_secs_f64();
         let best_secs = offer.run_secs * self.best_ratio(&offer);
         if best_secs * DOOMED_SHARE > time_left {
             self.give_up(key.job, best_secs - time_left, actions);
@@ -224,7 +227,7 @@
             class: self.model.find(&spec.class),
             mean_secs: held.task.secs,
             size: spec.size_millicores,
-            single: record.spec.tasks.len() == 1,
+            may_prove: record.spec.tasks.len() == 1 || now >= self.trials_open,
             slack_secs: slack * SLACK_SHARE,
             reserve_share: place.length_rank * FAST_RESERVE_SHARE,
         })
--- a/crates/cuminkeel_dispatch/tests/invariants.rs
+++ b/crates/cuminkeel_dispatch/tests/invariants.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use cuminkeel_dispatch::{event, factory};
+use cuminkeel_dispatch::{event, factory, policy};
 use cuminkeel_types::{names, outcome, time as clock};
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -314,9 +314,7 @@
         let lost = domain.results.iter().filter(failed).count();
         assert!(lost <= 5, "{fault:?}: {lost} jobs lost");
         let status = domain.entries[0].status(domain.now);
-        let not_live = |line: &&cuminkeel_dispatch::policy::ServerStatus| {
-            line.state != cuminkeel_dispatch::policy::ServerState::Live
-        };
+        let not_live = |line: &&policy::ServerStatus| line.state != policy::ServerState::Live;
         let out = status.servers.iter().filter(not_live).count();
         assert_eq!(out, usize::from(!poison), "{fault:?}: {:?}", status.servers);
     }
@@ -361,3 +359,46 @@
         .sum();
     assert!(busy > 0);
 }
+
+#[test]
+fn a_server_that_works_again_is_brought_back_whatever_the_size_of_jobs() {
+    for tasks in [1, 3] {
+        let mut faults = [harness::Fault::None; 4];
+        faults[0] = harness::Fault::FailsAll;
+        let mut domain =
+            harness::FakeDomain::new("cuminkeel", (1.0, 1.0), 1, servers(&faults), &[], 3);
+        for at in 0..1_000_u64 {
+            let work = vec![0.05; tasks];
+            let classes = vec!["price"; tasks];
+            let id = u128::from(at) + 1;
+            domain.submit(harness::TrueJob {
+                at: clock::TimePoint::from_millis(at * 30 + 1),
+                entry: 0,
+                request: harness::request(id, "mill", &classes, DEADLINE_SECS, &work),
+                work,
+                poison: false,
+            });
+        }
+        let state = |domain: &harness::FakeDomain| {
+            let status = domain.entries[0].status(domain.now);
+            let line = status
+                .servers
+                .into_iter()
+                .find(|line| line.server.as_str() == "server-0");
+            line.map(|line| line.state)
+        };
+        domain.run_until(clock::TimePoint::from_millis(1_500));
+        assert_eq!(
+            state(&domain),
+            Some(policy::ServerState::Ejected),
+            "{tasks} tasks"
+        );
+        domain.servers[0].fault = harness::Fault::None;
+        domain.run_until(clock::TimePoint::from_millis(30_000));
+        assert_eq!(
+            state(&domain),
+            Some(policy::ServerState::Live),
+            "{tasks} tasks"
+        );
+    }
+}
