Count on the whole limit while units of an allowance are sought

Change: while pulls still find units, admission reckons with the plan's limit; after 1.3 s of pulls in vain with the units at hand. Health asks for the lists first.

--- a/crates/cuminkeel_dispatch/src/allowance/gate.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/gate.rs
@@ -56,6 +56,10 @@
         self.ledger().last_task_share(customer)
     }
 
+    fn expected_share(&self, customer: &names::CustomerName) -> Option<u32> {
+        self.ledger().expected_task_share(customer)
+    }
+
     fn set_terms(&mut self, now: TimePoint, terms: &[dispatch_event::CustomerTerms]) {
         self.ledger().set_terms(now, terms);
     }
--- a/crates/cuminkeel_dispatch/src/allowance/lending.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/lending.rs
@@ -20,6 +20,8 @@
 pub(super) const FIRST_PULL_DELAY: time::Duration = time::Duration::from_millis(20);
 /// Longest delay between two rounds that bring nothing.
 const MAX_PULL_DELAY: time::Duration = time::Duration::from_secs(16);
+/// Delay between pulls up to which lenders may still have units to give.
+pub(super) const SEARCH_PULL_DELAY: time::Duration = time::Duration::from_millis(640);
 /// Lenders asked in the first round; twice as many after each success.
 pub(super) const FIRST_FANOUT: usize = 4;
 const MAX_FANOUT: usize = 32;
--- a/crates/cuminkeel_dispatch/src/allowance/mod.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/mod.rs
@@ -152,6 +152,19 @@
         self.task_share(self.latest, customer)
     }
 
+    /// The customer's whole limit while others may still have units to lend,
+    /// else [`Self::last_task_share`]. A job that waits for a loan would be
+    /// refused for nothing if only the units at hand were counted.
+    pub fn expected_task_share(&self, customer: &names::CustomerName) -> Option<u32> {
+        let share = self.shares.get(customer)?;
+        let limit = share.max_tasks?;
+        if share.pull_delay <= lending::SEARCH_PULL_DELAY {
+            Some(limit)
+        } else {
+            self.last_task_share(customer)
+        }
+    }
+
     /// Seats whose units this entry may use now.
     pub fn usable_seats(&self, now: TimePoint) -> Vec<settings::SeatId> {
         self.keeper.usable(now).collect()
--- a/crates/cuminkeel_dispatch/src/share.rs
+++ b/crates/cuminkeel_dispatch/src/share.rs
@@ -26,6 +26,12 @@
     /// Concurrent tasks that the share permits; none if unlimited.
     fn share(&self, customer: &names::CustomerName) -> Option<u32>;
 
+    /// Concurrent tasks that the share may come to permit soon, while units are
+    /// still being sought; none if unlimited.
+    fn expected_share(&self, customer: &names::CustomerName) -> Option<u32> {
+        self.share(customer)
+    }
+
     /// Takes in all customers' terms after a change.
     fn set_terms(&mut self, now: clock::TimePoint, terms: &[event::CustomerTerms]) {
         let _ = (now, terms);
--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -179,7 +179,7 @@
             impossible_secs,
             ahead_secs: self.queue.work_ahead(place.customer, own_ahead_secs) + held_secs,
             own_ahead_secs,
-            share: self.gate.share(&spec.customer),
+            share: self.gate.expected_share(&spec.customer),
         }
     }
 
--- a/crates/cuminkeel_entry/src/api/endpoints.rs
+++ b/crates/cuminkeel_entry/src/api/endpoints.rs
@@ -184,8 +184,10 @@
     if rqctx.context().is_accepting() {
         Ok(HttpResponseOk(body::HealthBody { accepting: true }))
     } else {
-        let refusal =
-            outcome::Refusal::not_run(outcome::RefusalCode::Draining, "this entry is leaving");
+        let refusal = outcome::Refusal::not_run(
+            outcome::RefusalCode::Draining,
+            "this entry is leaving or has no lists yet",
+        );
         Err(refusal.into())
     }
 }
--- a/crates/cuminkeel_entry/src/api/server.rs
+++ b/crates/cuminkeel_entry/src/api/server.rs
@@ -74,8 +74,10 @@
         self.view().authenticate(api_key)
     }
 
+    /// Whether the balancer should offer this entry: it has the lists and does
+    /// not leave.
     pub(super) fn is_accepting(&self) -> bool {
-        self.accepting.load(atomic::Ordering::Acquire)
+        self.accepting.load(atomic::Ordering::Acquire) && self.view().lists().offset > 0
     }
 
     fn message_counts(&self) -> body::MessagesBody {
