Dispatch: refuse for a used-up allowance only once its share has settled

Change: admission looks at the share only if it has held up the customer's tasks for 2 s without a gap of 1 s.

--- a/crates/cuminkeel_dispatch/src/slot_policy.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy.rs
@@ -18,6 +18,10 @@
 const FORGET_PERIOD: time::Duration = time::Duration::from_secs(10);
 /// Time without jobs of one task after which larger jobs serve for trials.
 const SINGLE_TASK_WAIT: time::Duration = time::Duration::from_secs(5);
+/// Time after which a share that holds up tasks is not expected to grow.
+const SHARE_SETTLES: time::Duration = time::Duration::from_secs(2);
+/// Longest gap within one span of being held up by an allowance.
+const LIMIT_GAP: time::Duration = time::Duration::from_secs(1);
 /// Run times for which a job yields to shorter ones that arrive later.
 const YIELD_RATIO: f64 = 4.0;
 /// Mean run times for which a server's report of its busy slots is believed.
@@ -38,6 +42,13 @@
     length_rank: f64,
 }
 
+/// Time over which an allowance has held up a customer's tasks.
+#[derive(Clone, Copy, Debug)]
+struct LimitedSpan {
+    since: clock::TimePoint,
+    last: clock::TimePoint,
+}
+
 /// Decides by learnt speeds, divided slots and fair queueing.
 #[derive(Debug)]
 pub struct SlotPolicy {
@@ -56,6 +67,7 @@
     held: placing::HeldTasks,
     retries: retries::RetryBudget,
     lengths: length_ranks::LengthRanks,
+    limited: collections::HashMap<fair_queue::CustomerIndex, LimitedSpan>,
     blocked: collections::BTreeSet<(clock::TimePoint, fair_queue::CustomerIndex)>,
     next_forget: clock::TimePoint,
     /// When tasks of larger jobs may be used for trials, for want of jobs of one task.
@@ -85,6 +97,7 @@
             held: placing::HeldTasks::default(),
             retries: retries::RetryBudget::default(),
             lengths: length_ranks::LengthRanks::default(),
+            limited: collections::HashMap::new(),
             blocked: collections::BTreeSet::new(),
             next_forget: clock::TimePoint::ZERO,
             trials_open: clock::TimePoint::ZERO,
@@ -179,8 +192,34 @@
             impossible_secs,
             ahead_secs: self.queue.work_ahead(place.customer, own_ahead_secs) + held_secs,
             own_ahead_secs,
-            share: self.gate.share(&spec.customer),
+            share: self.lasting_share(now, place.customer),
+        }
+    }
+
+    /// A customer's share of its allowance, if that has held up its tasks for so
+    /// long that it can't be expected to grow; none otherwise.
+    fn lasting_share(
+        &self,
+        now: clock::TimePoint,
+        customer: fair_queue::CustomerIndex,
+    ) -> Option<u32> {
+        let limited = self.limited.get(&customer)?;
+        let lasting = now.since(limited.since) >= SHARE_SETTLES;
+        let recent = now.since(limited.last) < LIMIT_GAP;
+        let share = self.gate.share(self.queue.name(customer));
+        share.filter(|_| lasting && recent)
+    }
+
+    fn note_limited(&mut self, now: clock::TimePoint, customer: fair_queue::CustomerIndex) {
+        let fresh = LimitedSpan {
+            since: now,
+            last: now,
+        };
+        let span = self.limited.entry(customer).or_insert(fresh);
+        if now.since(span.last) >= LIMIT_GAP {
+            span.since = now;
         }
+        span.last = now;
     }
 
     /// Expected run time of all tasks and of the longest, in seconds of an average slot.
--- a/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
+++ b/crates/cuminkeel_dispatch/src/slot_policy/placing.rs
@@ -171,6 +171,7 @@
         let due = ready
             .filter(|ready| *ready > now)
             .unwrap_or(now + BLOCKED_PAUSE);
+        self.note_limited(now, customer);
         self.queue.set_blocked(customer, true);
         self.blocked.insert((due, customer));
     }
--- a/crates/cuminkeel_dispatch/tests/invariants.rs
+++ b/crates/cuminkeel_dispatch/tests/invariants.rs
@@ -402,3 +402,26 @@
         );
     }
 }
+
+#[test]
+fn a_share_of_the_allowance_refuses_jobs_only_after_it_has_held_up_tasks() {
+    let faults = [harness::Fault::None; 4];
+    let limits = [terms(0, 1, Some(1))];
+    let mut domain =
+        harness::FakeDomain::new("cuminkeel", (1.0, 1.0), 1, servers(&faults), &limits, 3);
+    offer_load(&mut domain, &[200], 20, 6);
+    domain.run_until(clock::TimePoint::from_millis(8_000));
+    let exhausted = |result: &&harness::JobResult| match &result.answer {
+        outcome::JobAnswer::Failed(refusal) => {
+            refusal.code == outcome::RefusalCode::AllowanceExhausted
+        }
+        outcome::JobAnswer::Complete { .. } => false,
+    };
+    let refused: Vec<_> = domain.results.iter().filter(exhausted).collect();
+    let first = refused.iter().map(|result| result.job.at).min();
+    assert!(
+        first >= Some(clock::TimePoint::from_millis(2_000)),
+        "{first:?}"
+    );
+    assert!(refused.len() > 50, "{}", refused.len());
+}
