--- a/crates/cuminkeel/tests/processes.rs
+++ b/crates/cuminkeel/tests/processes.rs
@@ -13,7 +13,7 @@
 const API_KEY: &str = "key of mill";
 const JOBS: usize = 60;
 const TASKS_PER_JOB: usize = 3;
-const PATIENCE: time::Duration = time::Duration::from_secs(60);
+const PATIENCE: time::Duration = time::Duration::from_mins(1);
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(5);
 
 /// A child that is ended with the test, however that ends.
--- a/crates/cuminkeel_entry/tests/entry/api_errors.rs
+++ b/crates/cuminkeel_entry/tests/entry/api_errors.rs
@@ -71,14 +71,13 @@
     assert_eq!(status, 200, "{body}");
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn faulty_requests_get_typed_errors_and_run_nothing() {
-    let site = support::start(support::site_plan(1)).await;
-    let entry = site.entries[0].api;
+/// Name, request, status, code, and a part of the detail.
+type CaseRow = (&'static str, String, u16, &'static str, &'static str);
+
+fn key_cases() -> Vec<CaseRow> {
     let good = good_body();
     let key = format!("authorization: Bearer {}\r\n", support::API_KEY);
-    let many = vec![GOOD_TASK; 851].join(",");
-    let cases = [
+    vec![
         (
             "no key",
             request("", &good),
@@ -107,6 +106,26 @@
             "unauthorized",
             "exactly one header",
         ),
+        (
+            "key missing",
+            authorized(&good.replacen("true", "false", 1)),
+            400,
+            "key_required",
+            "",
+        ),
+        (
+            "key forged",
+            authorized(&good.replacen("true", "false,\"submission_key\":\"abc\"", 1)),
+            400,
+            "key_invalid",
+            "",
+        ),
+    ]
+}
+
+fn body_cases() -> Vec<CaseRow> {
+    let good = good_body();
+    vec![
         (
             "malformed JSON",
             authorized("{\"tasks\": ["),
@@ -142,6 +161,27 @@
             "bad_request",
             "deadline_ms",
         ),
+        (
+            "other content type",
+            authorized(&good).replacen("application/json", "text/plain", 1),
+            400,
+            "bad_request",
+            "unsupported content-type",
+        ),
+        (
+            "oversized body",
+            authorized(&"x".repeat(5 * 1024 * 1024)),
+            400,
+            "bad_request",
+            "exceeded maximum size",
+        ),
+    ]
+}
+
+fn job_cases() -> Vec<CaseRow> {
+    let good = good_body();
+    let many = vec![GOOD_TASK; 851].join(",");
+    vec![
         (
             "no tasks",
             authorized(r#"{"idempotent":true,"deadline_ms":5000,"tasks":[]}"#),
@@ -179,35 +219,14 @@
             "bad_request",
             "tasks[0].size_millicores",
         ),
-        (
-            "key missing",
-            authorized(&good.replacen("true", "false", 1)),
-            400,
-            "key_required",
-            "",
-        ),
-        (
-            "key forged",
-            authorized(&good.replacen("true", "false,\"submission_key\":\"abc\"", 1)),
-            400,
-            "key_invalid",
-            "",
-        ),
-        (
-            "other content type",
-            authorized(&good).replacen("application/json", "text/plain", 1),
-            400,
-            "bad_request",
-            "unsupported content-type",
-        ),
-        (
-            "oversized body",
-            authorized(&"x".repeat(5 * 1024 * 1024)),
-            400,
-            "bad_request",
-            "exceeded maximum size",
-        ),
-    ];
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faulty_requests_get_typed_errors_and_run_nothing() {
+    let site = support::start(support::site_plan(1)).await;
+    let entry = site.entries[0].api;
+    let cases = [key_cases(), body_cases(), job_cases()].concat();
     for (case, sent, status, code, detail) in cases {
         let answer = exchange(entry, &sent, false).await;
         assert_refused(case, &answer, status, code, detail);
