--- a/crates/cuminkeel_dispatch/src/allowance/seat_handover.rs
+++ b/crates/cuminkeel_dispatch/src/allowance/seat_handover.rs
@@ -120,6 +120,9 @@
             .table
             .holder(seat.seat)
             .map_or(0, |holder| holder.epoch);
+        // A seat that this entry consented to be claimed is void in other hands.
+        let floor = self.promises.get(&seat.seat).copied().unwrap_or(0);
+        let known = known.max(floor);
         let gave = self
             .claims
             .given
--- a/crates/cuminkeel_dispatch/tests/allowance/schedules.rs
+++ b/crates/cuminkeel_dispatch/tests/allowance/schedules.rs
@@ -169,3 +169,38 @@
     });
     result.expect("the sum holds");
 }
+
+/// A handover that arrives after its receiver consented to a claim of the seat.
+#[test]
+fn a_late_handover_of_a_claimed_seat_is_void() {
+    let steps = [
+        Step::Pause {
+            node: 2,
+            millis: 3041,
+        },
+        Step::Pass { millis: 311 },
+        Step::Pass { millis: 3581 },
+        Step::Log([false, true, false, false, false, false, false]),
+        Step::Islands([2, 2, 1, 1, 1, 2, 2]),
+        Step::Leave(2),
+        Step::Lower {
+            tasks: 7,
+            starts: 1,
+        },
+        Step::Islands([0; NODES]),
+        Step::Pass { millis: 731 },
+        Step::Pass { millis: 3991 },
+        Step::Islands([0, 0, 0, 0, 1, 0, 0]),
+        Step::Pass { millis: 1891 },
+    ];
+    let limits = terms(&[(30, 60), (7, 9)]);
+    let mut model = ShareModel::new(&[3, 2, 2], 3, limits, 130_219_504_542_382_278);
+    model.task_millis = (10, 2_000);
+    for node in &mut model.nodes {
+        node.demand.fill(20);
+    }
+    model.run(time::Duration::from_secs(4));
+    for step in steps {
+        take(&mut model, step);
+    }
+}
