--- a/crates/cuminkeel/src/commands/entry.rs
+++ b/crates/cuminkeel/src/commands/entry.rs
@@ -55,31 +55,71 @@
     }
 }
 
+/// Signals that end the entry.
+#[derive(Debug)]
+struct StopSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl StopSignals {
+    fn listen() -> Result<Self, error::CommandError> {
+        Ok(Self {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 async fn serve(
-    settings: settings::EntrySettings,
+    mut settings: settings::EntrySettings,
 ) -> Result<process::ExitCode, error::CommandError> {
     let log = telemetry::root_logger(&settings.log);
     let exports = Exports::start(&settings)?;
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    let daemon = daemon::EntryDaemon::start(parts(settings, &exports, &log)).await?;
-    slog::info!(log, "entry started";
-        "api" => %daemon.api_address()?, "mesh" => %daemon.mesh_address()?,
-        "incarnation" => %daemon.incarnation());
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    slog::info!(log, "draining; a second signal ends the entry at once");
-    let code = tokio::select! {
-        reports = daemon.drain() => report_drain(&log, &reports),
-        _ = terminate.recv() => end_now(&log, &daemon).await,
-        _ = interrupt.recv() => end_now(&log, &daemon).await,
+    let mut signals = StopSignals::listen()?;
+    let code = loop {
+        let parts = parts(settings.clone(), &exports, &log);
+        let daemon = daemon::EntryDaemon::start(parts).await?;
+        // A process that starts anew keeps the addresses that others know.
+        settings.api.address = daemon.api_address()?;
+        settings.mesh.address = daemon.mesh_address()?;
+        slog::info!(log, "entry started";
+            "api" => %settings.api.address, "mesh" => %settings.mesh.address,
+            "incarnation" => %daemon.incarnation());
+        tokio::select! {
+            () = signals.next() => break stop(&daemon, &mut signals, &log).await,
+            rejected = daemon.rejected() => rejected?,
+        }
+        slog::warn!(
+            log,
+            "the other entries declared this process gone; starting anew"
+        );
+        report_drain(&log, &daemon.drain().await);
     };
     exports.flush();
     Ok(code)
 }
 
+/// Drains the entry; a second signal ends it at once.
+async fn stop(
+    daemon: &daemon::EntryDaemon,
+    signals: &mut StopSignals,
+    log: &slog::Logger,
+) -> process::ExitCode {
+    slog::info!(log, "draining; a second signal ends the entry at once");
+    tokio::select! {
+        reports = daemon.drain() => report_drain(log, &reports),
+        () = signals.next() => end_now(log, daemon).await,
+    }
+}
+
 fn parts(
     settings: settings::EntrySettings,
     exports: &Exports,
--- a/crates/cuminkeel_entry/src/api/submit.rs
+++ b/crates/cuminkeel_entry/src/api/submit.rs
@@ -18,6 +18,17 @@
     (refusal, None)
 }
 
+/// A refusal made before the key was looked at. This request did not run, but an
+/// earlier one with the same key may have, so a request with a key is `unknown`.
+fn unseen(refusal: outcome::Refusal, has_key: bool) -> JobFailure {
+    let ran = if has_key {
+        outcome::RunStatus::Unknown
+    } else {
+        refusal.ran
+    };
+    without_job(outcome::Refusal { ran, ..refusal })
+}
+
 /// Checks a submission, hands it to the decision loop and awaits what the
 /// caller asked to wait for.
 pub(super) async fn submit(
@@ -25,14 +36,16 @@
     headers: &http::HeaderMap,
     submission: body::JobSubmission,
 ) -> Result<body::JobBody, JobFailure> {
-    let _permit = context.admit("submit_job").map_err(without_job)?;
-    let customer = context.authenticate(headers).map_err(without_job)?;
+    let has_key = submission.submission_key.is_some();
+    let unseen = |refusal| unseen(refusal, has_key);
+    let _permit = context.admit("submit_job").map_err(unseen)?;
+    let customer = context.authenticate(headers).map_err(unseen)?;
     let wait = submission.wait;
     let key = submission.submission_key.as_deref().map(sync::Arc::from);
     let mut spec = submission
         .into_spec(customer, context.settings.max_deadline)
-        .map_err(without_job)?;
-    context.view().check_plan(&spec).map_err(without_job)?;
+        .map_err(unseen)?;
+    context.view().check_plan(&spec).map_err(unseen)?;
     let span = context
         .traces
         .receive_span("receive", trace_parent(headers));
--- a/crates/cuminkeel_entry/src/core/executor.rs
+++ b/crates/cuminkeel_entry/src/core/executor.rs
@@ -97,6 +97,9 @@
                 self.tell_dispatch(event::DispatchEvent::TermsChanged(terms));
             }
             Message::PeersChanged(peers) => self.change_peers(peers),
+            Message::MembersChanged(members) => {
+                self.tell_outcome(outcome_event::OutcomeEvent::MembersChanged(members));
+            }
             Message::SiblingMessage { from, payload } => {
                 self.tell_dispatch(event::DispatchEvent::SiblingMessage { from, payload });
             }
@@ -353,6 +356,18 @@
             trace: record.trace.clone(),
             queued_since: record.received,
         };
-        self.parts.backend.start(call, self.handle.clone());
+        self.held.push_back(call);
+        self.release_held();
+    }
+
+    /// Sends the tasks that are ready. After a pause none leaves before this
+    /// process knows whether the others thought it dead.
+    pub(super) fn release_held(&mut self) {
+        if self.parts.mesh.standing() == border::MemberStanding::Unsure {
+            return;
+        }
+        for call in self.held.drain(..) {
+            self.parts.backend.start(call, self.handle.clone());
+        }
     }
 }
--- a/crates/cuminkeel_entry/src/core/message.rs
+++ b/crates/cuminkeel_entry/src/core/message.rs
@@ -117,6 +117,8 @@
     TermsChanged(Vec<event::CustomerTerms>),
     /// The live entries of this failure domain changed.
     PeersChanged(Vec<outcome_event::PeerEntry>),
+    /// The live entries of all failure domains changed.
+    MembersChanged(Vec<names::IncarnationId>),
     /// A message of another entry's dispatch policy.
     SiblingMessage {
         /// Sender.
--- a/crates/cuminkeel_entry/src/core/run.rs
+++ b/crates/cuminkeel_entry/src/core/run.rs
@@ -1,6 +1,6 @@
 //! Feeds the policies with events in order of arrival.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use cuminkeel_dispatch::{event, policy};
 use cuminkeel_mesh::border;
@@ -15,6 +15,9 @@
 /// Messages that may wait for the loop.
 const MAILBOX_SIZE: usize = 16_384;
 
+/// Pause between two looks at this process's standing while tasks wait for it.
+const HELD_PAUSE: time::Duration = time::Duration::from_millis(10);
+
 /// What the loop is made of.
 #[derive(Debug)]
 pub struct CoreParts {
@@ -50,6 +53,8 @@
     pub(super) requests: collections::HashMap<outcome_event::TicketId, WaitingRequest>,
     pub(super) key_requests: collections::HashMap<outcome_event::TicketId, executor::KeyReply>,
     pub(super) drain: executor::DrainState,
+    /// Tasks that wait until this process knows its standing.
+    pub(super) held: collections::VecDeque<backend::TaskCall>,
     next_ticket: u64,
     mailbox: mpsc::Receiver<message::CoreMessage>,
 }
@@ -66,6 +71,7 @@
             requests: collections::HashMap::new(),
             key_requests: collections::HashMap::new(),
             drain: executor::DrainState::default(),
+            held: collections::VecDeque::new(),
             next_ticket: 0,
             mailbox,
         };
@@ -85,6 +91,7 @@
                 () = sleep_until(&self.parts.clock, wakeup) => {}
             }
             self.wake_policies();
+            self.release_held();
             self.check_drained();
         }
     }
@@ -92,7 +99,8 @@
     fn next_wakeup(&self) -> Option<points::TimePoint> {
         let dispatch = self.parts.dispatch.next_wakeup();
         let outcome = self.parts.outcome.next_wakeup();
-        dispatch.into_iter().chain(outcome).min()
+        let held = (!self.held.is_empty()).then(|| self.parts.clock.now() + HELD_PAUSE);
+        dispatch.into_iter().chain(outcome).chain(held).min()
     }
 
     fn wake_policies(&mut self) {
--- a/crates/cuminkeel_entry/src/daemon.rs
+++ b/crates/cuminkeel_entry/src/daemon.rs
@@ -6,6 +6,7 @@
 use cuminkeel_platform::border as platform;
 use cuminkeel_types::names as types;
 use rand::SeedableRng;
+use tokio::sync::watch;
 
 use crate::{clock, services, settings, telemetry};
 
@@ -143,6 +144,24 @@
         self.kernel.registry().find(services::names::MESH_PROBE)
     }
 
+    /// Returns once the other entries have declared this process gone, as they do
+    /// with one that was paused for long. It must then drain and start anew.
+    ///
+    /// # Errors
+    /// [`error::KernelError::NotFound`] if the decision loop is not up.
+    pub async fn rejected(&self) -> Result<(), error::KernelError> {
+        let rejection = self
+            .kernel
+            .registry()
+            .find::<watch::Receiver<bool>>(services::names::REJECTION)?;
+        let mut rejection = (*rejection).clone();
+        if rejection.wait_for(|rejected| *rejected).await.is_err() {
+            // The mesh has stopped, so nobody rejects this process any more.
+            std::future::pending::<()>().await;
+        }
+        Ok(())
+    }
+
     /// Jobs and requests that wait for an answer.
     pub async fn unfinished(&self) -> usize {
         let core = self
--- a/crates/cuminkeel_entry/src/services/core.rs
+++ b/crates/cuminkeel_entry/src/services/core.rs
@@ -7,7 +7,10 @@
 use cuminkeel_mesh::border;
 use cuminkeel_outcome::event as outcome_event;
 use cuminkeel_types::names as types;
-use tokio::{sync as tokio_sync, task};
+use tokio::{
+    sync::{self as tokio_sync, watch},
+    task,
+};
 
 use super::{allowance, names};
 use crate::{backend, clock, config_feed, core, settings, telemetry};
@@ -143,7 +146,7 @@
             backend: sync::Arc::clone(&backend) as sync::Arc<dyn backend::TaskSender>,
         };
         let (decision_loop, handle) = core::DecisionLoop::new(parts);
-        link_mesh(&mesh, &handle);
+        let rejected = link_mesh(&mesh, &handle);
         let tasks = vec![
             tokio::spawn(decision_loop.run()),
             tokio::spawn(feed_terms(config, handle.clone())),
@@ -152,6 +155,9 @@
             .publish(names::CORE, sync::Arc::new(handle.clone()))
             .map_err(failed)?;
         registry.publish(names::BACKEND, backend).map_err(failed)?;
+        registry
+            .publish(names::REJECTION, sync::Arc::new(rejected))
+            .map_err(failed)?;
         *self.running.lock().await = Some(RunningCore { handle, tasks });
         Ok(())
     }
@@ -192,10 +198,17 @@
     }
 }
 
-fn link_mesh(mesh: &sync::Arc<dyn border::MeshPort>, handle: &core::CoreHandle) {
+/// Links the loop with the mesh; the receiver turns true once the other entries
+/// have declared this process gone.
+fn link_mesh(
+    mesh: &sync::Arc<dyn border::MeshPort>,
+    handle: &core::CoreHandle,
+) -> watch::Receiver<bool> {
+    let (sender, rejected) = watch::channel(false);
     let link = sync::Arc::new(MeshLink {
         mesh: sync::Arc::downgrade(mesh),
         handle: handle.clone(),
+        rejected: sender,
     });
     let dispatch = sync::Arc::new(DispatchListener(handle.clone()));
     let outcome = sync::Arc::new(OutcomeListener(handle.clone()));
@@ -203,6 +216,7 @@
     mesh.listen(border::MeshTopic::Outcome, outcome);
     link.tell_peers();
     mesh.watch(link);
+    rejected
 }
 
 /// Tells the loop which entries of its failure domain live.
@@ -210,6 +224,7 @@
 struct MeshLink {
     mesh: sync::Weak<dyn border::MeshPort>,
     handle: core::CoreHandle,
+    rejected: watch::Sender<bool>,
 }
 
 impl MeshLink {
@@ -218,8 +233,10 @@
             return;
         };
         let domain = mesh.local().domain;
-        let peers = mesh
-            .members()
+        let members = mesh.members();
+        let all = members.iter().map(|member| member.incarnation).collect();
+        self.handle.offer(core::CoreMessage::MembersChanged(all));
+        let peers = members
             .into_iter()
             .filter(|member| member.domain == domain && !member.leaving)
             .map(|member| outcome_event::PeerEntry {
@@ -233,7 +250,10 @@
 }
 
 impl border::MemberWatcher for MeshLink {
-    fn on_change(&self, _event: &border::MemberEvent) {
+    fn on_change(&self, event: &border::MemberEvent) {
+        if *event == border::MemberEvent::SelfRejected {
+            self.rejected.send_replace(true);
+        }
         self.tell_peers();
     }
 }
--- a/crates/cuminkeel_entry/src/services/names.rs
+++ b/crates/cuminkeel_entry/src/services/names.rs
@@ -20,3 +20,5 @@
 pub const MESH_PROBE: &str = "mesh_probe";
 /// `AllowanceDesk`: this entry's shares of the allowances.
 pub const ALLOWANCE: &str = "allowance";
+/// `watch::Receiver<bool>`: whether the other entries have declared this process gone.
+pub const REJECTION: &str = "rejection";
