Take in how busy a server says it is with each answer

Cause: an entry knew only its own tasks on a server, not those of its siblings, and placed by guess between loans; a report with each answer costs no message. Change: an optional field of the contract, told to the dispatch policy before the answer itself; the stand-in sends it. Conclusion: worth an optional field; servers without it are served as before.

--- a/crates/cuminkeel_entry/src/backend/attempt.rs
+++ b/crates/cuminkeel_entry/src/backend/attempt.rs
@@ -19,20 +19,39 @@
     call: &TaskCall,
     traceparent: Option<&str>,
     grace: time::Duration,
-) -> outcome::TaskOutcome {
+) -> AttemptEnd {
     let name = wire::task_name(&call.task);
-    let Ok(body) = wire::task_body(&name, &call.spec, call.time_left) else {
-        return attempt::AttemptEvidence::NotSent.outcome(&name);
-    };
-    let Ok(request) = task_request(pool, body, traceparent) else {
-        return attempt::AttemptEvidence::NotSent.outcome(&name);
-    };
     let limit = call.time_left + grace;
-    let evidence = match tokio::time::timeout(limit, exchange(pool, request)).await {
-        Ok(Ok(evidence) | Err(evidence)) => evidence,
-        Err(_) => attempt::AttemptEvidence::TimedOut,
+    let request = wire::task_body(&name, &call.spec, call.time_left)
+        .ok()
+        .and_then(|body| task_request(pool, body, traceparent).ok());
+    let evidence = match request {
+        None => attempt::AttemptEvidence::NotSent,
+        Some(request) => match tokio::time::timeout(limit, exchange(pool, request)).await {
+            Ok(Ok(evidence) | Err(evidence)) => evidence,
+            Err(_) => attempt::AttemptEvidence::TimedOut,
+        },
     };
-    evidence.outcome(&name)
+    AttemptEnd {
+        outcome: evidence.outcome(&name),
+        busy: busy_of(&evidence),
+    }
+}
+
+/// What an attempt showed.
+#[derive(Clone, Debug)]
+pub(super) struct AttemptEnd {
+    /// How it ended.
+    pub(super) outcome: outcome::TaskOutcome,
+    /// Tasks that the server still runs, if it told.
+    pub(super) busy: Option<u32>,
+}
+
+fn busy_of(evidence: &attempt::AttemptEvidence) -> Option<u32> {
+    match evidence {
+        attempt::AttemptEvidence::Answered { body, .. } => body.as_ref()?.busy,
+        _ => None,
+    }
 }
 
 async fn exchange(
--- a/crates/cuminkeel_entry/src/backend/client.rs
+++ b/crates/cuminkeel_entry/src/backend/client.rs
@@ -80,10 +80,13 @@
             traces.record_queue_span(&call.trace, call.queued_since);
             let span = traces.backend_span(&call);
             let traceparent = telemetry::traceparent(&span);
-            let outcome = match &pool {
+            let attempt::AttemptEnd { outcome, busy } = match &pool {
                 Some(pool) => attempt::run(pool, &call, traceparent.as_deref(), grace).await,
-                None => outcome::TaskOutcome::NotStarted {
-                    cause: outcome::NotStartedCause::NotSent,
+                None => attempt::AttemptEnd {
+                    outcome: outcome::TaskOutcome::NotStarted {
+                        cause: outcome::NotStartedCause::NotSent,
+                    },
+                    busy: None,
                 },
             };
             messages.count_attempt(&outcome);
@@ -92,6 +95,7 @@
                 task: call.task,
                 server: call.server,
                 outcome,
+                busy,
             };
             // A stopped loop has nobody left to tell.
             let _ = core.send(ended).await;
--- a/crates/cuminkeel_entry/src/core/executor.rs
+++ b/crates/cuminkeel_entry/src/core/executor.rs
@@ -76,11 +76,8 @@
                 task,
                 server,
                 outcome,
-            } => self.tell_dispatch(event::DispatchEvent::TaskEnded {
-                task,
-                server,
-                outcome,
-            }),
+                busy,
+            } => self.end_task(task, server, outcome, busy),
             Message::ServerProbed {
                 probe,
                 server,
@@ -110,6 +107,26 @@
         }
     }
 
+    /// Tells what a server reported with its answer before the answer itself,
+    /// since the answer may start the next task.
+    fn end_task(
+        &mut self,
+        task: outcome::TaskKey,
+        server: names::ServerName,
+        outcome: outcome::TaskOutcome,
+        busy: Option<u32>,
+    ) {
+        if let Some(busy) = busy {
+            let server = server.clone();
+            self.tell_dispatch(event::DispatchEvent::ServerReported { server, busy });
+        }
+        self.tell_dispatch(event::DispatchEvent::TaskEnded {
+            task,
+            server,
+            outcome,
+        });
+    }
+
     fn request_keys(&mut self, customer: names::CustomerName, count: u32, reply: KeyReply) {
         let ticket = self.draw_ticket();
         self.key_requests.insert(ticket, reply);
--- a/crates/cuminkeel_entry/src/core/message.rs
+++ b/crates/cuminkeel_entry/src/core/message.rs
@@ -101,6 +101,8 @@
         server: names::ServerName,
         /// How it ended.
         outcome: outcome::TaskOutcome,
+        /// Tasks that the server still runs, if it told.
+        busy: Option<u32>,
     },
     /// A load probe was answered; none if it failed.
     ServerProbed {
--- a/crates/cuminkeel_outcome/src/attempt.rs
+++ b/crates/cuminkeel_outcome/src/attempt.rs
@@ -43,6 +43,9 @@
     /// Run time of a completed task, in milliseconds.
     #[serde(default)]
     pub run_ms: Option<u64>,
+    /// Tasks that the server still runs, without this one.
+    #[serde(default)]
+    pub busy: Option<u32>,
 }
 
 /// What was seen of an attempt.
--- a/crates/cuminkeel_standin/src/backend/server_state.rs
+++ b/crates/cuminkeel_standin/src/backend/server_state.rs
@@ -208,13 +208,14 @@
     }
 
     /// The answer to a task that ran to its end.
-    pub(super) fn done_body(&self) -> wire::DoneBody {
+    pub(super) fn done_body(&self, busy: u32) -> wire::DoneBody {
         let digest = wire::payload_digest(&self.payload);
         let padding = "x".repeat(self.work.output_bytes);
         wire::DoneBody {
             task: self.task.clone(),
             output: format!("{digest}:{padding}"),
             run_ms: u64::try_from(self.run_time.as_millis()).unwrap_or(u64::MAX),
+            busy,
         }
     }
 }
--- a/crates/cuminkeel_standin/src/backend/task_service.rs
+++ b/crates/cuminkeel_standin/src/backend/task_service.rs
@@ -88,7 +88,10 @@
         match ending {
             RunEnding::Failed => Ok(self.failure(body, wire::FailureReason::Failed)),
             RunEnding::Stopped => Ok(self.failure(body, wire::FailureReason::Stopped)),
-            RunEnding::Done => Ok(self.done(running.done_body(), fault, switch).await),
+            RunEnding::Done => {
+                let done = running.done_body(self.state.busy_slots());
+                Ok(self.done(done, fault, switch).await)
+            }
         }
     }
 
@@ -123,19 +126,24 @@
         let answer = wire::RefusalBody {
             task: body.task.clone(),
             reason,
+            busy: self.state.busy_slots(),
         };
         http_listener::json_reply(http::StatusCode::SERVICE_UNAVAILABLE, &answer)
     }
 
     fn duplicate(&self, body: &wire::TaskBody) -> Reply {
         self.state.ledger().count(|counts| counts.duplicates += 1);
-        let answer = failure_body(body, wire::FailureReason::Duplicate);
+        let answer = failure_body(
+            body,
+            wire::FailureReason::Duplicate,
+            self.state.busy_slots(),
+        );
         http_listener::json_reply(http::StatusCode::CONFLICT, &answer)
     }
 
     fn failure(&self, body: &wire::TaskBody, reason: wire::FailureReason) -> Reply {
         self.state.ledger().count(|counts| counts.answers += 1);
-        let answer = failure_body(body, reason);
+        let answer = failure_body(body, reason, self.state.busy_slots());
         http_listener::json_reply(http::StatusCode::INTERNAL_SERVER_ERROR, &answer)
     }
 
@@ -178,8 +186,13 @@
     serde_json::from_slice(&body.to_bytes()).ok()
 }
 
-fn failure_body(body: &wire::TaskBody, reason: wire::FailureReason) -> wire::FailureBody {
+fn failure_body(
+    body: &wire::TaskBody,
+    reason: wire::FailureReason,
+    busy: u32,
+) -> wire::FailureBody {
     wire::FailureBody {
+        busy,
         task: body.task.clone(),
         reason,
         detail: "stand-in".to_owned(),
--- a/crates/cuminkeel_standin/src/backend/wire.rs
+++ b/crates/cuminkeel_standin/src/backend/wire.rs
@@ -42,6 +42,9 @@
     pub output: String,
     /// Run time, in milliseconds.
     pub run_ms: u64,
+    /// Tasks that still run on the server.
+    #[serde(default)]
+    pub busy: u32,
 }
 
 /// Why a task was refused before its start.
@@ -63,6 +66,9 @@
     pub task: sync::Arc<str>,
     /// Why.
     pub reason: RefusalReason,
+    /// Tasks that still run on the server.
+    #[serde(default)]
+    pub busy: u32,
 }
 
 /// Why a started task gave no output, or was not started again.
@@ -87,6 +93,9 @@
     /// For a person.
     #[serde(default)]
     pub detail: String,
+    /// Tasks that still run on the server.
+    #[serde(default)]
+    pub busy: u32,
 }
 
 /// Answer to `GET /v1/usage`.
