--- a/crates/cuminkeel/src/commands/entry.rs
+++ b/crates/cuminkeel/src/commands/entry.rs
@@ -1,6 +1,6 @@
 //! `cuminkeel entry`: the daemon.
 
-use std::{process, sync};
+use std::{process, sync, time};
 
 use argh::FromArgs;
 use cuminkeel_entry::{daemon, services, settings, telemetry};
@@ -19,6 +19,10 @@
     settings: String,
 }
 
+/// Tries to start before giving up.
+const START_TRIES: u32 = 10;
+/// Pause between two tries to start.
+const START_PAUSE: time::Duration = time::Duration::from_millis(300);
 /// Exit status when work was left at the end of a drain.
 const UNFINISHED_STATUS: u8 = 3;
 
@@ -85,8 +89,7 @@
     let exports = Exports::start(&settings)?;
     let mut signals = StopSignals::listen()?;
     let code = loop {
-        let parts = parts(settings.clone(), &exports, &log);
-        let daemon = daemon::EntryDaemon::start(parts).await?;
+        let daemon = start(&settings, &exports, &log).await?;
         // A process that starts anew keeps the addresses that others know.
         settings.api.address = daemon.api_address()?;
         settings.mesh.address = daemon.mesh_address()?;
@@ -107,6 +110,28 @@
     Ok(code)
 }
 
+/// Starts an entry. Its addresses may still be held for a moment by the one
+/// before it, so a failed start is tried again.
+async fn start(
+    settings: &settings::EntrySettings,
+    exports: &Exports,
+    log: &slog::Logger,
+) -> Result<daemon::EntryDaemon, error::CommandError> {
+    let mut tries = 1;
+    loop {
+        let parts = parts(settings.clone(), exports, log);
+        match daemon::EntryDaemon::start(parts).await {
+            Ok(daemon) => return Ok(daemon),
+            Err(failure) if tries >= START_TRIES => return Err(failure.into()),
+            Err(failure) => {
+                slog::warn!(log, "entry did not start; trying again"; "error" => %failure);
+            }
+        }
+        tries += 1;
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
 /// Drains the entry; a second signal ends it at once.
 async fn stop(
     daemon: &daemon::EntryDaemon,
