Bound the time of a task, and feed services from the mesh by one piece of code

Cause: a dead entry's share of the allowances came back only after the longest deadline that the API takes, 121 s, since its tasks might run so long; configuration and allowance each had a listener and a watcher of their own, alike; the callers' protocol gave up on refusals that say when to come back. Conclusion: within seconds only for deployments with short tasks; the bound is the operators' to set.

--- a/crates/cuminkeel_entry/src/backend/client.rs
+++ b/crates/cuminkeel_entry/src/backend/client.rs
@@ -71,7 +71,8 @@
 }
 
 impl TaskSender for BackendClient {
-    fn start(&self, call: TaskCall, core: core::CoreHandle) {
+    fn start(&self, mut call: TaskCall, core: core::CoreHandle) {
+        call.time_left = call.time_left.min(self.settings.max_task_time);
         let pool = self.pool(&call.server);
         let grace = self.settings.answer_grace;
         let traces = self.traces.clone();
--- a/crates/cuminkeel_entry/src/services/allowance.rs
+++ b/crates/cuminkeel_entry/src/services/allowance.rs
@@ -11,7 +11,7 @@
     task,
 };
 
-use super::names;
+use super::{mesh_feed, names};
 use crate::{clock, config_feed, settings};
 
 /// Records read at once.
@@ -105,7 +105,7 @@
         let ledger_settings = ledger_settings::LedgerSettings {
             local: share_member(local),
             seats: ledger_settings::SeatMap::new(dispatch.failure_domains.clone(), seats),
-            max_task_time: self.settings.api.max_deadline + self.settings.backend.answer_grace,
+            max_task_time: self.settings.backend.max_task_time + self.settings.backend.answer_grace,
             refresh_interval: retention
                 .map_or(DEFAULT_REFRESH, |retention| retention / REFRESH_DIVISOR),
         };
@@ -255,51 +255,13 @@
 }
 
 fn link_mesh(mesh: &sync::Arc<dyn border::MeshPort>, events: &mpsc::Sender<event::LedgerEvent>) {
-    let listener = sync::Arc::new(ShareListener(events.clone()));
-    mesh.listen(border::MeshTopic::Allowance, listener);
-    let watcher = ShareWatcher {
-        mesh: sync::Arc::downgrade(mesh),
-        events: events.clone(),
+    let feed = mesh_feed::FeedEvents {
+        message: |from, payload| event::LedgerEvent::Message { from, payload },
+        members: |_local, members| {
+            event::LedgerEvent::MembersChanged(members.iter().map(share_member).collect())
+        },
     };
-    watcher.tell_members();
-    mesh.watch(sync::Arc::new(watcher));
-}
-
-#[derive(Debug)]
-struct ShareListener(mpsc::Sender<event::LedgerEvent>);
-
-impl border::MeshListener for ShareListener {
-    fn on_message(&self, from: &border::MemberRecord, payload: &[u8]) {
-        // Wants and proofs are repeated, so one that finds no room is no loss.
-        let _ = self.0.try_send(event::LedgerEvent::Message {
-            from: from.incarnation,
-            payload: payload.to_vec(),
-        });
-    }
-}
-
-#[derive(Debug)]
-struct ShareWatcher {
-    mesh: sync::Weak<dyn border::MeshPort>,
-    events: mpsc::Sender<event::LedgerEvent>,
-}
-
-impl ShareWatcher {
-    fn tell_members(&self) {
-        let Some(mesh) = self.mesh.upgrade() else {
-            return;
-        };
-        let members = mesh.members().iter().map(share_member).collect();
-        let _ = self
-            .events
-            .try_send(event::LedgerEvent::MembersChanged(members));
-    }
-}
-
-impl border::MemberWatcher for ShareWatcher {
-    fn on_change(&self, _event: &border::MemberEvent) {
-        self.tell_members();
-    }
+    mesh_feed::link(mesh, border::MeshTopic::Allowance, events.clone(), feed);
 }
 
 /// Feeds the ledger and carries out its actions.
--- a/crates/cuminkeel_entry/src/services/config.rs
+++ b/crates/cuminkeel_entry/src/services/config.rs
@@ -12,7 +12,7 @@
     task,
 };
 
-use super::names;
+use super::{mesh_feed, names};
 use crate::{clock, config_feed, config_view, settings};
 
 /// Records read at once.
@@ -162,57 +162,17 @@
     mesh: &sync::Arc<dyn border::MeshPort>,
     events: &mpsc::Sender<follower::FollowerEvent>,
 ) {
-    let listener = sync::Arc::new(ConfigListener(events.clone()));
-    mesh.listen(border::MeshTopic::Config, listener);
-    let watcher = ConfigWatcher {
-        mesh: sync::Arc::downgrade(mesh),
-        events: events.clone(),
-    };
-    watcher.tell_peers();
-    mesh.watch(sync::Arc::new(watcher));
-}
-
-#[derive(Debug)]
-struct ConfigListener(mpsc::Sender<follower::FollowerEvent>);
-
-impl border::MeshListener for ConfigListener {
-    fn on_message(&self, from: &border::MemberRecord, payload: &[u8]) {
-        // Announcements are repeated, so one that finds no room is no loss.
-        let _ = self.0.try_send(follower::FollowerEvent::PeerMessage {
-            from: from.incarnation,
-            payload: payload.to_vec(),
-        });
-    }
-}
-
-#[derive(Debug)]
-struct ConfigWatcher {
-    mesh: sync::Weak<dyn border::MeshPort>,
-    events: mpsc::Sender<follower::FollowerEvent>,
-}
-
-impl ConfigWatcher {
-    fn tell_peers(&self) {
-        let Some(mesh) = self.mesh.upgrade() else {
-            return;
-        };
-        let domain = mesh.local().domain;
-        let peers = mesh
-            .members()
-            .into_iter()
-            .map(|member| follower::PeerEntry {
+    let feed = mesh_feed::FeedEvents {
+        message: |from, payload| follower::FollowerEvent::PeerMessage { from, payload },
+        members: |local, members| {
+            let peers = members.iter().map(|member| follower::PeerEntry {
                 incarnation: member.incarnation,
-                same_domain: member.domain == domain,
+                same_domain: member.domain == local.domain,
             });
-        let changed = follower::FollowerEvent::PeersChanged(peers.collect());
-        let _ = self.events.try_send(changed);
-    }
-}
-
-impl border::MemberWatcher for ConfigWatcher {
-    fn on_change(&self, _event: &border::MemberEvent) {
-        self.tell_peers();
-    }
+            follower::FollowerEvent::PeersChanged(peers.collect())
+        },
+    };
+    mesh_feed::link(mesh, border::MeshTopic::Config, events.clone(), feed);
 }
 
 /// Feeds the follower and carries out its actions.
--- a/crates/cuminkeel_entry/src/services/mod.rs
+++ b/crates/cuminkeel_entry/src/services/mod.rs
@@ -6,4 +6,5 @@
 pub mod core;
 pub mod directory;
 pub mod mesh;
+mod mesh_feed;
 pub mod names;
--- a/crates/cuminkeel_entry/src/settings/schema.rs
+++ b/crates/cuminkeel_entry/src/settings/schema.rs
@@ -107,6 +107,9 @@
     pub connect_timeout: time::Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Duration,
+    /// Longest time for one task. A dead entry's share of an allowance comes back
+    /// only when none of its tasks can run any more, so long tasks delay it.
+    pub max_task_time: time::Duration,
     /// Longest time past a job's deadline to wait for a started task's answer.
     pub answer_grace: time::Duration,
 }
@@ -316,11 +319,18 @@
         100..=10 * MINUTE_MILLIS,
         30_000,
     );
+    let max_task_time = reader.millis(
+        &mut section,
+        "max_task_time_ms",
+        100..=10 * MINUTE_MILLIS,
+        10_000,
+    );
     let answer_grace = reader.millis(&mut section, "answer_grace_ms", 0..=MINUTE_MILLIS, 1_000);
     reader.close(section);
     Some(BackendSettings {
         connect_timeout: connect_timeout?,
         idle_timeout: idle_timeout?,
+        max_task_time: max_task_time?,
         answer_grace: answer_grace?,
     })
 }
--- a/crates/cuminkeel_entry/tests/entry/api_errors.rs
+++ b/crates/cuminkeel_entry/tests/entry/api_errors.rs
@@ -320,3 +320,29 @@
     }
     site.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_before_the_key_was_looked_at_is_unknown() {
+    let site = support::start(support::site_plan(1)).await;
+    let keyed = r#"false,"submission_key":"abc""#;
+    let body = good_body().replacen("true", keyed, 1);
+    let cases = [
+        (
+            "wrong key",
+            request("authorization: Bearer wrong\r\n", &body),
+            "unauthorized",
+        ),
+        (
+            "no tasks",
+            authorized(&body.replacen(GOOD_TASK, "", 1)),
+            "bad_request",
+        ),
+    ];
+    for (case, sent, code) in cases {
+        let (_, answer) = exchange(site.entries[0].api, &sent, false).await;
+        let answer: serde_json::Value = serde_json::from_str(&answer).expect("a typed answer");
+        assert_eq!(answer["code"], code, "{case}: {answer}");
+        assert_eq!(answer["ran"], "unknown", "{case}: {answer}");
+    }
+    site.stop().await;
+}
--- a/crates/cuminkeel_standin/src/backend/server_state.rs
+++ b/crates/cuminkeel_standin/src/backend/server_state.rs
@@ -30,6 +30,7 @@
     stop: sync::Arc<tokio::sync::Notify>,
     work: wire::WorkPayload,
     run_time: time::Duration,
+    time_left: time::Duration,
 }
 
 #[derive(Debug)]
@@ -145,6 +146,7 @@
             stop,
             work,
             run_time: time::Duration::from_secs_f64(millis / 1_000.0),
+            time_left: time::Duration::from_millis(body.time_left_ms),
         })
     }
 
@@ -153,6 +155,7 @@
         let ending = tokio::select! {
             () = tokio::time::sleep(running.run_time) => running.work_ending(),
             () = running.stop.notified() => RunEnding::Stopped,
+            () = tokio::time::sleep(running.time_left) => RunEnding::Stopped,
         };
         self.finish(&running, ending);
         (running, ending)
--- a/crates/cuminkeel_standin/src/fleet/entries.rs
+++ b/crates/cuminkeel_standin/src/fleet/entries.rs
@@ -81,6 +81,7 @@
             backend: settings::BackendSettings {
                 connect_timeout: time::Duration::from_millis(500),
                 idle_timeout: time::Duration::from_secs(30),
+                max_task_time: time::Duration::from_secs(10),
                 answer_grace: time::Duration::from_secs(1),
             },
             drain_limit: time::Duration::from_secs(20),
--- a/crates/cuminkeel_standin/src/fleet/protocol.rs
+++ b/crates/cuminkeel_standin/src/fleet/protocol.rs
@@ -88,12 +88,14 @@
     match caller.submit(entry, submission, limit).await {
         Ok(caller::JobResult::Answered(body)) => TryEnd::Final(ProtocolEnd::Complete(body)),
         Ok(caller::JobResult::Refused(body)) => match body.retry_after_ms {
-            Some(pause) if body.ran == "not_run" => {
-                // Proved not to have run, so a fresh key doubles nothing.
-                submission.submission_key = None;
+            Some(pause) => {
+                if body.ran == "not_run" {
+                    // Proved not to have run, so a fresh key doubles nothing.
+                    submission.submission_key = None;
+                }
                 TryEnd::Again(time::Duration::from_millis(pause))
             }
-            _ => TryEnd::Final(ProtocolEnd::Refused(body)),
+            None => TryEnd::Final(ProtocolEnd::Refused(body)),
         },
         // The same key again: the job runs at most once.
         Err(_) => TryEnd::Again(DEFAULT_PAUSE),
