--- a/crates/cuminkeel_entry/src/core/executor.rs
+++ b/crates/cuminkeel_entry/src/core/executor.rs
@@ -373,7 +373,8 @@
             trace: record.trace.clone(),
             queued_since: record.received,
         };
-        self.held.push_back(call);
+        let end = self.parts.clock.now() + call.time_left;
+        self.held.push(run::HeldCall { call, end });
         self.release_held();
     }
 
@@ -383,8 +384,28 @@
         if self.parts.mesh.standing() == border::MemberStanding::Unsure {
             return;
         }
-        for call in self.held.drain(..) {
-            self.parts.backend.start(call, self.handle.clone());
+        let now = self.parts.clock.now();
+        for held in std::mem::take(&mut self.held) {
+            let time_left = held.end.since(now);
+            if time_left.is_zero() {
+                self.drop_call(held.call);
+            } else {
+                let call = backend::TaskCall {
+                    time_left,
+                    ..held.call
+                };
+                self.parts.backend.start(call, self.handle.clone());
+            }
         }
     }
+
+    /// Reports a task that was held past its deadline: it was never sent.
+    fn drop_call(&mut self, call: backend::TaskCall) {
+        let cause = outcome::NotStartedCause::NotSent;
+        self.tell_dispatch(event::DispatchEvent::TaskEnded {
+            task: call.task,
+            server: call.server,
+            outcome: outcome::TaskOutcome::NotStarted { cause },
+        });
+    }
 }
--- a/crates/cuminkeel_entry/src/core/run.rs
+++ b/crates/cuminkeel_entry/src/core/run.rs
@@ -44,6 +44,14 @@
     pub(super) reply: oneshot::Sender<message::JobReply>,
 }
 
+/// A task that waits to be sent.
+#[derive(Debug)]
+pub(super) struct HeldCall {
+    pub(super) call: backend::TaskCall,
+    /// When its time is over.
+    pub(super) end: points::TimePoint,
+}
+
 /// The loop's state.
 #[derive(Debug)]
 pub struct DecisionLoop {
@@ -54,7 +62,7 @@
     pub(super) key_requests: collections::HashMap<outcome_event::TicketId, executor::KeyReply>,
     pub(super) drain: executor::DrainState,
     /// Tasks that wait until this process knows its standing.
-    pub(super) held: collections::VecDeque<backend::TaskCall>,
+    pub(super) held: Vec<HeldCall>,
     next_ticket: u64,
     mailbox: mpsc::Receiver<message::CoreMessage>,
 }
@@ -71,7 +79,7 @@
             requests: collections::HashMap::new(),
             key_requests: collections::HashMap::new(),
             drain: executor::DrainState::default(),
-            held: collections::VecDeque::new(),
+            held: Vec::new(),
             next_ticket: 0,
             mailbox,
         };
