End a stopping entry at its limit, not when its last caller is answered

Cause: a trial with real processes showed that after the second SIGTERM, and so after the drain limit, the entry still waited for its open requests: the closing of the callers' interface had no bound. The exit status (3) and the report (1 left) were right, the time was not. Change: the interface closes within 0.5 s; a test sends two signals to an entry with 9 s tasks and finds exit status 3 while the tasks still run.

--- a/crates/cuminkeel/tests/processes.rs
+++ b/crates/cuminkeel/tests/processes.rs
@@ -106,8 +106,8 @@
 struct ScratchFolder(std::path::PathBuf);
 
 impl ScratchFolder {
-    fn make() -> Self {
-        let name = format!("cuminkeel-test-{}", process::id());
+    fn make(test: &str) -> Self {
+        let name = format!("cuminkeel-{test}-{}", process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&path).expect("the folder can be made");
         Self(path)
@@ -171,6 +171,36 @@
     assert!(status.success(), "{arguments:?}: {status}");
 }
 
+fn write_lists(platform: net::SocketAddr) {
+    let digest = blake3::hash(API_KEY.as_bytes()).to_hex().to_string();
+    edit(
+        platform,
+        &[
+            "plan",
+            "set",
+            "desk",
+            "--weight",
+            "1",
+            "--max-concurrent",
+            "100",
+            "--max-starts-per-second",
+            "1000",
+        ],
+    );
+    edit(
+        platform,
+        &[
+            "customer",
+            "set",
+            "mill",
+            "--plan",
+            "desk",
+            "--key-digest",
+            &digest,
+        ],
+    );
+}
+
 fn submission(number: usize) -> api::JobSubmission {
     let tasks = (0..TASKS_PER_JOB).map(|task| api::TaskSubmission {
         class: "top-up".into(),
@@ -187,6 +217,18 @@
     }
 }
 
+/// Waits until a condition holds.
+async fn until(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("the condition never came to hold");
+}
+
 async fn wait_ready(entries: &[net::SocketAddr]) {
     let caller = fleet::JobCaller::new("");
     let waiting = async {
@@ -210,38 +252,12 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn killed_frozen_and_stopped_entries_double_nothing() {
-    let folder = ScratchFolder::make();
+    let folder = ScratchFolder::make("signals");
     let standin = ["standin", "--domain", "gebze", "--servers", "3"];
     let (_standin, addresses) = start(&standin, "platform", standard_output);
     let platform = address(&addresses, "platform");
     let control = address(&addresses, "control");
-    let digest = blake3::hash(API_KEY.as_bytes()).to_hex().to_string();
-    edit(
-        platform,
-        &[
-            "plan",
-            "set",
-            "desk",
-            "--weight",
-            "1",
-            "--max-concurrent",
-            "100",
-            "--max-starts-per-second",
-            "1000",
-        ],
-    );
-    edit(
-        platform,
-        &[
-            "customer",
-            "set",
-            "mill",
-            "--plan",
-            "desk",
-            "--key-digest",
-            &digest,
-        ],
-    );
+    write_lists(platform);
     let mut entries: Vec<_> = (0..3)
         .map(|number| start_entry(&folder, number, platform, control))
         .collect();
@@ -289,3 +305,34 @@
     assert!(summary.starts >= complete * TASKS_PER_JOB, "{summary:?}");
     assert!(stopped.success(), "the drained entry left work: {stopped}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_signal_ends_the_entry_with_a_report() {
+    let folder = ScratchFolder::make("second-signal");
+    let standin = ["standin", "--domain", "gebze", "--servers", "1"];
+    let (_standin, addresses) = start(&standin, "platform", standard_output);
+    let platform = address(&addresses, "platform");
+    let control = address(&addresses, "control");
+    write_lists(platform);
+    let mut entry = start_entry(&folder, 0, platform, control);
+    wait_ready(&[entry.api]).await;
+    let mut submission = submission(0);
+    submission.idempotent = true;
+    for task in &mut submission.tasks {
+        task.payload = task.payload.replace("300", "9000");
+    }
+    let api = entry.api;
+    let job = tokio::spawn(async move {
+        let caller = fleet::JobCaller::new(API_KEY);
+        caller.submit(api, &submission, PATIENCE).await
+    });
+    until(|| ledger(control).running == TASKS_PER_JOB).await;
+    entry.child.signal(rustix::process::Signal::TERM);
+    // The first signal is taken in once the entry refuses its health check.
+    until(|| !control_call(api, "GET", "/v1/health", "").contains("accepting")).await;
+    entry.child.signal(rustix::process::Signal::TERM);
+    let ended = entry.child.0.wait().expect("the entry ends");
+    assert_eq!(ended.code(), Some(3), "work was left: {ended}");
+    assert_eq!(ledger(control).running, TASKS_PER_JOB, "it did not wait");
+    job.abort();
+}
--- a/crates/cuminkeel_entry/src/services/api.rs
+++ b/crates/cuminkeel_entry/src/services/api.rs
@@ -13,6 +13,9 @@
 /// its health first.
 const HEALTH_LEAD: time::Duration = time::Duration::from_millis(500);
 
+/// Time for the open requests of a stopping entry to be answered.
+const CLOSE_LIMIT: time::Duration = time::Duration::from_millis(500);
+
 /// Address that callers reach.
 #[derive(Clone, Copy, Debug)]
 pub struct BoundAddress(pub net::SocketAddr);
@@ -113,7 +116,8 @@
 
     async fn stop(&self) {
         if let Some(running) = self.running.lock().await.take() {
-            running.server.close().await;
+            // Requests that are still open were given up by the drain.
+            let _ = tokio::time::timeout(CLOSE_LIMIT, running.server.close()).await;
         }
     }
 }
