--- /dev/null
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -0,0 +1,197 @@
+//! A caller's job from its call to its answer.
+
+use std::{sync::Arc, time};
+
+use cuminkeel_pool::{
+    job_model, job_model::FailureReason, job_model::JobEnd, job_model::RefusalReason, leadership,
+};
+
+use crate::{node_state, peer_link};
+
+/// How long a job waits for a leader of its failure domain to be found.
+const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Pause between looks for a leader.
+const LEADER_PAUSE: time::Duration = time::Duration::from_millis(25);
+/// Pools of other failure domains that a job is offered to.
+const FAR_OFFERS: usize = 2;
+/// Left to answer the caller before it stops waiting.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
+
+/// The answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum JobAnswer {
+    /// All tasks are done.
+    Completed,
+    /// The job failed; tasks of it may have run.
+    Failed(FailureReason),
+    /// Nothing of it has run, and nothing will.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: time::Duration,
+    },
+}
+
+enum PoolTarget {
+    Own,
+    Peer(peer_link::PeerLink, Arc<str>),
+}
+
+/// Runs `spec` for a caller that waits for `patience`.
+pub async fn run_job(
+    node: &Arc<node_state::Node>,
+    spec: Arc<job_model::JobSpec>,
+    patience: time::Duration,
+) -> JobAnswer {
+    let mut job = CallerJob {
+        node,
+        arrived: node.now(),
+        deadline: node.now() + patience.saturating_sub(ANSWER_MARGIN),
+        spec,
+        maybe_started: false,
+    };
+    let patience = patience.saturating_sub(ANSWER_MARGIN);
+    match tokio::time::timeout(patience, job.run()).await {
+        Ok(answer) => answer,
+        // Its pool stops what runs when the job is withdrawn.
+        Err(_) => JobAnswer::Failed(FailureReason::OutOfTime),
+    }
+}
+
+struct CallerJob<'a> {
+    node: &'a Arc<node_state::Node>,
+    spec: Arc<job_model::JobSpec>,
+    arrived: time::Duration,
+    deadline: time::Duration,
+    maybe_started: bool,
+}
+
+impl CallerJob<'_> {
+    async fn run(&mut self) -> JobAnswer {
+        let refusal = match self.offer_near().await {
+            Ok(answer) => return answer,
+            Err(refusal) => refusal,
+        };
+        for (link, peer) in self.far_pools() {
+            match self.offer(PoolTarget::Peer(link, peer), true).await {
+                Some(JobEnd::Completed) => return JobAnswer::Completed,
+                Some(JobEnd::Failed(reason)) => return JobAnswer::Failed(reason),
+                // Another domain's pool may go on with it out of reach.
+                None | Some(JobEnd::PoolLost) => {
+                    return JobAnswer::Failed(FailureReason::PoolLost);
+                }
+                Some(JobEnd::Refused { .. } | JobEnd::NotLeader) => {}
+            }
+        }
+        match self.maybe_started {
+            true => JobAnswer::Failed(FailureReason::PoolLost),
+            false => refusal,
+        }
+    }
+
+    /// Offers the job to the own domain's pool until one takes or refuses it.
+    async fn offer_near(&mut self) -> Result<JobAnswer, JobAnswer> {
+        let mut leaderless_since = None;
+        loop {
+            let target = self.near_pool();
+            let end = match target {
+                Some(target) => self.offer(target, false).await,
+                None => Some(JobEnd::NotLeader),
+            };
+            match end {
+                Some(JobEnd::Completed) => return Ok(JobAnswer::Completed),
+                Some(JobEnd::Failed(reason)) => return Ok(JobAnswer::Failed(reason)),
+                Some(JobEnd::Refused {
+                    reason,
+                    retry_after,
+                }) => {
+                    return Err(JobAnswer::Refused {
+                        reason,
+                        retry_after,
+                    });
+                }
+                Some(JobEnd::PoolLost) | None => self.maybe_started = true,
+                Some(JobEnd::NotLeader) => {}
+            }
+            let now = self.node.now();
+            let since = *leaderless_since.get_or_insert(now);
+            if now > since + LEADER_WAIT || now + LEADER_PAUSE > self.deadline {
+                return Err(JobAnswer::Refused {
+                    reason: RefusalReason::NoPool,
+                    retry_after: LEADER_WAIT,
+                });
+            }
+            tokio::time::sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Offers the job to one pool; `None` when its end can't be learnt.
+    async fn offer(&self, target: PoolTarget, other_domain: bool) -> Option<JobEnd> {
+        let now = self.node.now();
+        let ticket = job_model::JobTicket {
+            spec: Arc::clone(&self.spec),
+            age: now.saturating_sub(self.arrived),
+            patience: self.deadline.saturating_sub(now),
+            resubmitted: self.maybe_started,
+            from_other_domain: other_domain,
+        };
+        let (peer, end) = match target {
+            PoolTarget::Own => {
+                let mut job = self.node.pool.submit(ticket);
+                (Arc::clone(&self.node.hello.name), Some(job.end().await))
+            }
+            PoolTarget::Peer(link, peer) => {
+                let mut job = link.submit(ticket);
+                (peer, job.end().await.ok())
+            }
+        };
+        let quiet = matches!(end, Some(JobEnd::Completed));
+        if !quiet {
+            slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*peer,
+                "other_domain" => other_domain, "outcome" => ?end,
+                "age_ms" => u64::try_from((now - self.arrived).as_millis()).unwrap_or(u64::MAX));
+        }
+        end
+    }
+
+    fn near_pool(&self) -> Option<PoolTarget> {
+        let members = self.node.domain_members(self.node.now());
+        let leader = leadership::choose_leader(&members)?;
+        if *leader == self.node.hello.name {
+            return Some(PoolTarget::Own);
+        }
+        let peers = self.node.peers();
+        let peer = peers.get(leader)?;
+        Some(PoolTarget::Peer(peer.link.clone(), Arc::clone(leader)))
+    }
+
+    /// Leaders of other failure domains with room, those with most first.
+    fn far_pools(&self) -> Vec<(peer_link::PeerLink, Arc<str>)> {
+        let needed = self
+            .spec
+            .steps
+            .iter()
+            .map(|step| step.cpu_millis)
+            .max()
+            .unwrap_or(0);
+        let peers = self.node.peers();
+        let mut pools: Vec<_> = peers
+            .iter()
+            .filter(|peer| {
+                peer.connected
+                    && !peer.status.leaving
+                    && peer.hello.failure_domain != self.node.hello.failure_domain
+                    && peer.status.held_servers > 0
+                    && peer.status.free_cpu >= needed
+                    && peer.status.queued_jobs == 0
+            })
+            .collect();
+        pools.sort_by_key(|peer| std::cmp::Reverse(peer.status.free_cpu));
+        pools
+            .into_iter()
+            .take(FAR_OFFERS)
+            .map(|peer| (peer.link.clone(), Arc::clone(&peer.hello.name)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/decision_log.rs
@@ -0,0 +1,124 @@
+//! Structured logs on standard output.
+//!
+//! Lines are collected in a bounded buffer and written by a thread of their own,
+//! so that a slow or closed standard output never holds up a decision. Lines
+//! that don't fit are counted, and the count is written with the next batch.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, PoisonError, atomic},
+    thread, time,
+};
+
+use cuminkeel_pool::pool_action;
+use slog::Drain;
+
+/// Bytes that may wait to be written: a second at ten times the lines of a full load.
+const LOG_BUFFER_BYTES: usize = 2 * 1024 * 1024;
+/// Time between two writes.
+const FLUSH_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Lines that wait to be written.
+#[derive(Debug, Default)]
+pub struct LogBuffer {
+    waiting: Mutex<Vec<u8>>,
+    dropped: atomic::AtomicU64,
+}
+
+impl LogBuffer {
+    /// Takes the waiting lines, and a line on those that were dropped.
+    pub fn take(&self) -> Vec<u8> {
+        let mut lines =
+            std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+        let dropped = self.dropped.swap(0, atomic::Ordering::Relaxed);
+        if dropped > 0 {
+            let line = format!("{{\"msg\":\"lines_dropped\",\"count\":{dropped}}}\n");
+            lines.extend_from_slice(line.as_bytes());
+        }
+        lines
+    }
+}
+
+struct BufferWriter(Arc<LogBuffer>);
+
+impl Write for BufferWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut waiting = self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.len() + line.len() <= LOG_BUFFER_BYTES {
+            waiting.extend_from_slice(line);
+        } else {
+            self.0.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A logger that writes one JSON object a line into `buffer`.
+pub fn buffered_logger(buffer: &Arc<LogBuffer>, node: &Arc<str>) -> slog::Logger {
+    let writer = io::LineWriter::with_capacity(1024, BufferWriter(Arc::clone(buffer)));
+    let started = time::Instant::now();
+    let drain = slog_json::Json::new(writer)
+        .add_key_value(slog::o!(
+            "t_ms" => slog::FnValue(move |_| {
+                u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+            }),
+            "msg" => slog::PushFnValue(|record, serializer| serializer.emit(record.msg())),
+        ))
+        .build();
+    let drain = Mutex::new(drain).map(slog::Fuse);
+    slog::Logger::root(drain, slog::o!("node" => String::from(&**node)))
+}
+
+/// Starts the thread that writes `buffer` to standard output.
+pub fn start_writer(buffer: &Arc<LogBuffer>) -> io::Result<()> {
+    let buffer = Arc::clone(buffer);
+    thread::Builder::new()
+        .name(String::from("log-writer"))
+        .spawn(move || {
+            loop {
+                thread::sleep(FLUSH_INTERVAL);
+                write_waiting(&buffer);
+            }
+        })?;
+    Ok(())
+}
+
+/// Writes what waits. A closed output loses lines and nothing else.
+pub fn write_waiting(buffer: &LogBuffer) {
+    let lines = buffer.take();
+    if !lines.is_empty() {
+        let mut output = io::stdout().lock();
+        let _closed = output.write_all(&lines).and_then(|()| output.flush());
+    }
+}
+
+/// Writes one decision of the pool.
+pub fn log_decision(logger: &slog::Logger, note: &pool_action::DecisionNote) {
+    let [first, second, third] = note.inputs;
+    slog::info!(logger, "{}", note.kind;
+        "request" => note.request.as_deref(),
+        "server" => note.server.as_deref(),
+        "outcome" => note.outcome,
+        Inputs([first, second, third]));
+}
+
+struct Inputs([(&'static str, i64); 3]);
+
+impl slog::KV for Inputs {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        for (name, value) in self.0 {
+            if !name.is_empty() {
+                serializer.emit_i64(name, value)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/domain_view.rs
@@ -0,0 +1,91 @@
+//! Which servers this process should hold, from what it knows of its peers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time,
+};
+
+use cuminkeel_pool::leadership;
+
+/// Pause before a server is claimed back from a peer that can be reached: its
+/// view of the leader is about to become the same.
+const DISAGREEMENT_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Pause before this process claims back a server that it is entitled to.
+const RECLAIM_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Ownership of the servers of this process's failure domain.
+#[derive(Debug)]
+pub struct DomainView {
+    self_name: Arc<str>,
+    yields: leadership::YieldedShares,
+    held_off: BTreeMap<Arc<str>, time::Duration>,
+}
+
+impl DomainView {
+    /// The view of the process on VM `self_name`.
+    pub fn new(self_name: Arc<str>) -> Self {
+        Self {
+            self_name,
+            yields: leadership::YieldedShares::default(),
+            held_off: BTreeMap::new(),
+        }
+    }
+
+    /// The member that should hold the domain's servers.
+    pub fn leader<'a>(&self, members: &'a [leadership::DomainMember]) -> Option<&'a Arc<str>> {
+        leadership::choose_leader(members).or_else(|| {
+            // A process that is about to stop serves on while nobody can follow it.
+            members
+                .iter()
+                .map(|member| &member.name)
+                .find(|name| **name == self.self_name)
+        })
+    }
+
+    /// Servers of `listed` that this process should hold; empty when it doesn't lead.
+    pub fn wanted_servers<'a>(
+        &mut self,
+        members: &[leadership::DomainMember],
+        listed: impl Iterator<Item = &'a Arc<str>>,
+        now: time::Duration,
+    ) -> BTreeSet<Arc<str>> {
+        if self.leader(members) != Some(&self.self_name) {
+            return BTreeSet::new();
+        }
+        for member in members.iter().filter(|member| member.reachable) {
+            self.yields.forget(&member.name);
+        }
+        self.held_off.retain(|_, until| now < *until);
+        listed
+            .filter(|server| !self.held_off.contains_key(*server))
+            .filter(|server| {
+                leadership::entitled_member(server, members.iter().map(|member| &member.name))
+                    .is_none_or(|member| !self.yields.is_yielded(member, now))
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Another process has claimed `server`.
+    pub fn note_lost(
+        &mut self,
+        server: &Arc<str>,
+        members: &[leadership::DomainMember],
+        now: time::Duration,
+    ) {
+        let entitled =
+            leadership::entitled_member(server, members.iter().map(|member| &member.name));
+        let member =
+            members.iter().find(|member| Some(&member.name) == entitled);
+        let pause = match member {
+            Some(member) if member.name == self.self_name => RECLAIM_PAUSE,
+            Some(member) if !member.reachable => {
+                self.yields.note_claim(&member.name, now);
+                return;
+            }
+            _ => DISAGREEMENT_PAUSE,
+        };
+        self.held_off.insert(Arc::clone(server), now + pause);
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/front.rs
@@ -0,0 +1,274 @@
+//! HTTP for callers and for the platform's readiness probe.
+
+use std::{convert, sync::Arc, time};
+
+use bytes::Bytes;
+use cuminkeel_pool::job_model;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body, server::conn::http1, service};
+use hyper_util::rt;
+use platform_adapter::{caller, routing};
+use tokio::{net, sync::watch};
+
+use crate::{coordinator, coordinator::JobAnswer, node_state};
+
+/// Pause after an error of the listener, such as too many open descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Time that a caller is taken to wait when it doesn't say.
+const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(2);
+/// Time after which a caller may come back for what this program doesn't offer.
+const UNSUPPORTED_RETRY: time::Duration = time::Duration::from_secs(60);
+/// Time after which a caller may come back to a process that has no configuration.
+const UNCONFIGURED_RETRY: time::Duration = time::Duration::from_secs(1);
+
+type Response = http::Response<Full<Bytes>>;
+
+/// Serves callers until `stop` turns true; then open connections end after the
+/// request in progress.
+pub async fn serve_callers(
+    node: Arc<node_state::Node>,
+    listener: net::TcpListener,
+    stop: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(failure) => {
+                slog::warn!(node.logger, "caller_accept_failed"; "error" => %failure);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Without it an answer may wait for the caller's next acknowledgement.
+        let _slow = stream.set_nodelay(true);
+        tokio::spawn(serve_connection(Arc::clone(&node), stream, stop.clone()));
+    }
+}
+
+async fn serve_connection(
+    node: Arc<node_state::Node>,
+    stream: net::TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
+    let open = node.metrics.open_connection();
+    let shared = Arc::clone(&node);
+    let handler = service::service_fn(move |request| {
+        let node = Arc::clone(&shared);
+        async move { Ok::<_, convert::Infallible>(answer(&node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .keep_alive(true)
+        .serve_connection(rt::TokioIo::new(stream), handler);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = until_stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(failure) = result {
+        slog::debug!(node.logger, "caller_connection_broke"; "error" => %failure);
+    }
+    drop(open);
+}
+
+async fn until_stopped(stop: &mut watch::Receiver<bool>) {
+    // A sender that is gone means that the process ends.
+    let _ended = stop.wait_for(|stop| *stop).await;
+}
+
+async fn answer(node: &Arc<node_state::Node>, request: http::Request<body::Incoming>) -> Response {
+    let Some(config) = node.config() else {
+        node.metrics.count_refusal("unconfigured");
+        return refusal(http::StatusCode::SERVICE_UNAVAILABLE, "unconfigured", UNCONFIGURED_RETRY);
+    };
+    let host = request
+        .headers()
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let path = request.uri().path();
+    let Some(route) = find_route(&config.config, host, path) else {
+        node.metrics.count_refusal("unknown_route");
+        return plain(http::StatusCode::NOT_FOUND, caller::encode_refusal("unknown_route"));
+    };
+    let id = path.get(route.path_prefix.len()..).unwrap_or_default();
+    match (request.method(), id) {
+        (&http::Method::GET, "") => {
+            let pending = node.pool.pending_jobs(&route.name).await;
+            plain(http::StatusCode::OK, caller::encode_pending(pending))
+        }
+        (&http::Method::POST, id) if caller::is_job_id(id) => {
+            let (id, route) = (Arc::from(id), route.clone());
+            submit(node, &config.config, &route, id, request).await
+        }
+        // Jobs that are answered by their call are never kept.
+        (&http::Method::GET | &http::Method::DELETE, _) => {
+            plain(http::StatusCode::GONE, caller::encode_refusal("unknown_job"))
+        }
+        _ => plain(http::StatusCode::BAD_REQUEST, caller::encode_refusal("malformed_id")),
+    }
+}
+
+fn find_route<'a>(
+    config: &'a routing::RoutingConfig,
+    host: &str,
+    path: &str,
+) -> Option<&'a routing::JobRoute> {
+    let host = host.split(':').next().unwrap_or_default();
+    config
+        .routes
+        .iter()
+        .filter(|route| route.host.eq_ignore_ascii_case(host))
+        .filter(|route| path.starts_with(&*route.path_prefix))
+        .max_by_key(|route| route.path_prefix.len())
+}
+
+async fn submit(
+    node: &Arc<node_state::Node>,
+    config: &routing::RoutingConfig,
+    route: &routing::JobRoute,
+    id: Arc<str>,
+    request: http::Request<body::Incoming>,
+) -> Response {
+    let received = node.now();
+    let patience = request
+        .headers()
+        .get(caller::DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.trim().parse().ok())
+        .map_or(DEFAULT_PATIENCE, time::Duration::from_millis);
+    let body = match Limited::new(request.into_body(), config.max_body_bytes)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(_) => {
+            return plain(http::StatusCode::BAD_REQUEST, caller::encode_refusal("unreadable_body"));
+        }
+    };
+    let job = match caller::decode_job(&body) {
+        Ok(job) => job,
+        Err(failure) => {
+            slog::info!(node.logger, "job_unreadable"; "request" => &*id, "error" => %failure);
+            return plain(http::StatusCode::BAD_REQUEST, caller::encode_refusal("unreadable_job"));
+        }
+    };
+    let unsupported = job
+        .unsupported
+        .first()
+        .map(ToString::to_string)
+        .or_else(|| route.needs_recommendation.then(|| String::from("recommendation")));
+    if let Some(feature) = unsupported {
+        slog::info!(node.logger, "job_unsupported"; "request" => &*id, "feature" => &*feature);
+        node.metrics.count_refusal("unsupported");
+        return refusal(http::StatusCode::SERVICE_UNAVAILABLE, &feature, UNSUPPORTED_RETRY);
+    }
+    let spec = Arc::new(job_model::JobSpec {
+        id: Arc::clone(&id),
+        route: Arc::clone(&route.name),
+        service: Arc::clone(&route.service),
+        payload: job.payload,
+        steps: job.steps,
+        priority: route.priority,
+        max_attempts: route.max_attempts,
+        stretch_factor: route.stretch_factor,
+        target_latency_ms: route.target_latency_ms,
+    });
+    let answer = coordinator::run_job(node, spec, patience).await;
+    let took = node.now() - received;
+    slog::info!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
+        "outcome" => ?answer, "took_ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+        "config_version" => config.version);
+    node.metrics.count_answer(&route.name, &answer, took);
+    match answer {
+        JobAnswer::Completed => plain(http::StatusCode::OK, caller::encode_job_end(true)),
+        JobAnswer::Failed(_) => plain(http::StatusCode::OK, caller::encode_job_end(false)),
+        JobAnswer::Refused {
+            reason,
+            retry_after,
+        } => refusal(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            &reason.to_string(),
+            retry_after,
+        ),
+    }
+}
+
+fn plain(status: http::StatusCode, body: Bytes) -> Response {
+    let mut response = http::Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+fn refusal(status: http::StatusCode, reason: &str, retry_after: time::Duration) -> Response {
+    let mut response = plain(status, caller::encode_refusal(reason));
+    let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+    if let Ok(value) = http::HeaderValue::from_str(&seconds.to_string()) {
+        response
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Serves the readiness probe.
+pub async fn serve_readiness(node: Arc<node_state::Node>, listener: net::TcpListener) {
+    serve_small(listener, move |path| match path {
+        caller::READY_PATH if is_ready(&node) => plain(http::StatusCode::OK, Bytes::new()),
+        caller::READY_PATH => plain(http::StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        _ => plain(http::StatusCode::NOT_FOUND, Bytes::new()),
+    })
+    .await;
+}
+
+/// Serves the counters as text.
+pub async fn serve_metrics(node: Arc<node_state::Node>, listener: net::TcpListener) {
+    serve_small(listener, move |_| {
+        let mut response = http::Response::new(Full::new(Bytes::from(node.metrics.encode())));
+        response.headers_mut().insert(
+            http::header::CONTENT_TYPE,
+            http::HeaderValue::from_static("text/plain; version=0.0.4"),
+        );
+        response
+    })
+    .await;
+}
+
+/// Whether new callers should come here.
+fn is_ready(node: &node_state::Node) -> bool {
+    let now = node.now();
+    let servers = node
+        .domain_members(now)
+        .iter()
+        .any(|member| member.reachable && member.held_servers > 0);
+    node.config().is_some() && !node.is_leaving() && servers
+}
+
+async fn serve_small<F>(listener: net::TcpListener, respond: F)
+where
+    F: Clone + Fn(&str) -> Response + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let respond = respond.clone();
+        tokio::spawn(async move {
+            let handler = service::service_fn(move |request: http::Request<body::Incoming>| {
+                let response = respond(request.uri().path());
+                async move { Ok::<_, convert::Infallible>(response) }
+            });
+            // A probe that breaks off gets no answer.
+            let _broken = http1::Builder::new()
+                .serve_connection(rt::TokioIo::new(stream), handler)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -0,0 +1,16 @@
+//! The process on an entry VM: takes jobs from callers, and runs its failure
+//! domain's pool while it leads.
+
+pub mod coordinator;
+pub mod decision_log;
+pub mod domain_view;
+pub mod front;
+pub mod link_frame;
+pub mod link_listener;
+pub mod node_metrics;
+pub mod node_state;
+pub mod peer_link;
+pub mod peer_table;
+pub mod pool_driver;
+pub mod process;
+pub mod store_feed;
--- /dev/null
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -0,0 +1,118 @@
+//! Links that peers dial to this process: jobs in, ends and states back.
+
+use std::{collections::HashMap, sync::Arc, time};
+
+use tokio::{net, sync::mpsc, task};
+
+use crate::{
+    link_frame, link_frame::LinkError, link_frame::LinkFrame, node_state, peer_link, pool_driver,
+};
+
+/// How long jobs of a broken link are kept for the peer to ask again, over a new link
+/// or through another process: a dial and a half.
+const ORPHAN_GRACE: time::Duration = time::Duration::from_millis(500);
+/// Pause after an error of the listener, such as too many open descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Takes links until the process ends.
+pub async fn accept_links(node: Arc<node_state::Node>, listener: net::TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_link(Arc::clone(&node), stream));
+            }
+            Err(failure) => {
+                slog::warn!(node.logger, "link_accept_failed"; "error" => %failure);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(node: Arc<node_state::Node>, stream: net::TcpStream) {
+    let mut waiting: HashMap<u64, task::JoinHandle<()>> = HashMap::new();
+    let failure = exchange(&node, stream, &mut waiting).await;
+    slog::debug!(node.logger, "link_closed"; "cause" => ?failure, "jobs" => waiting.len());
+    tokio::time::sleep(ORPHAN_GRACE).await;
+    for (_, job) in waiting {
+        job.abort();
+    }
+}
+
+async fn exchange(
+    node: &Arc<node_state::Node>,
+    stream: net::TcpStream,
+    waiting: &mut HashMap<u64, task::JoinHandle<()>>,
+) -> Result<(), LinkError> {
+    stream.set_nodelay(true)?;
+    let (reader, mut writer) = stream.into_split();
+    let mut reader = tokio::io::BufReader::new(reader);
+    let LinkFrame::Hello(hello) = link_frame::read_frame(&mut reader).await? else {
+        return Err(LinkError::NoHello);
+    };
+    let name = Arc::clone(&hello.name);
+    let first = [
+        LinkFrame::Hello(node.hello.clone()),
+        LinkFrame::Status(node.own_status()),
+    ];
+    link_frame::write_frames(&mut writer, &first).await?;
+    node_state::learn_peer(node, hello);
+    let (outgoing, mut outbox) = mpsc::unbounded_channel::<LinkFrame>();
+    let writing = tokio::spawn(async move {
+        while let Some(frame) = outbox.recv().await {
+            let mut frames = vec![frame];
+            while let Ok(frame) = outbox.try_recv() {
+                frames.push(frame);
+            }
+            if link_frame::write_frames(&mut writer, &frames).await.is_err() {
+                return;
+            }
+        }
+    });
+    let result = loop {
+        match link_frame::read_frame(&mut reader).await {
+            Ok(frame) => take_frame(node, &name, frame, &outgoing, waiting),
+            Err(failure) => break Err(failure),
+        }
+    };
+    writing.abort();
+    result
+}
+
+fn take_frame(
+    node: &Arc<node_state::Node>,
+    name: &Arc<str>,
+    frame: LinkFrame,
+    outgoing: &mpsc::UnboundedSender<LinkFrame>,
+    waiting: &mut HashMap<u64, task::JoinHandle<()>>,
+) {
+    match frame {
+        LinkFrame::Status(status) => {
+            peer_link::note_status(node, name, status);
+            // A writer that is gone means that the link is, which the reader notices.
+            let _closed = outgoing.send(LinkFrame::Status(node.own_status()));
+        }
+        LinkFrame::Submit { request, ticket } => {
+            waiting.retain(|_, job| !job.is_finished());
+            let job = node.pool.submit(ticket);
+            let outgoing = outgoing.clone();
+            waiting.insert(request, tokio::spawn(send_end(job, request, outgoing)));
+        }
+        LinkFrame::Withdraw { request } => {
+            if let Some(job) = waiting.remove(&request) {
+                job.abort();
+            }
+        }
+        LinkFrame::Config { body } => node.offer_config(body.into(), "peer"),
+        LinkFrame::Hello(_) | LinkFrame::End { .. } => {}
+    }
+}
+
+async fn send_end(
+    mut job: pool_driver::PoolJob,
+    request: u64,
+    outgoing: mpsc::UnboundedSender<LinkFrame>,
+) {
+    let end = job.end().await;
+    let _closed = outgoing.send(LinkFrame::End { request, end });
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/main.rs
@@ -0,0 +1,89 @@
+//! `cuminkeel-node`: reads its arguments and runs one command.
+
+use std::{env, path, process::ExitCode};
+
+use argh::FromArgs;
+use cuminkeel_node::process;
+use derive_more::{Display, Error, From};
+use platform_adapter::settings;
+
+/// The process on an entry VM of the platform.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(ServeCommand),
+    Check(CheckCommand),
+}
+
+/// Serve callers until SIGTERM.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct ServeCommand {
+    /// path of the platform's settings file; by default the one named in the environment
+    #[argh(option)]
+    settings: Option<path::PathBuf>,
+}
+
+/// Check a settings file.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckCommand {
+    /// path of the platform's settings file; by default the one named in the environment
+    #[argh(option)]
+    settings: Option<path::PathBuf>,
+}
+
+#[derive(Debug, Display, Error, From)]
+enum CommandError {
+    #[display("{_0}")]
+    Process(process::ProcessError),
+    #[display("{_0}")]
+    Settings(settings::SettingsError),
+    #[display("{_0}")]
+    Runtime(std::io::Error),
+    #[display("no settings file: give --settings or set {}", settings::SETTINGS_VARIABLE)]
+    NoSettings,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let result = match arguments.command {
+        Command::Serve(command) => serve(command.settings),
+        Command::Check(command) => check(command.settings),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("cuminkeel-node: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn settings_path(given: Option<path::PathBuf>) -> Result<path::PathBuf, CommandError> {
+    given
+        .or_else(|| env::var_os(settings::SETTINGS_VARIABLE).map(path::PathBuf::from))
+        .ok_or(CommandError::NoSettings)
+}
+
+fn serve(given: Option<path::PathBuf>) -> Result<(), CommandError> {
+    let path = settings_path(given)?;
+    // VMs have one core or less: one thread decides and does all I/O.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(process::run(&path))?;
+    Ok(())
+}
+
+fn check(given: Option<path::PathBuf>) -> Result<(), CommandError> {
+    let settings = settings::ProcessSettings::read(&settings_path(given)?)?;
+    println!("{settings:#?}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -0,0 +1,162 @@
+//! Counters and histograms of the process.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time,
+};
+
+use cuminkeel_pool::pool_action;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter, family, gauge, histogram},
+    registry,
+};
+
+use crate::coordinator;
+
+/// Upper bounds of the response times' buckets, in seconds: from a hop to a caller's deadline.
+const RESPONSE_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 4.0];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct AnswerLabels {
+    route: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct DecisionLabels {
+    kind: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+type Family<L, M> = family::Family<L, M>;
+
+/// Counters and histograms of the process.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Mutex<registry::Registry>,
+    answers: Family<AnswerLabels, counter::Counter>,
+    responses: Family<ReasonLabels, histogram::Histogram>,
+    decisions: Family<DecisionLabels, counter::Counter>,
+    refusals: Family<ReasonLabels, counter::Counter>,
+    store_failures: Family<ReasonLabels, counter::Counter>,
+    connections: gauge::Gauge,
+}
+
+/// An open connection of a caller, as counted.
+#[derive(Debug)]
+pub struct OpenConnection(gauge::Gauge);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let mut registry = registry::Registry::with_prefix("cuminkeel");
+        let answers = Family::default();
+        let responses: Family<ReasonLabels, histogram::Histogram> =
+            Family::new_with_constructor(|| histogram::Histogram::new(RESPONSE_BUCKETS));
+        let decisions = Family::default();
+        let refusals = Family::default();
+        let store_failures = Family::default();
+        let connections = gauge::Gauge::default();
+        registry.register("answers", "Jobs answered, by route and outcome", answers.clone());
+        registry.register_with_unit(
+            "response",
+            "Time from a job's arrival to its answer, by outcome",
+            registry::Unit::Seconds,
+            responses.clone(),
+        );
+        registry.register("decisions", "Decisions of the pool", decisions.clone());
+        registry.register("turned_away", "Calls turned away before the pool", refusals.clone());
+        registry.register(
+            "store_failures",
+            "Calls of the store without an answer, by feed",
+            store_failures.clone(),
+        );
+        registry.register("caller_connections", "Open connections of callers", connections.clone());
+        Self {
+            registry: Mutex::new(registry),
+            answers,
+            responses,
+            decisions,
+            refusals,
+            store_failures,
+            connections,
+        }
+    }
+}
+
+impl NodeMetrics {
+    /// Counts an answered job.
+    pub fn count_answer(
+        &self,
+        route: &Arc<str>,
+        answer: &coordinator::JobAnswer,
+        took: time::Duration,
+    ) {
+        let outcome = match answer {
+            coordinator::JobAnswer::Completed => "completed",
+            coordinator::JobAnswer::Failed(_) => "failed",
+            coordinator::JobAnswer::Refused { .. } => "refused",
+        };
+        let labels = AnswerLabels {
+            route: String::from(&**route),
+            outcome,
+        };
+        self.answers.get_or_create(&labels).inc();
+        self.responses
+            .get_or_create(&ReasonLabels { reason: outcome })
+            .observe(took.as_secs_f64());
+    }
+
+    /// Counts a decision of the pool.
+    pub fn count_decision(&self, note: &pool_action::DecisionNote) {
+        let labels = DecisionLabels {
+            kind: note.kind.to_string(),
+            outcome: note.outcome,
+        };
+        self.decisions.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call that was turned away before it reached a pool.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// Counts a call of the store without an answer.
+    pub fn count_store_failure(&self, feed: &'static str) {
+        self.store_failures
+            .get_or_create(&ReasonLabels { reason: feed })
+            .inc();
+    }
+
+    /// Counts a connection of a caller until the result is dropped.
+    pub fn open_connection(&self) -> OpenConnection {
+        self.connections.inc();
+        OpenConnection(self.connections.clone())
+    }
+
+    /// Whether callers have open connections.
+    pub fn has_connections(&self) -> bool {
+        self.connections.get() > 0
+    }
+
+    /// All of it in the text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        match text::encode(&mut text, &registry) {
+            Ok(()) => text,
+            Err(failure) => format!("# {failure}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -0,0 +1,375 @@
+//! The link that this process dials to a peer: jobs out, ends and states back.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Weak},
+    time,
+};
+
+use bytes::Bytes;
+use cuminkeel_pool::job_model;
+use tokio::{
+    net,
+    sync::{mpsc, oneshot},
+};
+
+use crate::{link_frame, link_frame::LinkError, link_frame::LinkFrame, node_state};
+
+/// Time for a dial: a round trip between failure domains takes a few ms.
+const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Pause before the second dial; doubled each time.
+const MIN_DIAL_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Longest pause between dials: a healed cut is noticed within it.
+const MAX_DIAL_PAUSE: time::Duration = time::Duration::from_millis(800);
+/// Time between states sent inside a failure domain, where a leader's loss has to be noticed.
+const NEAR_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time between states sent to other failure domains.
+const FAR_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Intervals without a frame after which a link counts as broken.
+const SILENT_INTERVALS: u32 = 4;
+
+/// The link is lost; the job may have reached the peer.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkLost;
+
+#[derive(Debug)]
+enum LinkOrder {
+    Submit {
+        ticket: job_model::JobTicket,
+        reply: oneshot::Sender<job_model::JobEnd>,
+        request: u64,
+    },
+    Withdraw {
+        request: u64,
+    },
+    Config(Bytes),
+    Redial,
+}
+
+/// Orders for a link.
+#[derive(Clone, Debug)]
+pub struct PeerLink {
+    orders: mpsc::UnboundedSender<LinkOrder>,
+    requests: Arc<std::sync::atomic::AtomicU64>,
+}
+
+/// A job that was sent over a link; dropped, it is withdrawn.
+#[derive(Debug)]
+pub struct SentJob {
+    end: oneshot::Receiver<job_model::JobEnd>,
+    orders: mpsc::UnboundedSender<LinkOrder>,
+    request: u64,
+}
+
+impl SentJob {
+    /// How the job ended at the peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is lost before the end was received.
+    pub async fn end(&mut self) -> Result<job_model::JobEnd, LinkLost> {
+        (&mut self.end).await.map_err(|_| LinkLost)
+    }
+}
+
+impl Drop for SentJob {
+    fn drop(&mut self) {
+        // Without a link there is nothing left to withdraw.
+        let _closed = self.orders.send(LinkOrder::Withdraw {
+            request: self.request,
+        });
+    }
+}
+
+impl PeerLink {
+    /// Sends a job to the peer's pool.
+    pub fn submit(&self, ticket: job_model::JobTicket) -> SentJob {
+        let request = self
+            .requests
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let (reply, end) = oneshot::channel();
+        // A closed link drops the reply, which the receiver sees as a lost link.
+        let _closed = self.orders.send(LinkOrder::Submit {
+            ticket,
+            reply,
+            request,
+        });
+        SentJob {
+            end,
+            orders: self.orders.clone(),
+            request,
+        }
+    }
+
+    /// Dials at once if the link is down.
+    pub fn redial(&self) {
+        let _closed = self.orders.send(LinkOrder::Redial);
+    }
+
+    fn send_config(&self, body: Bytes) {
+        let _closed = self.orders.send(LinkOrder::Config(body));
+    }
+}
+
+/// Starts a link that is dialled until the peer is forgotten.
+pub fn start_link(node: &Arc<node_state::Node>, hello: &link_frame::PeerHello) -> PeerLink {
+    let (orders, inbox) = mpsc::unbounded_channel();
+    let link = LinkTask {
+        node: Arc::downgrade(node),
+        name: Arc::clone(&hello.name),
+        address: Arc::clone(&hello.link_address),
+        interval: match hello.failure_domain == node.hello.failure_domain {
+            true => NEAR_INTERVAL,
+            false => FAR_INTERVAL,
+        },
+        inbox,
+    };
+    tokio::spawn(link.run());
+    PeerLink {
+        orders,
+        requests: Arc::default(),
+    }
+}
+
+/// Asks who is at `address`, which a seed names.
+pub async fn ask_hello(
+    node: &node_state::Node,
+    address: &str,
+) -> Result<link_frame::PeerHello, LinkError> {
+    let exchange = async {
+        let mut stream = net::TcpStream::connect(address).await?;
+        link_frame::write_frames(&mut stream, &[LinkFrame::Hello(node.hello.clone())]).await?;
+        match link_frame::read_frame(&mut stream).await? {
+            LinkFrame::Hello(hello) => Ok(hello),
+            _ => Err(LinkError::NoHello),
+        }
+    };
+    tokio::time::timeout(DIAL_TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(LinkError::Silent))
+}
+
+struct LinkTask {
+    node: Weak<node_state::Node>,
+    name: Arc<str>,
+    address: Arc<str>,
+    interval: time::Duration,
+    inbox: mpsc::UnboundedReceiver<LinkOrder>,
+}
+
+impl LinkTask {
+    async fn run(mut self) {
+        let mut pause = MIN_DIAL_PAUSE;
+        while let Some(node) = self.node.upgrade() {
+            let failure = match self.dial(&node).await {
+                Ok(stream) => {
+                    pause = MIN_DIAL_PAUSE;
+                    self.serve(&node, stream).await
+                }
+                Err(failure) => failure,
+            };
+            self.note_broken(&node, &failure);
+            drop(node);
+            if !self.wait(pause).await {
+                return;
+            }
+            pause = (pause * 2).min(MAX_DIAL_PAUSE);
+        }
+    }
+
+    async fn dial(&self, node: &node_state::Node) -> Result<net::TcpStream, LinkError> {
+        let exchange = async {
+            let mut stream = net::TcpStream::connect(&*self.address).await?;
+            stream.set_nodelay(true)?;
+            let frames = [
+                LinkFrame::Hello(node.hello.clone()),
+                LinkFrame::Status(node.own_status()),
+            ];
+            link_frame::write_frames(&mut stream, &frames).await?;
+            match link_frame::read_frame(&mut stream).await? {
+                LinkFrame::Hello(hello) if hello.name == self.name => Ok(stream),
+                _ => Err(LinkError::NoHello),
+            }
+        };
+        tokio::time::timeout(DIAL_TIMEOUT, exchange)
+            .await
+            .unwrap_or(Err(LinkError::Silent))
+    }
+
+    fn note_broken(&self, node: &node_state::Node, failure: &LinkError) {
+        let now = node.now();
+        let refused = matches!(failure, LinkError::Socket { source }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused);
+        let mut peers = node.peers();
+        if let Some(peer) = peers.get_mut(&self.name) {
+            if peer.connected {
+                slog::warn!(node.logger, "peer_lost"; "peer" => &*self.name, "cause" => %failure);
+                peer.broken_at = now;
+            }
+            peer.connected = false;
+            peer.refused = refused;
+        }
+        drop(peers);
+        node.announce();
+    }
+
+    /// Waits before the next dial, and turns jobs away meanwhile; false when nobody needs the link.
+    async fn wait(&mut self, pause: time::Duration) -> bool {
+        let until = tokio::time::Instant::now() + pause;
+        loop {
+            match tokio::time::timeout_at(until, self.inbox.recv()).await {
+                Err(_) | Ok(Some(LinkOrder::Redial)) => return true,
+                Ok(None) => return false,
+                // Dropping the order tells its sender that the link is lost.
+                Ok(Some(_)) => {}
+            }
+        }
+    }
+
+    async fn serve(&mut self, node: &Arc<node_state::Node>, stream: net::TcpStream) -> LinkError {
+        let (reader, mut writer) = stream.into_split();
+        let (frames, mut incoming) = mpsc::channel(64);
+        let reading = tokio::spawn(read_frames(reader, frames));
+        let mut session = LinkSession {
+            waiting: HashMap::new(),
+            heard_at: node.now(),
+            config_sent: 0,
+        };
+        if let Some(peer) = node.peers().get_mut(&self.name) {
+            peer.connected = true;
+            peer.refused = false;
+        }
+        slog::info!(node.logger, "peer_connected"; "peer" => &*self.name);
+        node.announce();
+        let mut news = node.news();
+        let mut ticks = tokio::time::interval(self.interval);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let failure = loop {
+            let mut out = Vec::new();
+            tokio::select! {
+                biased;
+                frame = incoming.recv() => match frame {
+                    Some(Ok(frame)) => self.take_frame(node, &mut session, frame),
+                    Some(Err(failure)) => break failure,
+                    None => break LinkError::Silent,
+                },
+                order = self.inbox.recv() => match order {
+                    Some(order) => {
+                        session.take_order(order, &mut out);
+                        while let Ok(order) = self.inbox.try_recv() {
+                            session.take_order(order, &mut out);
+                        }
+                    }
+                    None => break LinkError::Silent,
+                },
+                _ = news.changed() => out.push(LinkFrame::Status(node.own_status())),
+                _ = ticks.tick() => {
+                    if node.now() > session.heard_at + self.interval * SILENT_INTERVALS {
+                        break LinkError::Silent;
+                    }
+                    out.push(LinkFrame::Status(node.own_status()));
+                }
+            }
+            if !out.is_empty() {
+                let writing = link_frame::write_frames(&mut writer, &out);
+                match tokio::time::timeout(self.interval * SILENT_INTERVALS, writing).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(failure)) => break failure,
+                    Err(_) => break LinkError::Silent,
+                }
+            }
+        };
+        reading.abort();
+        failure
+    }
+
+    fn take_frame(
+        &self,
+        node: &Arc<node_state::Node>,
+        session: &mut LinkSession,
+        frame: LinkFrame,
+    ) {
+        session.heard_at = node.now();
+        match frame {
+            LinkFrame::Status(status) => {
+                note_status(node, &self.name, status);
+                let config = node
+                    .config()
+                    .filter(|current| current.config.version > status.config_version)
+                    .filter(|current| current.config.version > session.config_sent);
+                if let (Some(config), Some(peer)) = (config, node.peers().get(&self.name)) {
+                    session.config_sent = config.config.version;
+                    peer.link.send_config(config.body);
+                }
+            }
+            LinkFrame::End { request, end } => {
+                if let Some(reply) = session.waiting.remove(&request) {
+                    // A waiter that is gone needs no end.
+                    let _gone = reply.send(end);
+                }
+            }
+            LinkFrame::Config { body } => node.offer_config(body.into(), "peer"),
+            LinkFrame::Hello(_) | LinkFrame::Submit { .. } | LinkFrame::Withdraw { .. } => {}
+        }
+    }
+}
+
+struct LinkSession {
+    waiting: HashMap<u64, oneshot::Sender<job_model::JobEnd>>,
+    heard_at: time::Duration,
+    config_sent: u64,
+}
+
+impl LinkSession {
+    fn take_order(&mut self, order: LinkOrder, out: &mut Vec<LinkFrame>) {
+        match order {
+            LinkOrder::Submit {
+                ticket,
+                reply,
+                request,
+            } => {
+                self.waiting.insert(request, reply);
+                out.push(LinkFrame::Submit { request, ticket });
+            }
+            LinkOrder::Withdraw { request } => {
+                if self.waiting.remove(&request).is_some() {
+                    out.push(LinkFrame::Withdraw { request });
+                }
+            }
+            LinkOrder::Config(body) => out.push(LinkFrame::Config {
+                body: body.to_vec(),
+            }),
+            LinkOrder::Redial => {}
+        }
+    }
+}
+
+/// Takes in what a peer said of itself.
+pub fn note_status(node: &node_state::Node, name: &str, status: link_frame::PeerStatus) {
+    node.pool.note_epoch(status.epoch);
+    let mut peers = node.peers();
+    let Some(peer) = peers.get_mut(name) else {
+        return;
+    };
+    let changed = peer.status.leaving != status.leaving
+        || (peer.status.held_servers == 0) != (status.held_servers == 0);
+    peer.status = status;
+    drop(peers);
+    if changed {
+        node.pool.reconsider();
+    }
+}
+
+async fn read_frames(
+    reader: net::tcp::OwnedReadHalf,
+    frames: mpsc::Sender<Result<LinkFrame, LinkError>>,
+) {
+    let mut reader = tokio::io::BufReader::new(reader);
+    loop {
+        let frame = link_frame::read_frame(&mut reader).await;
+        let ended = frame.is_err();
+        if frames.send(frame).await.is_err() || ended {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -0,0 +1,304 @@
+//! What the store says: configuration, registry of backend servers, peers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time,
+};
+
+use platform_adapter::{registry, store};
+
+use crate::{link_frame, node_state, peer_link, pool_driver::RegistryChange};
+
+/// Time for the store's answer beyond what was asked to wait: it may be slow by a factor of 60.
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Longest wait of a read of the configuration. A silent connection is given up
+/// `STORE_TIMEOUT` later, so that a change is in force within two seconds all the same.
+const CONFIG_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Pause after a failed call.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Time between reads of the registry by the process that leads: a draining server gets
+/// no work after two seconds.
+const LEADER_POLL: time::Duration = time::Duration::from_millis(600);
+/// Time between reads of the registry by the others.
+const FOLLOWER_POLL: time::Duration = time::Duration::from_millis(1_500);
+/// Time after an outage of the store in which lapsed entries may come back; a platform bound
+/// of two seconds, and a poll.
+const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_600);
+/// Time between looks for processes that nobody has introduced.
+const PEER_POLL: time::Duration = time::Duration::from_secs(10);
+
+fn client(node: &node_state::Node) -> store::StoreClient {
+    store::StoreClient::new(&node.settings.store_address, STORE_TIMEOUT)
+}
+
+fn note_failure(node: &node_state::Node, what: &'static str, failures: &mut u32, failure: &store::StoreError) {
+    *failures += 1;
+    if *failures == 1 {
+        slog::warn!(node.logger, "store_lost"; "feed" => what, "error" => %failure);
+    }
+    node.metrics.count_store_failure(what);
+}
+
+fn note_success(node: &node_state::Node, what: &'static str, failures: &mut u32) {
+    if *failures > 0 {
+        slog::info!(node.logger, "store_regained"; "feed" => what, "failures" => *failures);
+    }
+    *failures = 0;
+}
+
+/// Follows the operator's configuration.
+pub async fn follow_config(node: Arc<node_state::Node>) {
+    let store = client(&node);
+    let mut offset = None;
+    let mut failures = 0;
+    loop {
+        let batch = match offset {
+            None => store.newest(store::OPERATOR_TOPIC).await,
+            Some(offset) => store.read(store::OPERATOR_TOPIC, offset, CONFIG_WAIT).await,
+        };
+        match batch {
+            Ok(batch) => {
+                note_success(&node, "config", &mut failures);
+                offset = Some(batch.next_offset);
+                for record in batch.records {
+                    if &*record.key == store::CONFIG_KEY
+                        && let Some(value) = record.value
+                    {
+                        node.offer_config(value, "store");
+                    }
+                }
+            }
+            Err(store::StoreError::Deleted) => offset = None,
+            Err(failure) => {
+                note_failure(&node, "config", &mut failures, &failure);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Entries that the store dropped while it may not have heard from their servers.
+#[derive(Debug, Default)]
+pub struct LapsedEntries {
+    away_until: Option<time::Duration>,
+    missing: BTreeMap<Arc<str>, time::Duration>,
+}
+
+impl LapsedEntries {
+    /// The store didn't answer at `now`.
+    pub fn note_outage(&mut self, now: time::Duration) {
+        self.away_until = Some(now);
+    }
+
+    /// An entry was dropped; returns whether its server is gone for certain.
+    pub fn note_dropped(&mut self, server: &Arc<str>, now: time::Duration) -> bool {
+        match self.away_until {
+            Some(until) if now < until + LAPSE_GRACE => {
+                self.missing.insert(Arc::clone(server), until + LAPSE_GRACE);
+                false
+            }
+            _ => true,
+        }
+    }
+
+    /// An entry is back.
+    pub fn note_listed(&mut self, server: &str) {
+        self.missing.remove(server);
+    }
+
+    /// Servers whose entries have not come back in time.
+    pub fn take_gone(&mut self, now: time::Duration) -> Vec<Arc<str>> {
+        let gone: Vec<Arc<str>> = self
+            .missing
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(server, _)| Arc::clone(server))
+            .collect();
+        for server in &gone {
+            self.missing.remove(server);
+        }
+        gone
+    }
+}
+
+struct RegistryFeed {
+    node: Arc<node_state::Node>,
+    known: BTreeSet<Arc<str>>,
+    lapsed: LapsedEntries,
+}
+
+/// Follows the registry of backend servers.
+pub async fn follow_registry(node: Arc<node_state::Node>) {
+    let store = client(&node);
+    let mut offset = None;
+    let mut failures = 0;
+    let mut feed = RegistryFeed {
+        node,
+        known: BTreeSet::new(),
+        lapsed: LapsedEntries::default(),
+    };
+    loop {
+        let snapshot = offset.is_none();
+        let batch = match offset {
+            None => store.newest(store::REGISTRY_TOPIC).await,
+            Some(offset) => {
+                store
+                    .read(store::REGISTRY_TOPIC, offset, time::Duration::ZERO)
+                    .await
+            }
+        };
+        let now = feed.node.now();
+        match batch {
+            Ok(batch) => {
+                note_success(&feed.node, "registry", &mut failures);
+                offset = Some(batch.next_offset);
+                feed.take_records(batch.records, snapshot, now);
+            }
+            Err(store::StoreError::Deleted) => {
+                offset = None;
+                continue;
+            }
+            Err(failure) => {
+                note_failure(&feed.node, "registry", &mut failures, &failure);
+                feed.lapsed.note_outage(now);
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        }
+        let leads = feed.node.own_status().held_servers > 0;
+        tokio::time::sleep(if leads { LEADER_POLL } else { FOLLOWER_POLL }).await;
+    }
+}
+
+impl RegistryFeed {
+    fn take_records(
+        &mut self,
+        records: Vec<store::KeyedRecord>,
+        snapshot: bool,
+        now: time::Duration,
+    ) {
+        // Only the newest record of a key counts.
+        let newest: BTreeMap<Arc<str>, Option<bytes::Bytes>> = records
+            .into_iter()
+            .map(|record| (record.key, record.value))
+            .collect();
+        if snapshot {
+            let missing: Vec<Arc<str>> = self
+                .known
+                .iter()
+                .filter(|server| !newest.contains_key(*server))
+                .cloned()
+                .collect();
+            for server in missing {
+                self.drop_entry(&server, now);
+            }
+        }
+        for (server, value) in newest {
+            match value {
+                Some(value) => self.take_entry(&server, &value),
+                None => self.drop_entry(&server, now),
+            }
+        }
+        for server in self.lapsed.take_gone(now) {
+            self.unlist(&server);
+        }
+    }
+
+    fn take_entry(&mut self, server: &Arc<str>, value: &[u8]) {
+        match registry::decode_entry(server, value) {
+            Ok(entry) if entry.failure_domain == self.node.hello.failure_domain => {
+                self.lapsed.note_listed(server);
+                self.known.insert(Arc::clone(server));
+                self.node.pool.change_registry(RegistryChange::Listed(entry));
+            }
+            Ok(_) => {}
+            Err(failure) => {
+                slog::info!(self.node.logger, "registry_entry_ignored";
+                    "server" => &**server, "error" => %failure);
+            }
+        }
+    }
+
+    fn drop_entry(&mut self, server: &Arc<str>, now: time::Duration) {
+        if self.known.contains(server) && self.lapsed.note_dropped(server, now) {
+            self.unlist(server);
+        }
+    }
+
+    fn unlist(&mut self, server: &Arc<str>) {
+        self.known.remove(server);
+        self.node
+            .pool
+            .change_registry(RegistryChange::Unlisted(Arc::clone(server)));
+    }
+}
+
+/// Announces this process to its peers and finds those that it hasn't met.
+pub async fn find_peers(node: Arc<node_state::Node>) {
+    ask_seeds(&node).await;
+    let store = client(&node);
+    let mut failures = 0;
+    let mut announced = false;
+    let hello = match serde_json::to_vec(&node.hello) {
+        Ok(hello) => hello,
+        Err(failure) => {
+            slog::error!(node.logger, "peer_entry_unwritable"; "error" => %failure);
+            return;
+        }
+    };
+    loop {
+        if !announced {
+            let appended = store
+                .append_keyed(store::PEERS_TOPIC, &node.hello.name, Some(&hello))
+                .await;
+            match appended {
+                Ok(()) => announced = true,
+                Err(failure) => note_failure(&node, "peers", &mut failures, &failure),
+            }
+        }
+        match store.newest(store::PEERS_TOPIC).await {
+            Ok(batch) => {
+                note_success(&node, "peers", &mut failures);
+                for record in batch.records {
+                    learn_record(&node, &record);
+                }
+            }
+            Err(failure) => note_failure(&node, "peers", &mut failures, &failure),
+        }
+        let pause = if announced && failures == 0 { PEER_POLL } else { RETRY_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn learn_record(node: &Arc<node_state::Node>, record: &store::KeyedRecord) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match serde_json::from_slice::<link_frame::PeerHello>(value) {
+        Ok(hello) => {
+            let known = node.peers().get(&hello.name).is_some();
+            if !known {
+                node_state::learn_peer(node, hello);
+            }
+        }
+        Err(failure) => {
+            slog::info!(node.logger, "peer_entry_ignored"; "peer" => &*record.key, "error" => %failure);
+        }
+    }
+}
+
+/// Seeds help while the store is away; they may be stale.
+async fn ask_seeds(node: &Arc<node_state::Node>) {
+    for seed in &node.settings.seeds {
+        if *seed == node.settings.link_address {
+            continue;
+        }
+        match peer_link::ask_hello(node, seed).await {
+            Ok(hello) => node_state::learn_peer(node, hello),
+            Err(failure) => {
+                slog::info!(node.logger, "seed_silent"; "address" => &**seed, "error" => %failure);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_pool/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of the pool that owns a failure domain's backend servers.
+//!
+//! Nothing here does I/O or reads a clock: events and the present time go in,
+//! actions come out. `now` is the time since the process started, on its
+//! monotonic clock.
+
+pub mod admission;
+pub mod health;
+pub mod job_model;
+pub mod job_order;
+pub mod leadership;
+pub mod pool;
+pub mod pool_action;
+pub mod server_model;
+pub mod server_slot;
+pub mod settings;
+pub mod task_placement;
--- /dev/null
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -0,0 +1,294 @@
+//! Servers entering and leaving the pool, and the claims on them.
+
+use std::{collections::BTreeSet, sync::Arc, time};
+
+use super::{FOREIGN_GRACE, MAX_EPOCH, NO_INPUTS, Pool, TOKEN_NONCE_BITS};
+use crate::{
+    job_model, pool_action::DecisionKind, pool_action::PoolAction, pool_action::note_ms,
+    server_model, server_slot, server_slot::ServerStanding,
+};
+
+/// Pause before the first repeated claim; doubled each time.
+const MIN_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Longest pause between claims of a silent server: it is used again this long after it is back.
+const MAX_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Claims in a row after which a server that turns them away is left alone for a while.
+const MAX_FENCED_TRIES: u32 = 40;
+
+impl Pool {
+    /// The registry lists `entry`, new or changed.
+    pub fn list_server(&mut self, entry: server_model::ServerEntry, now: time::Duration) {
+        let id = Arc::clone(&entry.id);
+        let draining = entry.draining;
+        let slot = self
+            .servers
+            .entry(Arc::clone(&id))
+            .or_insert_with(|| server_slot::ServerSlot::new(entry.clone()));
+        // Stale reads of the registry show former states of the same life.
+        let stale = (entry.born, entry.sequence) < (slot.entry.born, slot.entry.sequence);
+        let news = !slot.listed || slot.entry.draining != draining || slot.clock.is_none();
+        if stale {
+            return;
+        }
+        let moved = slot.entry.address != entry.address;
+        slot.listed = true;
+        slot.entry = entry;
+        if moved && slot.standing != ServerStanding::Released {
+            slot.standing = ServerStanding::Suspect;
+            self.claim(&id, now);
+        }
+        if news {
+            let outcome = if draining { "draining" } else { "ready" };
+            self.note(DecisionKind::ServerListed, None, Some(id), outcome, NO_INPUTS);
+        }
+    }
+
+    /// The registry lists `server` no more.
+    pub fn unlist_server(&mut self, server: &str) {
+        let Some(slot) = self.servers.get_mut(server) else {
+            return;
+        };
+        slot.listed = false;
+        let id = Arc::clone(&slot.entry.id);
+        let inputs = [("runs", as_count(slot.runs.len())), ("", 0), ("", 0)];
+        if slot.runs.is_empty() {
+            self.servers.remove(server);
+        }
+        self.note(DecisionKind::ServerGone, None, Some(id), "unlisted", inputs);
+    }
+
+    /// Claims and releases servers so that the pool holds those in `wanted`.
+    pub fn own_servers(&mut self, wanted: &BTreeSet<Arc<str>>, now: time::Duration) {
+        let released: Vec<Arc<str>> = self
+            .servers
+            .iter()
+            .filter(|(id, slot)| {
+                slot.standing != ServerStanding::Released && !wanted.contains(*id) && slot.listed
+            })
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in released {
+            self.release(&id, now, "given_up");
+        }
+        for id in wanted {
+            let released = self
+                .servers
+                .get(id)
+                .is_some_and(|slot| slot.standing == ServerStanding::Released);
+            if released {
+                self.begin_claim(id, now);
+            }
+        }
+    }
+
+    fn begin_claim(&mut self, id: &Arc<str>, now: time::Duration) {
+        // Runs of a former owner that this pool can't list have lapsed by then.
+        let settled = now + self.settings.max_lease + FOREIGN_GRACE;
+        self.unsettled_until = self.unsettled_until.max(settled);
+        if let Some(slot) = self.servers.get_mut(id) {
+            slot.standing = ServerStanding::Claiming;
+            slot.claim_since = now;
+            slot.claim_tries = 0;
+            slot.last_seen = 0;
+            slot.clock = None;
+            slot.lease_deadline_ms = 0;
+        }
+        self.claim(id, now);
+    }
+
+    /// Sends a hold with a token higher than all before.
+    pub(super) fn claim(&mut self, id: &Arc<str>, now: time::Duration) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        // A server that turns claims away has seen a higher epoch: the step doubles.
+        let step = match slot.standing {
+            ServerStanding::Claiming => 1_u64 << slot.claim_tries.min(30),
+            _ => 1,
+        };
+        let seen = (slot.token >> TOKEN_NONCE_BITS).max(self.epoch);
+        let epoch = seen.saturating_add(step).min(MAX_EPOCH);
+        slot.token = (epoch << TOKEN_NONCE_BITS) | self.nonce;
+        slot.claim_tries += 1;
+        slot.claim_at = None;
+        slot.hold_sent_at = now;
+        let deadline = slot.lease_end_ms(now, self.settings.lease);
+        slot.lease_deadline_ms = slot.lease_deadline_ms.max(deadline.unwrap_or(0));
+        let order = server_model::HoldOrder {
+            server: Arc::clone(id),
+            address: Arc::clone(&slot.entry.address),
+            token: slot.token,
+            last_seen: slot.last_seen,
+            lease_deadline_ms: deadline,
+            wait: time::Duration::ZERO,
+            fresh_connection: true,
+        };
+        let inputs = [
+            ("epoch", i64::try_from(epoch).unwrap_or(i64::MAX)),
+            ("tries", i64::from(slot.claim_tries)),
+            ("runs", as_count(slot.runs.len())),
+        ];
+        if slot.claim_tries == 1 {
+            self.note(DecisionKind::Claiming, None, Some(Arc::clone(id)), "sent", inputs);
+        }
+        self.actions.push(PoolAction::Hold(order));
+    }
+
+    /// An order to `id` went unanswered.
+    pub(super) fn suspect(&mut self, id: &Arc<str>, now: time::Duration, cause: &'static str) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        match slot.standing {
+            ServerStanding::Held => {
+                slot.standing = ServerStanding::Suspect;
+                slot.claim_since = now;
+                slot.claim_tries = 0;
+                let inputs = [("runs", as_count(slot.runs.len())), ("", 0), ("", 0)];
+                self.note(DecisionKind::Suspect, None, Some(Arc::clone(id)), cause, inputs);
+                self.claim(id, now);
+            }
+            ServerStanding::Claiming | ServerStanding::Suspect => {
+                let pause = MIN_CLAIM_PAUSE * 2_u32.saturating_pow(slot.claim_tries.min(6));
+                slot.claim_at = Some(now + pause.min(MAX_CLAIM_PAUSE));
+            }
+            ServerStanding::Released => {}
+        }
+    }
+
+    /// A hold was turned away for its token.
+    pub(super) fn fenced(&mut self, id: &Arc<str>, now: time::Duration) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        match slot.standing {
+            ServerStanding::Claiming if slot.claim_tries < MAX_FENCED_TRIES => self.claim(id, now),
+            ServerStanding::Released => {}
+            ServerStanding::Claiming | ServerStanding::Held | ServerStanding::Suspect => {
+                self.release(id, now, "fenced");
+                self.actions.push(PoolAction::LostServer {
+                    server: Arc::clone(id),
+                });
+            }
+        }
+    }
+
+    /// Gives up `id`; its runs are left to the next owner.
+    fn release(&mut self, id: &Arc<str>, now: time::Duration, cause: &'static str) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        slot.standing = ServerStanding::Released;
+        slot.claim_at = None;
+        let runs = std::mem::take(&mut slot.runs);
+        let inputs = [("runs", as_count(runs.len())), ("", 0), ("", 0)];
+        self.note(DecisionKind::Fenced, None, Some(Arc::clone(id)), cause, inputs);
+        let jobs: BTreeSet<Arc<str>> = runs
+            .keys()
+            .map(|task| Arc::clone(&task.job))
+            .collect();
+        for task in runs.keys() {
+            self.run_places.remove(task);
+        }
+        for job in jobs {
+            self.abandon_job(&job, now);
+        }
+    }
+
+    /// Gives up everything: the jobs belong to the next leader.
+    pub fn release_all(&mut self, now: time::Duration, cause: &'static str) {
+        let ids: Vec<Arc<str>> = self.servers.keys().cloned().collect();
+        for id in ids {
+            let held = self
+                .servers
+                .get(&id)
+                .is_some_and(|slot| slot.standing != ServerStanding::Released);
+            if held {
+                self.release(&id, now, cause);
+            }
+        }
+        let jobs: Vec<Arc<str>> = self.jobs.keys().cloned().collect();
+        for job in jobs {
+            self.abandon_job(&job, now);
+        }
+        self.note(DecisionKind::Released, None, None, cause, NO_INPUTS);
+    }
+
+    pub(super) fn retry_claims(&mut self, now: time::Duration) {
+        let due: Vec<Arc<str>> = self
+            .servers
+            .iter()
+            .filter(|(_, slot)| slot.claim_at.is_some_and(|at| at <= now))
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in due {
+            self.claim(&id, now);
+        }
+    }
+
+    /// Ends the runs of silent servers whose leases are over.
+    pub(super) fn expire_leases(&mut self, now: time::Duration) {
+        let lapsed: Vec<Arc<str>> = self
+            .servers
+            .iter()
+            .filter(|(_, slot)| {
+                slot.standing == ServerStanding::Suspect
+                    && !slot.runs.is_empty()
+                    && slot.lapsed_at().is_some_and(|at| at <= now)
+            })
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in lapsed {
+            let Some(slot) = self.servers.get_mut(&id) else {
+                continue;
+            };
+            let runs = std::mem::take(&mut slot.runs);
+            let inputs = [
+                ("runs", as_count(runs.len())),
+                ("silent_ms", note_ms(now.saturating_sub(slot.claim_since))),
+                ("", 0),
+            ];
+            self.note(DecisionKind::LeasesOver, None, Some(Arc::clone(&id)), "lapsed", inputs);
+            for (task, run) in runs {
+                self.end_run(&id, &task, &run, server_model::RunEnd::Lapsed, now);
+            }
+            self.drop_if_gone(&id);
+        }
+    }
+
+    /// Stops runs of former owners that no coordinator has asked for.
+    pub(super) fn stop_foreign_runs(&mut self, now: time::Duration) {
+        let stray: Vec<(Arc<str>, job_model::TaskName)> = self
+            .servers
+            .iter()
+            .filter(|(_, slot)| slot.standing == ServerStanding::Held)
+            .flat_map(|(id, slot)| {
+                slot.runs
+                    .iter()
+                    .filter(|(_, run)| {
+                        !run.owned
+                            && run.phase == server_slot::RunPhase::Running
+                            && now.saturating_sub(run.ordered_at) > FOREIGN_GRACE
+                    })
+                    .map(|(task, _)| (Arc::clone(id), task.clone()))
+            })
+            .collect();
+        for (id, task) in stray {
+            self.stop_run(&id, &task, "nobody_waits");
+        }
+    }
+
+    pub(super) fn drop_if_gone(&mut self, id: &Arc<str>) {
+        let gone = self
+            .servers
+            .get(id)
+            .is_some_and(|slot| !slot.listed && slot.runs.is_empty());
+        if gone {
+            self.servers.remove(id);
+        }
+    }
+}
+
+pub(super) fn as_count(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -0,0 +1,402 @@
+//! Jobs entering and leaving the pool.
+
+use std::{sync::Arc, time};
+
+use smallvec::{SmallVec, smallvec};
+
+use super::{JobEntry, NO_INPUTS, Pool, TaskEntry, TaskPhase, claims};
+use crate::{
+    admission, job_model, job_model::FailureReason, job_model::JobEnd, job_model::RefusalReason,
+    job_order, pool_action::DecisionKind, pool_action::PoolAction, pool_action::WaiterId,
+    pool_action::note_ms, server_model, server_slot,
+};
+
+/// Answers later than this many objectives are worth nothing to the caller.
+const USELESS_OBJECTIVES: u32 = 3;
+/// Numbers skipped for a task's runs when a job comes from another pool, which
+/// may have used some of them at a server.
+const RUNS_PER_POOL: u64 = 16;
+/// Shortest advice to come back: below it a return would meet the same queue.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Weight of a new task in the typical size of tasks.
+const TYPICAL_SHARE: u32 = 32;
+
+impl Pool {
+    /// Takes `ticket` into the queue or turns it away; `waiter` learns how it ends.
+    pub fn submit(
+        &mut self,
+        ticket: &job_model::JobTicket,
+        waiter: WaiterId,
+        now: time::Duration,
+    ) {
+        let id = Arc::clone(&ticket.spec.id);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.waiters.push(waiter);
+            self.note(DecisionKind::Attached, Some(id), None, "already_here", NO_INPUTS);
+            return;
+        }
+        let job = self.new_job(ticket, waiter, now);
+        let adopted = job
+            .tasks
+            .iter()
+            .any(|task| task.phase != TaskPhase::Waiting);
+        if !adopted && let Some((reason, wait)) = self.foretell_refusal(&job, now) {
+            let inputs = [
+                ("queued", claims::as_count(self.queue.len())),
+                ("start_in_ms", note_ms(wait)),
+                ("age_ms", note_ms(ticket.age)),
+            ];
+            self.note(DecisionKind::Refused, Some(id), None, refusal_text(reason), inputs);
+            let end = JobEnd::Refused {
+                reason,
+                retry_after: wait.max(MIN_RETRY_AFTER),
+            };
+            self.actions.push(PoolAction::End { waiter, end });
+            return;
+        }
+        for step in &ticket.spec.steps {
+            let weighted = self.typical_cpu * (TYPICAL_SHARE - 1) + step.cpu_millis;
+            self.typical_cpu = match self.typical_cpu {
+                0 => step.cpu_millis,
+                _ => weighted / TYPICAL_SHARE,
+            };
+        }
+        let inputs = [
+            ("tasks", claims::as_count(job.tasks.len())),
+            ("queued", claims::as_count(self.queue.len())),
+            ("slack_ms", note_ms(job.position.latest_start.saturating_sub(now))),
+        ];
+        let outcome = if adopted { "adopted" } else { "accepted" };
+        self.note(DecisionKind::Queued, Some(Arc::clone(&id)), None, outcome, inputs);
+        self.queue.insert(job.position.clone());
+        self.jobs.insert(Arc::clone(&id), job);
+        self.finish_if_done(&id, now);
+        self.schedule(now);
+    }
+
+    fn new_job(
+        &mut self,
+        ticket: &job_model::JobTicket,
+        waiter: WaiterId,
+        now: time::Duration,
+    ) -> JobEntry {
+        let spec = &ticket.spec;
+        let arrived = now.saturating_sub(ticket.age);
+        let objective = spec.objective();
+        let objective_at = arrived + objective;
+        let deadline_at = now + ticket.patience;
+        let useless_at = (arrived + objective * USELESS_OBJECTIVES).min(deadline_at);
+        self.arrivals += 1;
+        let position = job_order::QueuePosition {
+            late: false,
+            latest_start: objective_at.saturating_sub(spec.estimated_chain()),
+            priority: spec.priority,
+            arrival: self.arrivals,
+            job: Arc::clone(&spec.id),
+        };
+        let first_run = if ticket.resubmitted { RUNS_PER_POOL } else { 1 };
+        let mut tasks = Vec::with_capacity(spec.task_count());
+        for (step, position) in spec.steps.iter().zip(0_u16..) {
+            for index in 0..step.task_count {
+                let name = job_model::TaskName {
+                    job: Arc::clone(&spec.id),
+                    occurrence: 0,
+                    step: position,
+                    index,
+                };
+                tasks.push(self.adopt_task(name, step, first_run));
+            }
+        }
+        let started = tasks.iter().any(|task| task.phase != TaskPhase::Waiting);
+        JobEntry {
+            spec: Arc::clone(spec),
+            waiters: smallvec![waiter],
+            tasks,
+            position,
+            arrived,
+            objective_at,
+            useless_at,
+            deadline_at,
+            started,
+            maybe_elsewhere: ticket.resubmitted,
+        }
+    }
+
+    /// A task as it stands: with the run that is already on a server, if there is one.
+    fn adopt_task(
+        &mut self,
+        name: job_model::TaskName,
+        step: &job_model::StepSpec,
+        first_run: u64,
+    ) -> TaskEntry {
+        let mut task = TaskEntry {
+            phase: TaskPhase::Waiting,
+            failures: 0,
+            next_run: first_run,
+            avoid: SmallVec::new(),
+            name,
+        };
+        if let Some((server_model::RunEnd::Done, _)) = self.foreign_ends.get(&task.name) {
+            task.phase = TaskPhase::Done;
+            return task;
+        }
+        let Some(server) = self.run_places.get(&task.name) else {
+            return task;
+        };
+        let run = self
+            .servers
+            .get_mut(server)
+            .and_then(|slot| slot.runs.get_mut(&task.name));
+        if let Some(run) = run {
+            run.owned = true;
+            run.cpu_millis = step.cpu_millis;
+            run.memory_mb = step.memory_mb;
+            run.gpus = step.gpus;
+            run.estimate = time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
+            task.next_run = run.run_id + 1;
+            task.phase = TaskPhase::Placed {
+                server: Arc::clone(server),
+                run_id: run.run_id,
+            };
+        }
+        task
+    }
+
+    /// Why the job would not end in time, and when its last task would start.
+    fn foretell_refusal(
+        &self,
+        job: &JobEntry,
+        now: time::Duration,
+    ) -> Option<(RefusalReason, time::Duration)> {
+        let in_service = |slot: &&server_slot::ServerSlot| {
+            slot.standing != server_slot::ServerStanding::Released
+                && slot.entry.service == job.spec.service
+                && slot.listed
+        };
+        let suitable = job.spec.steps.iter().all(|step| {
+            self.servers
+                .values()
+                .filter(in_service)
+                .any(|slot| slot.could_run(step))
+        });
+        if !suitable {
+            return Some((RefusalReason::NoSuitableServer, time::Duration::ZERO));
+        }
+        if self
+            .servers
+            .values()
+            .filter(in_service)
+            .any(|slot| slot.standing == server_slot::ServerStanding::Claiming)
+            && now < self.unsettled_until
+        {
+            return None;
+        }
+        let mut forecast = self.forecast(job, now);
+        for position in self.queue.range(..&job.position) {
+            if let Some(ahead) = self.jobs.get(&position.job) {
+                let _planned = forecast.plan(waiting_work(ahead));
+            }
+        }
+        let Some(start) = forecast.plan(waiting_work(job)) else {
+            return Some((RefusalReason::NoSuitableServer, time::Duration::ZERO));
+        };
+        let end = now + start + job.spec.estimated_chain();
+        (end > job.objective_at).then_some((RefusalReason::QueueTooLong, start))
+    }
+
+    fn forecast(&self, job: &JobEntry, now: time::Duration) -> admission::RoomForecast {
+        let mut forecast = admission::RoomForecast::default();
+        let cpu = job
+            .spec
+            .steps
+            .iter()
+            .map(|step| step.cpu_millis)
+            .max()
+            .unwrap_or(0)
+            .max(1);
+        for slot in self.servers.values() {
+            if slot.entry.service != job.spec.service || !slot.is_usable(now) {
+                continue;
+            }
+            for _ in 0..slot.free_cpu() / cpu {
+                forecast.add_lane(time::Duration::ZERO);
+            }
+            for run in slot.runs.values().filter(|run| run.owned) {
+                let end = run.ordered_at + run.expected;
+                forecast.add_lane(end.saturating_sub(now));
+            }
+        }
+        forecast
+    }
+
+    /// `waiter` doesn't wait any more; without another, its job is dropped.
+    pub fn withdraw(&mut self, job: &Arc<str>, waiter: WaiterId, now: time::Duration) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        entry.waiters.retain(|other| *other != waiter);
+        if entry.waiters.is_empty() {
+            self.end_job(job, &JobEnd::Failed(FailureReason::Withdrawn), now);
+            self.schedule(now);
+        }
+    }
+
+    /// Drops a job without stopping its runs; they are the next owner's.
+    pub(super) fn abandon_job(&mut self, id: &Arc<str>, now: time::Duration) {
+        if let Some(job) = self.jobs.get(id) {
+            for task in &job.tasks {
+                let TaskPhase::Placed { server, .. } = &task.phase else {
+                    continue;
+                };
+                let run = self
+                    .servers
+                    .get_mut(server)
+                    .and_then(|slot| slot.runs.get_mut(&task.name));
+                if let Some(run) = run {
+                    run.owned = false;
+                    run.ordered_at = now;
+                }
+            }
+        }
+        self.remove_job(id, &JobEnd::PoolLost, now);
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(super) fn end_job(&mut self, id: &Arc<str>, end: &JobEnd, now: time::Duration) {
+        let placed: Vec<(Arc<str>, job_model::TaskName)> = self
+            .jobs
+            .get(id)
+            .map(|job| {
+                job.tasks
+                    .iter()
+                    .filter_map(|task| match &task.phase {
+                        TaskPhase::Placed { server, .. } => {
+                            Some((Arc::clone(server), task.name.clone()))
+                        }
+                        TaskPhase::Waiting | TaskPhase::Done => None,
+                    })
+                    .collect()
+            })
+            .unwrap_or_default();
+        self.remove_job(id, end, now);
+        for (server, task) in placed {
+            self.stop_run(&server, &task, "job_ended");
+        }
+    }
+
+    fn remove_job(&mut self, id: &Arc<str>, end: &JobEnd, now: time::Duration) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        self.queue.remove(&job.position);
+        let done = job
+            .tasks
+            .iter()
+            .filter(|task| task.phase == TaskPhase::Done)
+            .count();
+        let inputs = [
+            ("age_ms", note_ms(now.saturating_sub(job.arrived))),
+            ("objective_ms", note_ms(job.objective_at.saturating_sub(job.arrived))),
+            ("done_tasks", claims::as_count(done)),
+        ];
+        self.note(DecisionKind::JobEnded, Some(Arc::clone(id)), None, end_text(end), inputs);
+        for waiter in &job.waiters {
+            self.actions.push(PoolAction::End {
+                waiter: *waiter,
+                end: end.clone(),
+            });
+        }
+    }
+
+    /// Ends jobs that can't help their callers any more.
+    pub(super) fn expire_jobs(&mut self, now: time::Duration) {
+        let mut hopeless = Vec::new();
+        let mut late = Vec::new();
+        for job in self.jobs.values() {
+            let waiting = job
+                .tasks
+                .iter()
+                .any(|task| task.phase == TaskPhase::Waiting);
+            let hopeless_now = match waiting {
+                true => now + job.spec.estimated_chain() >= job.useless_at,
+                false => now >= job.deadline_at,
+            };
+            match () {
+                () if hopeless_now => {
+                    hopeless.push((Arc::clone(&job.spec.id), job.started || job.maybe_elsewhere));
+                }
+                () if waiting && !job.position.late && now > job.position.latest_start => {
+                    late.push(job.position.clone());
+                }
+                () => {}
+            }
+        }
+        for (id, started) in hopeless {
+            let end = match started {
+                true => JobEnd::Failed(FailureReason::OutOfTime),
+                false => JobEnd::Refused {
+                    reason: RefusalReason::ExpiredInQueue,
+                    retry_after: MIN_RETRY_AFTER,
+                },
+            };
+            self.end_job(&id, &end, now);
+        }
+        for position in late {
+            self.queue.remove(&position);
+            let demoted = position.demoted();
+            if let Some(job) = self.jobs.get_mut(&position.job) {
+                job.position = demoted.clone();
+                self.queue.insert(demoted);
+            }
+        }
+    }
+
+    pub(super) fn finish_if_done(&mut self, id: &Arc<str>, now: time::Duration) {
+        let done = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| job.tasks.iter().all(|task| task.phase == TaskPhase::Done));
+        if done {
+            self.end_job(id, &JobEnd::Completed, now);
+        }
+    }
+}
+
+/// The part of a job that waits for room.
+pub(super) fn waiting_work(job: &JobEntry) -> admission::QueuedWork {
+    let mut tasks = 0;
+    let mut total = time::Duration::ZERO;
+    for task in &job.tasks {
+        if task.phase == TaskPhase::Waiting
+            && let Some(step) = job.spec.steps.get(usize::from(task.name.step))
+        {
+            tasks += 1;
+            total += time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
+        }
+    }
+    admission::QueuedWork {
+        tasks,
+        run_time: total / u32::try_from(tasks.max(1)).unwrap_or(u32::MAX),
+    }
+}
+
+fn refusal_text(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::QueueTooLong => "queue_too_long",
+        RefusalReason::NoSuitableServer => "no_suitable_server",
+        RefusalReason::ExpiredInQueue => "expired_in_queue",
+        RefusalReason::NoPool => "no_pool",
+    }
+}
+
+fn end_text(end: &JobEnd) -> &'static str {
+    match end {
+        JobEnd::Completed => "completed",
+        JobEnd::Failed(FailureReason::AttemptsExhausted) => "attempts_exhausted",
+        JobEnd::Failed(FailureReason::OutOfTime) => "out_of_time",
+        JobEnd::Failed(FailureReason::PoolLost) | JobEnd::PoolLost => "pool_lost",
+        JobEnd::Failed(FailureReason::Withdrawn) => "withdrawn",
+        JobEnd::NotLeader => "not_leader",
+        JobEnd::Refused { reason, .. } => refusal_text(*reason),
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_pool/src/pool/reports.rs
@@ -0,0 +1,505 @@
+//! What servers answer to orders.
+
+use std::{collections::HashSet, sync::Arc, time};
+
+use super::{FOREIGN_GRACE, NO_INPUTS, Pool, TaskPhase, claims};
+use crate::{
+    health, job_model, job_model::FailureReason, job_model::JobEnd, pool_action::DecisionKind,
+    pool_action::PoolAction, pool_action::note_ms, server_model, server_model::HoldVerdict,
+    server_model::RunEnd, server_model::StartVerdict, server_slot, server_slot::RunPhase,
+    server_slot::ServerStanding,
+};
+
+/// Numbers skipped when a server has used up a run's number.
+const SKIPPED_RUNS: u64 = 16;
+/// Shortest wait of a hold, so that checks of overdue runs don't become a loop.
+const MIN_HOLD_WAIT: time::Duration = time::Duration::from_millis(40);
+
+impl Pool {
+    /// A start was answered, or wasn't in time.
+    pub fn start_answered(
+        &mut self,
+        order: &server_model::StartOrder,
+        verdict: StartVerdict,
+        now: time::Duration,
+    ) {
+        let Some(slot) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        let newer_claim = order.token < slot.token;
+        let Some(run) = slot.runs.get_mut(&order.task) else {
+            return;
+        };
+        if run.run_id != order.run_id || (run.phase == RunPhase::Running && run.confirmed_at.is_some()) {
+            return;
+        }
+        match verdict {
+            StartVerdict::Started { clock_ms } => {
+                run.confirmed_at = Some(now);
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running;
+                }
+                read_clock(slot, clock_ms, now);
+            }
+            StartVerdict::Unanswered => self.suspect(&order.server, now, "start_unanswered"),
+            StartVerdict::Fenced if !newer_claim => self.fenced(&order.server, now),
+            StartVerdict::Fenced
+            | StartVerdict::RunTooOld
+            | StartVerdict::TooLate
+            | StartVerdict::NoRoom
+            | StartVerdict::Unhealthy
+            | StartVerdict::OtherServer
+            | StartVerdict::Malformed => self.start_denied(order, verdict, now),
+        }
+    }
+
+    fn start_denied(
+        &mut self,
+        order: &server_model::StartOrder,
+        verdict: StartVerdict,
+        now: time::Duration,
+    ) {
+        let Some(slot) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        slot.runs.remove(&order.task);
+        let outcome = match verdict {
+            StartVerdict::Unhealthy | StartVerdict::NoRoom => {
+                slot.health.eject(now);
+                "unhealthy_or_full"
+            }
+            StartVerdict::OtherServer => {
+                slot.health.eject(now);
+                "other_server"
+            }
+            StartVerdict::TooLate => {
+                // The clock reading is off; the next hold brings a new one.
+                slot.clock = None;
+                "too_late"
+            }
+            StartVerdict::RunTooOld => "run_too_old",
+            StartVerdict::Malformed => "malformed",
+            _ => "fenced_by_newer_claim",
+        };
+        self.run_places.remove(&order.task);
+        let request = Some(Arc::from(order.task.to_string()));
+        let server = Some(Arc::clone(&order.server));
+        self.note(DecisionKind::StartDenied, request, server, outcome, NO_INPUTS);
+        let skipped = if verdict == StartVerdict::RunTooOld { SKIPPED_RUNS } else { 0 };
+        if verdict == StartVerdict::Malformed {
+            self.task_failed(&order.server, &order.task, order.run_id, now);
+        } else {
+            self.requeue(&order.task, order.run_id, skipped, now);
+        }
+        self.schedule(now);
+    }
+
+    /// A stop was answered, or wasn't in time.
+    pub fn stop_answered(
+        &mut self,
+        order: &server_model::StopOrder,
+        verdict: server_model::StopVerdict,
+        now: time::Duration,
+    ) {
+        if verdict == server_model::StopVerdict::Unanswered {
+            self.suspect(&order.server, now, "stop_unanswered");
+        }
+    }
+
+    /// A hold was answered, or wasn't in time.
+    pub fn hold_answered(
+        &mut self,
+        order: &server_model::HoldOrder,
+        verdict: HoldVerdict,
+        now: time::Duration,
+    ) {
+        let id = &order.server;
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        if slot.token != order.token || slot.standing == ServerStanding::Released {
+            return;
+        }
+        match verdict {
+            HoldVerdict::Listed(report) => {
+                self.take_report(id, &report, now);
+                // A new claim meanwhile has a hold of its own.
+                let same_claim = self
+                    .servers
+                    .get(id)
+                    .is_some_and(|slot| slot.token == order.token);
+                if same_claim {
+                    self.next_hold(id, now);
+                }
+                self.schedule(now);
+            }
+            HoldVerdict::Fenced => self.fenced(id, now),
+            HoldVerdict::OtherServer => {
+                slot.health.eject(now);
+                self.suspect(id, now, "other_server");
+            }
+            HoldVerdict::Unanswered => self.suspect(id, now, "hold_unanswered"),
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        id: &Arc<str>,
+        report: &server_model::HoldReport,
+        now: time::Duration,
+    ) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        let reborn = report.born.is_some_and(|born| born != slot.born && slot.born != 0);
+        if let Some(born) = report.born {
+            slot.born = born;
+        }
+        let sent_at = slot.hold_sent_at;
+        let mut over = Vec::new();
+        if reborn {
+            over.extend(std::mem::take(&mut slot.runs));
+            slot.last_seen = 0;
+            slot.lease_deadline_ms = 0;
+            slot.clock = None;
+        }
+        read_clock(slot, report.clock_ms, now);
+        if slot.standing != ServerStanding::Held {
+            slot.standing = ServerStanding::Held;
+            let inputs = [
+                ("tries", i64::from(slot.claim_tries)),
+                ("after_ms", note_ms(now.saturating_sub(slot.claim_since))),
+                ("running", claims::as_count(report.running.len())),
+            ];
+            slot.claim_tries = 0;
+            let epoch = slot.token >> super::TOKEN_NONCE_BITS;
+            self.epoch = self.epoch.max(epoch);
+            self.note(DecisionKind::Held, None, Some(Arc::clone(id)), "granted", inputs);
+        }
+        if reborn {
+            let inputs = [("runs", claims::as_count(over.len())), ("", 0), ("", 0)];
+            self.note(DecisionKind::Reborn, None, Some(Arc::clone(id)), "runs_lost", inputs);
+            for (task, run) in over {
+                self.end_run(id, &task, &run, RunEnd::Lapsed, now);
+            }
+            // Orders of the former life may still arrive: a new token shuts them out.
+            self.claim(id, now);
+        }
+        self.take_ends(id, &report.finished, now);
+        self.take_running(id, report, sent_at, now);
+        self.drop_if_gone(id);
+    }
+
+    fn take_ends(&mut self, id: &Arc<str>, ends: &[server_model::ListedEnd], now: time::Duration) {
+        for end in ends {
+            let Some(slot) = self.servers.get_mut(id) else {
+                return;
+            };
+            if end.sequence <= slot.last_seen {
+                continue;
+            }
+            slot.last_seen = end.sequence;
+            let known = slot
+                .runs
+                .get(&end.task)
+                .is_some_and(|run| run.run_id == end.run_id);
+            match slot.runs.remove(&end.task) {
+                Some(run) if known => self.end_run(id, &end.task, &run, end.end, now),
+                Some(run) => {
+                    slot.runs.insert(end.task.clone(), run);
+                }
+                None => {
+                    let until = now + FOREIGN_GRACE;
+                    self.foreign_ends
+                        .insert(end.task.clone(), (end.end, until));
+                }
+            }
+        }
+    }
+
+    fn take_running(
+        &mut self,
+        id: &Arc<str>,
+        report: &server_model::HoldReport,
+        sent_at: time::Duration,
+        now: time::Duration,
+    ) {
+        let listed: HashSet<(&job_model::TaskName, u64)> = report
+            .running
+            .iter()
+            .map(|run| (&run.task, run.run_id))
+            .collect();
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        // A run that isn't listed is over if the hold left after the server had it,
+        // and can't begin any more if the hold carried a newer token.
+        let token = slot.token;
+        let gone: Vec<job_model::TaskName> = slot
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                !listed.contains(&(*task, run.run_id))
+                    && (run.confirmed_at.is_some_and(|at| at < sent_at) || run.token < token)
+            })
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in gone {
+            let run = self
+                .servers
+                .get_mut(id)
+                .and_then(|slot| slot.runs.remove(&task));
+            if let Some(run) = run {
+                self.end_run(id, &task, &run, RunEnd::Lapsed, now);
+            }
+        }
+        for run in &report.running {
+            self.take_listed_run(id, run, now);
+        }
+        self.check_progress(id, report, now);
+    }
+
+    fn take_listed_run(
+        &mut self,
+        id: &Arc<str>,
+        listed: &server_model::ListedRun,
+        now: time::Duration,
+    ) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        match slot.runs.get_mut(&listed.task) {
+            Some(run) if run.run_id == listed.run_id => {
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running;
+                }
+                run.confirmed_at.get_or_insert(now);
+                // It belongs to the latest claim from here on.
+                run.token = slot.token;
+            }
+            Some(_) => {}
+            None => {
+                // How much it uses is unknown, so it counts for the whole server.
+                let run = server_slot::ServerRun {
+                    run_id: listed.run_id,
+                    cpu_millis: slot.entry.cpu_millis,
+                    memory_mb: slot.entry.memory_mb,
+                    gpus: slot.entry.gpus,
+                    phase: RunPhase::Running,
+                    token: slot.token,
+                    owned: false,
+                    ordered_at: now,
+                    confirmed_at: Some(now),
+                    estimate: time::Duration::ZERO,
+                    expected: time::Duration::ZERO,
+                    check_at: now + self.settings.max_lease,
+                };
+                slot.runs.insert(listed.task.clone(), run);
+                self.run_places
+                    .insert(listed.task.clone(), Arc::clone(id));
+                let request = Some(Arc::from(listed.task.to_string()));
+                let server = Some(Arc::clone(id));
+                self.note(DecisionKind::ForeignRun, request, server, "found", NO_INPUTS);
+            }
+        }
+    }
+
+    /// Stops overdue runs that would end sooner elsewhere.
+    fn check_progress(
+        &mut self,
+        id: &Arc<str>,
+        report: &server_model::HoldReport,
+        now: time::Duration,
+    ) {
+        for listed in &report.running {
+            let Some(slot) = self.servers.get_mut(id) else {
+                return;
+            };
+            let Some(run) = slot.runs.get_mut(&listed.task) else {
+                continue;
+            };
+            if !run.owned || run.phase != RunPhase::Running || now < run.check_at {
+                continue;
+            }
+            let elapsed = now.saturating_sub(run.ordered_at);
+            let percent = u32::from(listed.percent.clamp(1, 100));
+            let left = elapsed * (100 - percent) / percent;
+            let restart = run.estimate + self.settings.stop_time;
+            run.check_at = now + run.estimate.max(MIN_HOLD_WAIT);
+            let worth_it = left > restart * 2;
+            let useless_at = self
+                .jobs
+                .get(&listed.task.job)
+                .map_or(now, |job| job.useless_at);
+            if worth_it && now + restart < useless_at {
+                slot.health.eject(now);
+                let inputs = [
+                    ("elapsed_ms", note_ms(elapsed)),
+                    ("percent", i64::from(listed.percent)),
+                    ("left_ms", note_ms(left)),
+                ];
+                self.note(DecisionKind::Ejected, None, Some(Arc::clone(id)), "no_progress", inputs);
+                self.stop_run(id, &listed.task, "no_progress");
+            }
+        }
+    }
+
+    fn next_hold(&mut self, id: &Arc<str>, now: time::Duration) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        if slot.standing != ServerStanding::Held {
+            return;
+        }
+        let lease_deadline_ms = slot.lease_end_ms(now, self.settings.lease);
+        slot.lease_deadline_ms = slot.lease_deadline_ms.max(lease_deadline_ms.unwrap_or(0));
+        let check_in = slot
+            .next_check()
+            .map_or(self.settings.hold_wait, |at| at.saturating_sub(now));
+        slot.hold_sent_at = now;
+        let order = server_model::HoldOrder {
+            server: Arc::clone(id),
+            address: Arc::clone(&slot.entry.address),
+            token: slot.token,
+            last_seen: slot.last_seen,
+            lease_deadline_ms,
+            wait: check_in.clamp(MIN_HOLD_WAIT, self.settings.hold_wait),
+            fresh_connection: false,
+        };
+        self.actions.push(PoolAction::Hold(order));
+    }
+
+    /// A run that used room on `id` is over.
+    pub(super) fn end_run(
+        &mut self,
+        id: &Arc<str>,
+        task: &job_model::TaskName,
+        run: &server_slot::ServerRun,
+        end: RunEnd,
+        now: time::Duration,
+    ) {
+        self.run_places.remove(task);
+        let elapsed = now.saturating_sub(run.ordered_at);
+        let inputs = [
+            ("elapsed_ms", note_ms(elapsed)),
+            ("expected_ms", note_ms(run.expected)),
+            ("run", i64::try_from(run.run_id).unwrap_or(i64::MAX)),
+        ];
+        let request = Some(Arc::from(task.to_string()));
+        self.note(DecisionKind::RunEnded, request, Some(Arc::clone(id)), run_end_text(end), inputs);
+        match end {
+            RunEnd::Done => {
+                if run.owned && !run.estimate.is_zero() {
+                    self.learn_pace(id, elapsed, run.estimate, now);
+                }
+                self.task_done(task, run.run_id, now);
+            }
+            RunEnd::Failed => self.task_failed(id, task, run.run_id, now),
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::GangBroken => {
+                self.requeue(task, run.run_id, 0, now);
+            }
+        }
+    }
+
+    fn learn_pace(
+        &mut self,
+        id: &Arc<str>,
+        actual: time::Duration,
+        estimate: time::Duration,
+        now: time::Duration,
+    ) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        let kind: &mut health::KindPace = self.kinds.entry(slot.kind()).or_default();
+        kind.note(actual, estimate);
+        slot.health.note_done(now, actual, estimate, kind);
+    }
+
+    fn task_done(&mut self, name: &job_model::TaskName, run_id: u64, now: time::Duration) {
+        if let Some(task) = self.placed_task(name, run_id) {
+            task.phase = TaskPhase::Done;
+            self.finish_if_done(&name.job, now);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        server: &Arc<str>,
+        name: &job_model::TaskName,
+        run_id: u64,
+        now: time::Duration,
+    ) {
+        let Some(task) = self.placed_task(name, run_id) else {
+            return;
+        };
+        task.failures += 1;
+        task.avoid.push(Arc::clone(server));
+        let failures = task.failures;
+        // A task that failed elsewhere before is itself the likelier cause.
+        if failures == 1
+            && let Some(slot) = self.servers.get_mut(server)
+            && slot.health.note_failed(now)
+        {
+            let inputs = [("", 0), ("", 0), ("", 0)];
+            self.note(DecisionKind::Ejected, None, Some(Arc::clone(server)), "failures", inputs);
+        }
+        let exhausted = self
+            .jobs
+            .get(&name.job)
+            .is_some_and(|job| failures >= job.spec.max_attempts);
+        if exhausted {
+            self.end_job(&name.job, &JobEnd::Failed(FailureReason::AttemptsExhausted), now);
+        } else {
+            self.requeue(name, run_id, 0, now);
+        }
+    }
+
+    /// Puts a task whose run is over back into the queue.
+    fn requeue(
+        &mut self,
+        name: &job_model::TaskName,
+        run_id: u64,
+        skipped_runs: u64,
+        _now: time::Duration,
+    ) {
+        let Some(task) = self.placed_task(name, run_id) else {
+            return;
+        };
+        task.phase = TaskPhase::Waiting;
+        task.next_run += skipped_runs;
+        if let Some(job) = self.jobs.get(&name.job) {
+            self.queue.insert(job.position.clone());
+        }
+    }
+
+    fn placed_task(
+        &mut self,
+        name: &job_model::TaskName,
+        run_id: u64,
+    ) -> Option<&mut super::TaskEntry> {
+        let job = self.jobs.get_mut(&name.job)?;
+        job.tasks.iter_mut().find(|task| {
+            task.name == *name
+                && matches!(&task.phase, TaskPhase::Placed { run_id: placed, .. } if *placed == run_id)
+        })
+    }
+}
+
+/// Takes in a reading of the server's clock; an older one on another connection is ignored.
+fn read_clock(slot: &mut server_slot::ServerSlot, clock_ms: u64, now: time::Duration) {
+    let newer = slot.clock.is_none_or(|reading| clock_ms >= reading.clock_ms);
+    if newer {
+        slot.clock = Some(server_slot::ClockReading { clock_ms, at: now });
+    }
+}
+
+fn run_end_text(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lapsed",
+        RunEnd::GangBroken => "gang_broken",
+    }
+}
--- /dev/null
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -0,0 +1,276 @@
+//! Placing waiting tasks on servers.
+
+use std::{sync::Arc, time};
+
+use super::{Pool, TaskPhase, claims};
+use crate::{
+    health, job_model, job_order, pool_action::DecisionKind, pool_action::PoolAction,
+    pool_action::note_ms, server_model, server_slot, task_placement,
+};
+
+/// A run is checked for progress after this many times its expected run time:
+/// estimates are off by up to two fifths, either way.
+const CHECK_AFTER: f64 = 2.0;
+/// Added to the time of that check, for short tasks.
+const CHECK_MARGIN: time::Duration = time::Duration::from_millis(60);
+
+impl Pool {
+    /// Starts waiting tasks where there is room, in the order of the queue.
+    pub(super) fn schedule(&mut self, now: time::Duration) {
+        let mut most_free = self.most_free(now);
+        if most_free == 0 || self.queue.is_empty() {
+            return;
+        }
+        let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
+        for position in positions {
+            if most_free == 0 {
+                return;
+            }
+            if self.place_job(&position, now) {
+                most_free = self.most_free(now);
+            }
+        }
+    }
+
+    fn most_free(&self, now: time::Duration) -> u32 {
+        self.servers
+            .values()
+            .filter(|slot| slot.is_usable(now))
+            .map(server_slot::ServerSlot::free_cpu)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Places what fits of one job; returns whether anything was placed.
+    fn place_job(&mut self, position: &job_order::QueuePosition, now: time::Duration) -> bool {
+        let Some(job) = self.jobs.get(&position.job) else {
+            self.queue.remove(position);
+            return false;
+        };
+        if job.maybe_elsewhere && !self.is_settled(now) {
+            return false;
+        }
+        let ready: Vec<usize> = job
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.phase == TaskPhase::Waiting && is_ready(job, task))
+            .map(|(position, _)| position)
+            .collect();
+        let mut placed = false;
+        for task in ready {
+            match self.place_task(&position.job, task, now) {
+                true => placed = true,
+                // Tasks of a step are alike, so the others don't fit either.
+                false => break,
+            }
+        }
+        let waiting = self.jobs.get(&position.job).is_some_and(|job| {
+            job.tasks
+                .iter()
+                .any(|task| task.phase == TaskPhase::Waiting)
+        });
+        if !waiting {
+            self.queue.remove(position);
+        }
+        placed
+    }
+
+    /// Whether runs of a former owner can't be unknown any more.
+    fn is_settled(&self, now: time::Duration) -> bool {
+        now >= self.unsettled_until
+            || !self
+                .servers
+                .values()
+                .any(|slot| slot.listed && slot.standing == server_slot::ServerStanding::Claiming)
+    }
+
+    fn place_task(&mut self, job_id: &Arc<str>, position: usize, now: time::Duration) -> bool {
+        let Some(job) = self.jobs.get(job_id) else {
+            return false;
+        };
+        let (Some(task), Some(step)) = (
+            job.tasks.get(position),
+            job.tasks
+                .get(position)
+                .and_then(|task| job.spec.steps.get(usize::from(task.name.step))),
+        ) else {
+            return false;
+        };
+        let estimate = time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
+        let Some((server, pace)) = self.choose_server(job_id, position, estimate, now) else {
+            return false;
+        };
+        let (name, run_id) = (task.name.clone(), task.next_run);
+        let payload = Arc::clone(&job.spec.payload);
+        let expected = estimate.mul_f64(pace);
+        let run = server_slot::ServerRun {
+            run_id,
+            cpu_millis: step.cpu_millis,
+            memory_mb: step.memory_mb,
+            gpus: step.gpus,
+            phase: server_slot::RunPhase::Starting,
+            token: 0,
+            owned: true,
+            ordered_at: now,
+            confirmed_at: None,
+            estimate,
+            expected,
+            check_at: now + expected.mul_f64(CHECK_AFTER) + CHECK_MARGIN,
+        };
+        let inputs = [
+            ("wait_ms", note_ms(now.saturating_sub(job.arrived))),
+            ("expected_ms", note_ms(expected)),
+            ("run", i64::try_from(run_id).unwrap_or(i64::MAX)),
+        ];
+        let Some(order) = self.order_start(&server, &name, run, payload, now) else {
+            return false;
+        };
+        let request = Arc::from(name.to_string());
+        self.note(DecisionKind::Placed, Some(request), Some(Arc::clone(&server)), "ordered", inputs);
+        self.run_places.insert(name, Arc::clone(&server));
+        if let Some(job) = self.jobs.get_mut(job_id) {
+            job.started = true;
+            if let Some(task) = job.tasks.get_mut(position) {
+                task.phase = TaskPhase::Placed { server, run_id };
+                task.next_run = run_id + 1;
+            }
+        }
+        self.actions.push(PoolAction::Start(order));
+        true
+    }
+
+    fn order_start(
+        &mut self,
+        server: &Arc<str>,
+        name: &job_model::TaskName,
+        mut run: server_slot::ServerRun,
+        payload: Arc<str>,
+        now: time::Duration,
+    ) -> Option<server_model::StartOrder> {
+        let lease = self.settings.lease;
+        let slot = self.servers.get_mut(server)?;
+        let lease_deadline_ms = slot.lease_end_ms(now, lease)?;
+        slot.lease_deadline_ms = slot.lease_deadline_ms.max(lease_deadline_ms);
+        run.token = slot.token;
+        let order = server_model::StartOrder {
+            server: Arc::clone(server),
+            address: Arc::clone(&slot.entry.address),
+            task: name.clone(),
+            run_id: run.run_id,
+            payload,
+            lease_deadline_ms,
+            token: slot.token,
+        };
+        slot.runs.insert(name.clone(), run);
+        Some(order)
+    }
+
+    /// The server on which a task costs least, with its pace.
+    fn choose_server(
+        &self,
+        job_id: &Arc<str>,
+        position: usize,
+        estimate: time::Duration,
+        now: time::Duration,
+    ) -> Option<(Arc<str>, f64)> {
+        let job = self.jobs.get(job_id)?;
+        let task = job.tasks.get(position)?;
+        let step = job.spec.steps.get(usize::from(task.name.step))?;
+        let mut best: Option<(f64, &Arc<str>, f64)> = None;
+        for (id, slot) in &self.servers {
+            let excluded = slot.entry.service != job.spec.service
+                || !slot.is_usable(now)
+                || !slot.fits(step)
+                || !slot.could_run(step)
+                || task.avoid.contains(id)
+                || (task.failures > 0 && slot.health.is_on_trial())
+                || !self.admits_another(slot, &task.name, step);
+            if excluded {
+                continue;
+            }
+            let pace = self.pace(slot, now);
+            let option = task_placement::PlacementOption {
+                free_cpu: slot.free_cpu(),
+                pace,
+                in_time: now + estimate.mul_f64(pace) <= job.objective_at,
+                near_data: step
+                    .data_rack
+                    .as_ref()
+                    .is_none_or(|rack| slot.entry.labels.contains(rack)),
+            };
+            let cost = task_placement::placement_cost(&option, step.cpu_millis, self.typical_cpu);
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, id, pace));
+            }
+        }
+        best.map(|(_, id, pace)| (Arc::clone(id), pace))
+    }
+
+    fn admits_another(
+        &self,
+        slot: &server_slot::ServerSlot,
+        name: &job_model::TaskName,
+        step: &job_model::StepSpec,
+    ) -> bool {
+        step.max_per_server.is_none_or(|most| {
+            let same_step = slot
+                .runs
+                .keys()
+                .filter(|other| other.job == name.job && other.step == name.step)
+                .count();
+            same_step < usize::from(most)
+        })
+    }
+
+    pub(super) fn pace(&self, slot: &server_slot::ServerSlot, now: time::Duration) -> f64 {
+        let unknown = health::KindPace::default();
+        let kind = self.kinds.get(&slot.kind()).unwrap_or(&unknown);
+        slot.health.pace(now, kind)
+    }
+
+    /// Orders a run to stop; its room counts as used until its end is listed.
+    pub(super) fn stop_run(
+        &mut self,
+        server: &Arc<str>,
+        task: &job_model::TaskName,
+        cause: &'static str,
+    ) {
+        let Some(slot) = self.servers.get_mut(server) else {
+            return;
+        };
+        let (token, address) = (slot.token, Arc::clone(&slot.entry.address));
+        let held = slot.standing == server_slot::ServerStanding::Held;
+        let Some(run) = slot.runs.get_mut(task) else {
+            return;
+        };
+        run.owned = false;
+        if run.phase == server_slot::RunPhase::Stopping || !held {
+            return;
+        }
+        run.phase = server_slot::RunPhase::Stopping;
+        let order = server_model::StopOrder {
+            server: Arc::clone(server),
+            address,
+            task: task.clone(),
+            run_id: run.run_id,
+            token,
+        };
+        let inputs = [("runs", claims::as_count(slot.runs.len())), ("", 0), ("", 0)];
+        let request = Some(Arc::from(task.to_string()));
+        self.note(DecisionKind::Stopping, request, Some(Arc::clone(server)), cause, inputs);
+        self.actions.push(PoolAction::Stop(order));
+    }
+}
+
+fn is_ready(job: &super::JobEntry, task: &super::TaskEntry) -> bool {
+    let Some(step) = job.spec.steps.get(usize::from(task.name.step)) else {
+        return false;
+    };
+    step.depends_on.iter().all(|earlier| {
+        job.tasks
+            .iter()
+            .filter(|other| other.name.step == *earlier)
+            .all(|other| other.phase == TaskPhase::Done)
+    })
+}
--- /dev/null
+++ b/crates/cuminkeel_pool/src/server_slot.rs
@@ -0,0 +1,200 @@
+//! A backend server as its pool knows it: room, leases, claims.
+
+use std::{collections::BTreeMap, sync::Arc, time};
+
+use crate::{health, job_model, server_model};
+
+/// A server's steady clock may run this much slow, in percent; a platform bound.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Added to the time after which a silent server's leases count as over, for the kill itself.
+const LAPSE_MARGIN: time::Duration = time::Duration::from_millis(50);
+
+/// Whether the pool may give orders to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerStanding {
+    /// Not this pool's.
+    Released,
+    /// A first claim is under way.
+    Claiming,
+    /// This pool's token is the highest that the server has seen.
+    Held,
+    /// It was held, and an order went unanswered; a new claim is under way.
+    Suspect,
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunPhase {
+    /// The order is on its way; it may or may not act.
+    Starting,
+    /// The server has it.
+    Running,
+    /// A stop was ordered.
+    Stopping,
+}
+
+/// A run that may use room on a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRun {
+    /// Number of the run.
+    pub run_id: u64,
+    /// Processor counted for it, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory counted for it, in MB.
+    pub memory_mb: u32,
+    /// Accelerators counted for it.
+    pub gpus: u32,
+    /// Where it stands.
+    pub phase: RunPhase,
+    /// Token of its start.
+    pub token: u64,
+    /// Whether a job of this pool waits for it.
+    pub owned: bool,
+    /// When it was ordered or found.
+    pub ordered_at: time::Duration,
+    /// When the server was first known to have it.
+    pub confirmed_at: Option<time::Duration>,
+    /// The caller's estimate of its run time.
+    pub estimate: time::Duration,
+    /// Estimate corrected for the server's pace.
+    pub expected: time::Duration,
+    /// When it is checked for missing progress.
+    pub check_at: time::Duration,
+}
+
+/// Reading of a server's steady clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClockReading {
+    /// The server's clock, in ms.
+    pub clock_ms: u64,
+    /// When the answer with it arrived.
+    pub at: time::Duration,
+}
+
+/// A backend server in a pool.
+#[derive(Clone, Debug)]
+pub struct ServerSlot {
+    /// The registry's entry.
+    pub entry: server_model::ServerEntry,
+    /// Whether the registry lists it.
+    pub listed: bool,
+    /// Whether orders may be given.
+    pub standing: ServerStanding,
+    /// Token of the latest claim.
+    pub token: u64,
+    /// Ends up to this number are taken in.
+    pub last_seen: u64,
+    /// Latest reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// Latest end of a lease that was sent to it, on its clock.
+    pub lease_deadline_ms: u64,
+    /// Runs that may use its room.
+    pub runs: BTreeMap<job_model::TaskName, ServerRun>,
+    /// Evidence on its health.
+    pub health: health::ServerHealth,
+    /// When the current claim began.
+    pub claim_since: time::Duration,
+    /// Claims since the server last answered.
+    pub claim_tries: u32,
+    /// When to claim again.
+    pub claim_at: Option<time::Duration>,
+    /// When the outstanding hold was sent.
+    pub hold_sent_at: time::Duration,
+    /// Start of the server's life that `last_seen`, `clock` and `runs` belong to.
+    pub born: u64,
+}
+
+impl ServerSlot {
+    /// A server that is not held.
+    pub fn new(entry: server_model::ServerEntry) -> Self {
+        Self {
+            born: entry.born,
+            entry,
+            listed: true,
+            standing: ServerStanding::Released,
+            token: 0,
+            last_seen: 0,
+            clock: None,
+            lease_deadline_ms: 0,
+            runs: BTreeMap::new(),
+            health: health::ServerHealth::default(),
+            claim_since: time::Duration::ZERO,
+            claim_tries: 0,
+            claim_at: None,
+            hold_sent_at: time::Duration::ZERO,
+        }
+    }
+
+    /// Whether new runs may be ordered.
+    pub fn is_usable(&self, now: time::Duration) -> bool {
+        self.standing == ServerStanding::Held
+            && self.listed
+            && !self.entry.draining
+            && self.clock.is_some()
+            && self.health.admits(now, self.runs.len())
+    }
+
+    /// Free processor, in thousandths of a core.
+    pub fn free_cpu(&self) -> u32 {
+        let used = self.runs.values().map(|run| u64::from(run.cpu_millis));
+        remaining(self.entry.cpu_millis, used.sum())
+    }
+
+    /// Whether a task of `step` fits beside what runs.
+    pub fn fits(&self, step: &job_model::StepSpec) -> bool {
+        let memory = self.runs.values().map(|run| u64::from(run.memory_mb));
+        let gpus = self.runs.values().map(|run| u64::from(run.gpus));
+        self.free_cpu() >= step.cpu_millis
+            && remaining(self.entry.memory_mb, memory.sum()) >= step.memory_mb
+            && remaining(self.entry.gpus, gpus.sum()) >= step.gpus
+    }
+
+    /// Whether a task of `step` could run here if nothing else did.
+    pub fn could_run(&self, step: &job_model::StepSpec) -> bool {
+        self.entry.cpu_millis >= step.cpu_millis
+            && self.entry.memory_mb >= step.memory_mb
+            && self.entry.gpus >= step.gpus
+            && step
+                .required_label
+                .as_ref()
+                .is_none_or(|label| self.entry.labels.contains(label))
+    }
+
+    /// Kind of the server: its first label.
+    pub fn kind(&self) -> Arc<str> {
+        self.entry
+            .labels
+            .first()
+            .map_or_else(|| Arc::from(""), Arc::clone)
+    }
+
+    /// End of a lease of `lease` from now, on the server's clock.
+    pub fn lease_end_ms(&self, now: time::Duration, lease: time::Duration) -> Option<u64> {
+        self.clock.map(|reading| {
+            let since = now.saturating_sub(reading.at) + lease;
+            reading.clock_ms + u64::try_from(since.as_millis()).unwrap_or(u64::MAX / 2)
+        })
+    }
+
+    /// Time from which no run can be left on a server that doesn't answer. The
+    /// server's clock may be slow, so the lease may last longer than it says.
+    pub fn lapsed_at(&self) -> Option<time::Duration> {
+        let reading = self.clock?;
+        let left = self.lease_deadline_ms.saturating_sub(reading.clock_ms);
+        let stretched = left * u64::from(100 + CLOCK_DRIFT_PERCENT + 1) / 100;
+        Some(reading.at + time::Duration::from_millis(stretched) + LAPSE_MARGIN)
+    }
+
+    /// Earliest time at which a run is checked for missing progress.
+    pub fn next_check(&self) -> Option<time::Duration> {
+        self.runs
+            .values()
+            .filter(|run| run.owned)
+            .map(|run| run.check_at)
+            .min()
+    }
+}
+
+fn remaining(capacity: u32, used: u64) -> u32 {
+    u32::try_from(u64::from(capacity).saturating_sub(used)).unwrap_or(0)
+}
