Keep the pool's timers running under load, and fail jobs only after exhausted attempts

Change: a tick that doesn't move with events; 504 and 502 for jobs whose tasks may have run. Ruled out: claims turned away (epochs were accepted at the first try).

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -146,7 +146,7 @@
                 (peer, job.end().await.ok())
             }
         };
-        let quiet = matches!(end, Some(JobEnd::Completed));
+        let quiet = matches!(end, Some(JobEnd::Completed | JobEnd::NotLeader));
         if !quiet {
             slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*peer,
                 "other_domain" => other_domain, "outcome" => ?end,
--- a/crates/cuminkeel_node/src/front.rs
+++ b/crates/cuminkeel_node/src/front.rs
@@ -3,7 +3,7 @@
 use std::{convert, sync::Arc, time};
 
 use bytes::Bytes;
-use cuminkeel_pool::job_model;
+use cuminkeel_pool::{job_model, job_model::FailureReason};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
@@ -184,7 +184,16 @@
     node.metrics.count_answer(&route.name, &answer, took);
     match answer {
         JobAnswer::Completed => plain(http::StatusCode::OK, caller::encode_job_end(true)),
-        JobAnswer::Failed(_) => plain(http::StatusCode::OK, caller::encode_job_end(false)),
+        JobAnswer::Failed(FailureReason::AttemptsExhausted) => {
+            plain(http::StatusCode::OK, caller::encode_job_end(false))
+        }
+        // Tasks may have run, so it is no refusal; none has failed for good, so it is no failure.
+        JobAnswer::Failed(FailureReason::OutOfTime | FailureReason::Withdrawn) => {
+            plain(http::StatusCode::GATEWAY_TIMEOUT, caller::encode_refusal("out_of_time"))
+        }
+        JobAnswer::Failed(FailureReason::PoolLost) => {
+            plain(http::StatusCode::BAD_GATEWAY, caller::encode_refusal("pool_lost"))
+        }
         JobAnswer::Refused {
             reason,
             retry_after,
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -181,10 +181,18 @@
         node,
     };
     let mut news = driver.node.news();
+    let mut next_tick = tokio::time::Instant::now();
     loop {
-        let pause = if driver.pool.is_busy() { BUSY_TICK } else { IDLE_TICK };
         tokio::select! {
             biased;
+            // A stream of events must not keep the timers from running.
+            () = tokio::time::sleep_until(next_tick) => {
+                let now = driver.node.now();
+                driver.pool.tick(now);
+                driver.reconsider();
+                let pause = if driver.pool.is_busy() { BUSY_TICK } else { IDLE_TICK };
+                next_tick = tokio::time::Instant::now() + pause;
+            }
             event = events.recv() => {
                 let Some(event) = event else { return };
                 driver.take_event(event);
@@ -193,11 +201,6 @@
                 }
             }
             _ = news.changed() => driver.reconsider(),
-            () = tokio::time::sleep(pause) => {
-                let now = driver.node.now();
-                driver.pool.tick(now);
-                driver.reconsider();
-            }
         }
         driver.carry_out();
     }
--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -20,13 +20,14 @@
     pub fn list_server(&mut self, entry: server_model::ServerEntry, now: time::Duration) {
         let id = Arc::clone(&entry.id);
         let draining = entry.draining;
+        let new = !self.servers.contains_key(&id);
         let slot = self
             .servers
             .entry(Arc::clone(&id))
             .or_insert_with(|| server_slot::ServerSlot::new(entry.clone()));
         // Stale reads of the registry show former states of the same life.
         let stale = (entry.born, entry.sequence) < (slot.entry.born, slot.entry.sequence);
-        let news = !slot.listed || slot.entry.draining != draining || slot.clock.is_none();
+        let news = new || !slot.listed || slot.entry.draining != draining;
         if stale {
             return;
         }
