--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -162,6 +162,31 @@
         task
     }
 
+    /// Gives a run that was found on a server to the job that waits for its task.
+    pub(super) fn adopt_listed_run(&mut self, name: &job_model::TaskName) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return false;
+        };
+        let spec = Arc::clone(&job.spec);
+        let position = job
+            .tasks
+            .iter()
+            .position(|task| task.name == *name && task.phase == TaskPhase::Waiting);
+        let (Some(position), Some(step)) = (position, spec.steps.get(usize::from(name.step)))
+        else {
+            return false;
+        };
+        let task = self.adopt_task(name.clone(), step, 1);
+        if let Some(job) = self.jobs.get_mut(&name.job)
+            && let Some(waiting) = job.tasks.get_mut(position)
+        {
+            waiting.next_run = waiting.next_run.max(task.next_run);
+            waiting.phase = task.phase;
+            job.started = true;
+        }
+        true
+    }
+
     /// Why the job would not end in time, and when its last task would start.
     fn foretell_refusal(
         &self,
--- a/crates/cuminkeel_pool/src/pool/reports.rs
+++ b/crates/cuminkeel_pool/src/pool/reports.rs
@@ -208,11 +208,32 @@
                 Some(run) => {
                     slot.runs.insert(end.task.clone(), run);
                 }
-                None => {
-                    let until = now + FOREIGN_GRACE;
-                    self.foreign_ends
-                        .insert(end.task.clone(), (end.end, until));
-                }
+                None => self.take_foreign_end(end, now),
+            }
+        }
+    }
+
+    /// An end of a former owner's run; a job that came from there may wait for it.
+    fn take_foreign_end(&mut self, end: &server_model::ListedEnd, now: time::Duration) {
+        let waiting = self
+            .jobs
+            .get_mut(&end.task.job)
+            .filter(|job| job.maybe_elsewhere)
+            .and_then(|job| {
+                job.tasks
+                    .iter_mut()
+                    .find(|task| task.name == end.task && task.phase == TaskPhase::Waiting)
+            });
+        match waiting {
+            Some(task) if end.end == RunEnd::Done => {
+                task.phase = TaskPhase::Done;
+                self.finish_if_done(&end.task.job, now);
+            }
+            Some(_) => {}
+            None => {
+                let until = now + FOREIGN_GRACE;
+                self.foreign_ends
+                    .insert(end.task.clone(), (end.end, until));
             }
         }
     }
@@ -297,9 +318,11 @@
                 slot.runs.insert(listed.task.clone(), run);
                 self.run_places
                     .insert(listed.task.clone(), Arc::clone(id));
+                let adopted = self.adopt_listed_run(&listed.task);
+                let outcome = if adopted { "adopted" } else { "unknown" };
                 let request = Some(Arc::from(listed.task.to_string()));
                 let server = Some(Arc::clone(id));
-                self.note(DecisionKind::ForeignRun, request, server, "found", NO_INPUTS);
+                self.note(DecisionKind::ForeignRun, request, server, outcome, NO_INPUTS);
             }
         }
     }
