Never offer a job that may have started to another domain's pool

Change: such a job is answered with 502; servers that the pool doesn't hold count as unsettled for resubmitted jobs; seeds are asked beside the store.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -71,6 +71,8 @@
     async fn run(&mut self) -> JobAnswer {
         let refusal = match self.offer_near().await {
             Ok(answer) => return answer,
+            // Runs of it may go on in the own domain, where other domains' pools can't see them.
+            Err(_) if self.maybe_started => return JobAnswer::Failed(FailureReason::PoolLost),
             Err(refusal) => refusal,
         };
         for (link, peer) in self.far_pools() {
@@ -84,10 +86,7 @@
                 Some(JobEnd::Refused { .. } | JobEnd::NotLeader) => {}
             }
         }
-        match self.maybe_started {
-            true => JobAnswer::Failed(FailureReason::PoolLost),
-            false => refusal,
-        }
+        refusal
     }
 
     /// Offers the job to the own domain's pool until one takes or refuses it.
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -236,7 +236,7 @@
 
 /// Announces this process to its peers and finds those that it hasn't met.
 pub async fn find_peers(node: Arc<node_state::Node>) {
-    ask_seeds(&node).await;
+    tokio::spawn(ask_seeds(Arc::clone(&node)));
     let store = client(&node);
     let mut failures = 0;
     let mut announced = false;
@@ -289,13 +289,13 @@
 }
 
 /// Seeds help while the store is away; they may be stale.
-async fn ask_seeds(node: &Arc<node_state::Node>) {
+async fn ask_seeds(node: Arc<node_state::Node>) {
     for seed in &node.settings.seeds {
         if *seed == node.settings.link_address {
             continue;
         }
-        match peer_link::ask_hello(node, seed).await {
-            Ok(hello) => node_state::learn_peer(node, hello),
+        match peer_link::ask_hello(&node, seed).await {
+            Ok(hello) => node_state::learn_peer(&node, hello),
             Err(failure) => {
                 slog::info!(node.logger, "seed_silent"; "address" => &**seed, "error" => %failure);
             }
--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -83,9 +83,7 @@
     }
 
     fn begin_claim(&mut self, id: &Arc<str>, now: time::Duration) {
-        // Runs of a former owner that this pool can't list have lapsed by then.
-        let settled = now + self.settings.max_lease + FOREIGN_GRACE;
-        self.unsettled_until = self.unsettled_until.max(settled);
+        self.unsettle(now);
         if let Some(slot) = self.servers.get_mut(id) {
             slot.standing = ServerStanding::Claiming;
             slot.claim_since = now;
@@ -97,6 +95,13 @@
         self.claim(id, now);
     }
 
+    /// From `now` on there are runs that this pool can't list: their leases run out,
+    /// or their next owner stops them.
+    fn unsettle(&mut self, now: time::Duration) {
+        let settled = now + self.settings.max_lease + FOREIGN_GRACE;
+        self.unsettled_until = self.unsettled_until.max(settled);
+    }
+
     /// Sends a hold with a token higher than all before.
     pub(super) fn claim(&mut self, id: &Arc<str>, now: time::Duration) {
         let Some(slot) = self.servers.get_mut(id) else {
@@ -182,6 +187,7 @@
         slot.standing = ServerStanding::Released;
         slot.claim_at = None;
         let runs = std::mem::take(&mut slot.runs);
+        self.unsettle(now);
         let inputs = [("runs", as_count(runs.len())), ("", 0), ("", 0)];
         self.note(DecisionKind::Fenced, None, Some(Arc::clone(id)), cause, inputs);
         let jobs: BTreeSet<Arc<str>> = runs
--- a/crates/cuminkeel_pool/src/pool/schedule.rs
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -82,7 +82,7 @@
             || !self
                 .servers
                 .values()
-                .any(|slot| slot.listed && slot.standing == server_slot::ServerStanding::Claiming)
+                .any(|slot| slot.listed && !slot.standing.knows_runs())
     }
 
     fn place_task(&mut self, job_id: &Arc<str>, position: usize, now: time::Duration) -> bool {
--- a/crates/cuminkeel_pool/src/server_slot.rs
+++ b/crates/cuminkeel_pool/src/server_slot.rs
@@ -22,6 +22,16 @@
     Suspect,
 }
 
+impl ServerStanding {
+    /// Whether every run that may be on the server is known to the pool.
+    pub fn knows_runs(self) -> bool {
+        match self {
+            Self::Held | Self::Suspect => true,
+            Self::Released | Self::Claiming => false,
+        }
+    }
+}
+
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
