Correct estimates by route, serve late jobs where nobody has room, lead as soon as peers are known

Cause: estimates are off by two fifths, so forecasts and objectives were; jobs delayed by a cold start were refused late though room came; a restarted process waited 600 ms before leading. Change: a line per route through estimates and run times; a second, last offer that accepts a late answer; leadership once each listed peer of the domain has answered or failed to. Which of the three changes gave how much was not measured apart.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -69,14 +69,16 @@
 
 impl CallerJob<'_> {
     async fn run(&mut self) -> JobAnswer {
-        let refusal = match self.offer_near().await {
+        let alone = self.far_pools().is_empty();
+        let refusal = match self.offer_near(alone).await {
             Ok(answer) => return answer,
             // Runs of it may go on in the own domain, where other domains' pools can't see them.
             Err(_) if self.maybe_started => return JobAnswer::Failed(FailureReason::PoolLost),
+            Err(refusal) if alone => return refusal,
             Err(refusal) => refusal,
         };
         for (link, peer) in self.far_pools() {
-            match self.offer(PoolTarget::Peer(link, peer), true).await {
+            match self.offer(PoolTarget::Peer(link, peer), false).await {
                 Some(JobEnd::Completed) => return JobAnswer::Completed,
                 Some(JobEnd::Failed(reason)) => return JobAnswer::Failed(reason),
                 // Another domain's pool may go on with it out of reach.
@@ -86,16 +88,26 @@
                 Some(JobEnd::Refused { .. } | JobEnd::NotLeader) => {}
             }
         }
-        refusal
+        match refusal {
+            JobAnswer::Refused {
+                reason: RefusalReason::QueueTooLong,
+                ..
+            } => match self.offer_near(true).await {
+                Ok(answer) => answer,
+                Err(_) if self.maybe_started => JobAnswer::Failed(FailureReason::PoolLost),
+                Err(refusal) => refusal,
+            },
+            other => other,
+        }
     }
 
     /// Offers the job to the own domain's pool until one takes or refuses it.
-    async fn offer_near(&mut self) -> Result<JobAnswer, JobAnswer> {
+    async fn offer_near(&mut self, accept_late: bool) -> Result<JobAnswer, JobAnswer> {
         let mut leaderless_since = None;
         loop {
             let target = self.near_pool();
             let end = match target {
-                Some(target) => self.offer(target, false).await,
+                Some(target) => self.offer(target, accept_late).await,
                 None => Some(JobEnd::NotLeader),
             };
             match end {
@@ -126,14 +138,14 @@
     }
 
     /// Offers the job to one pool; `None` when its end can't be learnt.
-    async fn offer(&self, target: PoolTarget, other_domain: bool) -> Option<JobEnd> {
+    async fn offer(&self, target: PoolTarget, accept_late: bool) -> Option<JobEnd> {
         let now = self.node.now();
         let ticket = job_model::JobTicket {
             spec: Arc::clone(&self.spec),
             age: now.saturating_sub(self.arrived),
             patience: self.deadline.saturating_sub(now),
             resubmitted: self.maybe_started,
-            from_other_domain: other_domain,
+            accept_late,
         };
         let (peer, end) = match target {
             PoolTarget::Own => {
@@ -148,7 +160,7 @@
         let quiet = matches!(end, Some(JobEnd::Completed | JobEnd::NotLeader));
         if !quiet {
             slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*peer,
-                "other_domain" => other_domain, "outcome" => ?end,
+                "accept_late" => accept_late, "outcome" => ?end,
                 "age_ms" => u64::try_from((now - self.arrived).as_millis()).unwrap_or(u64::MAX));
         }
         end
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -39,6 +39,7 @@
     config: Mutex<Option<ConfigInForce>>,
     status: Mutex<link_frame::PeerStatus>,
     leaving: atomic::AtomicBool,
+    peers_listed: atomic::AtomicBool,
     news: watch::Sender<u64>,
 }
 
@@ -61,6 +62,7 @@
             config: Mutex::new(None),
             status: Mutex::new(link_frame::PeerStatus::default()),
             leaving: atomic::AtomicBool::new(false),
+            peers_listed: atomic::AtomicBool::new(false),
             news: watch::Sender::new(0),
         }
     }
@@ -143,6 +145,22 @@
         self.news.subscribe()
     }
 
+    /// The store's list of peers was read.
+    pub fn note_peers_listed(&self) {
+        self.peers_listed.store(true, atomic::Ordering::Relaxed);
+        self.announce();
+    }
+
+    /// Whether every listed peer of the own failure domain has answered or failed to.
+    pub fn knows_domain(&self) -> bool {
+        self.peers_listed.load(atomic::Ordering::Relaxed)
+            && self
+                .peers()
+                .iter()
+                .filter(|peer| peer.hello.failure_domain == self.hello.failure_domain)
+                .all(|peer| peer.tried)
+    }
+
     /// Members of the own failure domain, this process included.
     pub fn domain_members(&self, now: time::Duration) -> Vec<leadership::DomainMember> {
         let mut members = self
@@ -183,6 +201,7 @@
                 status: link_frame::PeerStatus::default(),
                 link,
                 connected: false,
+                tried: false,
                 broken_at: time::Duration::ZERO,
                 refused: false,
             });
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -207,6 +207,7 @@
                 peer.broken_at = now;
             }
             peer.connected = false;
+            peer.tried = true;
             peer.refused = refused;
         }
         drop(peers);
@@ -293,6 +294,9 @@
         match frame {
             LinkFrame::Status(status) => {
                 note_status(node, &self.name, status);
+                if let Some(peer) = node.peers().get_mut(&self.name) {
+                    peer.tried = true;
+                }
                 let config = node
                     .config()
                     .filter(|current| current.config.version > status.config_version)
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -20,6 +20,8 @@
     pub link: peer_link::PeerLink,
     /// Whether that link is up.
     pub connected: bool,
+    /// Whether it was up or failed since this process started.
+    pub tried: bool,
     /// When that link broke.
     pub broken_at: time::Duration,
     /// Whether its address turned a dial away.
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -21,8 +21,8 @@
 const BUSY_TICK: time::Duration = time::Duration::from_millis(20);
 /// Time between looks at what is due, without jobs.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
-/// Time after the start for peers to introduce themselves before this process leads.
-const LEAD_DELAY: time::Duration = time::Duration::from_millis(600);
+/// Longest time after the start that this process waits for news of its peers before it leads.
+const MAX_LEAD_DELAY: time::Duration = time::Duration::from_millis(800);
 
 /// A change of the registry of backend servers.
 #[derive(Debug)]
@@ -248,7 +248,7 @@
     /// Claims or gives up servers after a change of the peers.
     fn reconsider(&mut self) {
         let now = self.node.now();
-        if now < LEAD_DELAY {
+        if now < MAX_LEAD_DELAY && !self.node.knows_domain() {
             return;
         }
         let members = self.node.domain_members(now);
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -263,6 +263,7 @@
                 for record in batch.records {
                     learn_record(&node, &record);
                 }
+                node.note_peers_listed();
             }
             Err(failure) => note_failure(&node, "peers", &mut failures, &failure),
         }
--- a/crates/cuminkeel_pool/src/health.rs
+++ b/crates/cuminkeel_pool/src/health.rs
@@ -26,6 +26,11 @@
 }
 
 impl KindPace {
+    /// Run time as a multiple of the expected one.
+    pub fn pace(&self) -> f64 {
+        self.log_pace.exp()
+    }
+
     /// Takes in a run of `actual` that was estimated at `estimate`.
     pub fn note(&mut self, actual: time::Duration, estimate: time::Duration) {
         let log_pace = log_ratio(actual, estimate);
--- a/crates/cuminkeel_pool/src/job_model.rs
+++ b/crates/cuminkeel_pool/src/job_model.rs
@@ -98,26 +98,33 @@
     pub target_latency_ms: u32,
 }
 
+impl StepSpec {
+    /// The caller's estimate of a task's run time.
+    pub fn estimate(&self) -> time::Duration {
+        time::Duration::from_millis(u64::from(self.estimate_ms.max(1)))
+    }
+}
+
 impl JobSpec {
-    /// Estimated run time of the longest chain of steps.
-    pub fn estimated_chain(&self) -> time::Duration {
-        let mut ends: SmallVec<[u64; 4]> = SmallVec::new();
-        for step in &self.steps {
+    /// Run time of the longest chain of steps, when a task of each step takes what `run_times` says.
+    pub fn longest_chain(&self, run_times: &[time::Duration]) -> time::Duration {
+        let mut ends: SmallVec<[time::Duration; 4]> = SmallVec::new();
+        for (step, run_time) in self.steps.iter().zip(run_times) {
             let ready = step
                 .depends_on
                 .iter()
                 .filter_map(|position| ends.get(usize::from(*position)))
                 .max()
                 .copied()
-                .unwrap_or(0);
-            ends.push(ready + u64::from(step.estimate_ms.max(1)));
+                .unwrap_or_default();
+            ends.push(ready + *run_time);
         }
-        time::Duration::from_millis(ends.into_iter().max().unwrap_or(1))
+        ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Response time that the route aims at, from the estimates.
-    pub fn objective(&self) -> time::Duration {
-        self.estimated_chain().mul_f64(self.stretch_factor.max(1.0))
+    /// Response time that the route aims at for a longest chain of `chain`.
+    pub fn objective(&self, chain: time::Duration) -> time::Duration {
+        chain.mul_f64(self.stretch_factor.max(1.0))
             + time::Duration::from_millis(u64::from(self.target_latency_ms))
     }
 
@@ -141,8 +148,8 @@
     pub patience: time::Duration,
     /// Whether another pool may have started tasks of it.
     pub resubmitted: bool,
-    /// Whether the offering process stands in another failure domain.
-    pub from_other_domain: bool,
+    /// Whether an answer after the objective is wanted, as no other pool has room.
+    pub accept_late: bool,
 }
 
 /// Why a pool turned a job away.
--- a/crates/cuminkeel_pool/src/lib.rs
+++ b/crates/cuminkeel_pool/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod leadership;
 pub mod pool;
 pub mod pool_action;
+pub mod run_estimate;
 pub mod server_model;
 pub mod server_slot;
 pub mod settings;
--- a/crates/cuminkeel_pool/src/pool.rs
+++ b/crates/cuminkeel_pool/src/pool.rs
@@ -13,7 +13,8 @@
 
 use smallvec::SmallVec;
 
-use crate::{health, job_model, job_order, pool_action, server_model, server_slot, settings};
+use crate::{health, job_model, job_order, pool_action, run_estimate, server_model, server_slot,
+    settings};
 
 /// Bits of a token that tell processes apart; the rest is the epoch.
 const TOKEN_NONCE_BITS: u32 = 20;
@@ -50,6 +51,10 @@
     waiters: SmallVec<[pool_action::WaiterId; 1]>,
     tasks: Vec<TaskEntry>,
     position: job_order::QueuePosition,
+    /// Expected run time of a task of each step.
+    run_times: SmallVec<[time::Duration; 1]>,
+    /// Expected run time of the longest chain of steps.
+    chain: time::Duration,
     arrived: time::Duration,
     objective_at: time::Duration,
     /// When an answer is worth nothing any more, from the estimates.
@@ -83,6 +88,7 @@
     epoch: u64,
     servers: BTreeMap<Arc<str>, server_slot::ServerSlot>,
     kinds: HashMap<Arc<str>, health::KindPace>,
+    estimates: HashMap<Arc<str>, run_estimate::RouteEstimates>,
     jobs: HashMap<Arc<str>, JobEntry>,
     queue: BTreeSet<job_order::QueuePosition>,
     run_places: HashMap<job_model::TaskName, Arc<str>>,
@@ -105,6 +111,7 @@
             epoch: 0,
             servers: BTreeMap::new(),
             kinds: HashMap::new(),
+            estimates: HashMap::new(),
             jobs: HashMap::new(),
             queue: BTreeSet::new(),
             run_places: HashMap::new(),
--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -40,7 +40,7 @@
             .tasks
             .iter()
             .any(|task| task.phase != TaskPhase::Waiting);
-        if !adopted && let Some((reason, wait)) = self.foretell_refusal(&job, now) {
+        if !adopted && let Some((reason, wait)) = self.foretell_refusal(&job, ticket.accept_late, now) {
             let inputs = [
                 ("queued", claims::as_count(self.queue.len())),
                 ("start_in_ms", note_ms(wait)),
@@ -82,14 +82,21 @@
     ) -> JobEntry {
         let spec = &ticket.spec;
         let arrived = now.saturating_sub(ticket.age);
-        let objective = spec.objective();
+        let learnt = self.estimates.get(&spec.route).copied().unwrap_or_default();
+        let run_times: SmallVec<[time::Duration; 1]> = spec
+            .steps
+            .iter()
+            .map(|step| learnt.expected(step.estimate()))
+            .collect();
+        let chain = spec.longest_chain(&run_times);
+        let objective = spec.objective(chain);
         let objective_at = arrived + objective;
         let deadline_at = now + ticket.patience;
         let useless_at = (arrived + objective * USELESS_OBJECTIVES).min(deadline_at);
         self.arrivals += 1;
         let position = job_order::QueuePosition {
             late: false,
-            latest_start: objective_at.saturating_sub(spec.estimated_chain()),
+            latest_start: objective_at.saturating_sub(chain),
             priority: spec.priority,
             arrival: self.arrivals,
             job: Arc::clone(&spec.id),
@@ -113,6 +120,8 @@
             waiters: smallvec![waiter],
             tasks,
             position,
+            run_times,
+            chain,
             arrived,
             objective_at,
             useless_at,
@@ -152,7 +161,8 @@
             run.cpu_millis = step.cpu_millis;
             run.memory_mb = step.memory_mb;
             run.gpus = step.gpus;
-            run.estimate = time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
+            run.estimate = step.estimate();
+            run.run_time = step.estimate();
             task.next_run = run.run_id + 1;
             task.phase = TaskPhase::Placed {
                 server: Arc::clone(server),
@@ -191,6 +201,7 @@
     fn foretell_refusal(
         &self,
         job: &JobEntry,
+        accept_late: bool,
         now: time::Duration,
     ) -> Option<(RefusalReason, time::Duration)> {
         let in_service = |slot: &&server_slot::ServerSlot| {
@@ -225,8 +236,10 @@
         let Some(start) = forecast.plan(waiting_work(job)) else {
             return Some((RefusalReason::NoSuitableServer, time::Duration::ZERO));
         };
-        let end = now + start + job.spec.estimated_chain();
-        (end > job.objective_at).then_some((RefusalReason::QueueTooLong, start))
+        // A late job stands behind all that arrives in time, so its wait counts twice.
+        let in_time = now + start + job.chain <= job.objective_at;
+        let still_useful = accept_late && now + start * 2 + job.chain <= job.useless_at;
+        (!in_time && !still_useful).then_some((RefusalReason::QueueTooLong, start))
     }
 
     fn forecast(&self, job: &JobEntry, now: time::Duration) -> admission::RoomForecast {
@@ -343,7 +356,7 @@
                 .iter()
                 .any(|task| task.phase == TaskPhase::Waiting);
             let hopeless_now = match waiting {
-                true => now + job.spec.estimated_chain() >= job.useless_at,
+                true => now + job.chain >= job.useless_at,
                 false => now >= job.deadline_at,
             };
             match () {
@@ -393,10 +406,10 @@
     let mut total = time::Duration::ZERO;
     for task in &job.tasks {
         if task.phase == TaskPhase::Waiting
-            && let Some(step) = job.spec.steps.get(usize::from(task.name.step))
+            && let Some(run_time) = job.run_times.get(usize::from(task.name.step))
         {
             tasks += 1;
-            total += time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
+            total += *run_time;
         }
     }
     admission::QueuedWork {
--- a/crates/cuminkeel_pool/src/pool/reports.rs
+++ b/crates/cuminkeel_pool/src/pool/reports.rs
@@ -312,6 +312,7 @@
                     ordered_at: now,
                     confirmed_at: Some(now),
                     estimate: time::Duration::ZERO,
+                    run_time: time::Duration::ZERO,
                     expected: time::Duration::ZERO,
                     check_at: now + self.settings.max_lease,
                 };
@@ -347,8 +348,8 @@
             let elapsed = now.saturating_sub(run.ordered_at);
             let percent = u32::from(listed.percent.clamp(1, 100));
             let left = elapsed * (100 - percent) / percent;
-            let restart = run.estimate + self.settings.stop_time;
-            run.check_at = now + run.estimate.max(MIN_HOLD_WAIT);
+            let restart = run.run_time + self.settings.stop_time;
+            run.check_at = now + run.run_time.max(MIN_HOLD_WAIT);
             let worth_it = left > restart * 2;
             let useless_at = self
                 .jobs
@@ -413,7 +414,7 @@
         match end {
             RunEnd::Done => {
                 if run.owned && !run.estimate.is_zero() {
-                    self.learn_pace(id, elapsed, run.estimate, now);
+                    self.learn_pace(id, task, run, elapsed, now);
                 }
                 self.task_done(task, run.run_id, now);
             }
@@ -427,16 +428,26 @@
     fn learn_pace(
         &mut self,
         id: &Arc<str>,
+        task: &job_model::TaskName,
+        run: &server_slot::ServerRun,
         actual: time::Duration,
-        estimate: time::Duration,
         now: time::Duration,
     ) {
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
         let kind: &mut health::KindPace = self.kinds.entry(slot.kind()).or_default();
-        kind.note(actual, estimate);
-        slot.health.note_done(now, actual, estimate, kind);
+        let usual = actual.div_f64(kind.pace());
+        if !run.run_time.is_zero() {
+            kind.note(actual, run.run_time);
+            slot.health.note_done(now, actual, run.run_time, kind);
+        }
+        if let Some(job) = self.jobs.get(&task.job) {
+            self.estimates
+                .entry(Arc::clone(&job.spec.route))
+                .or_default()
+                .note(run.estimate, usual);
+        }
     }
 
     fn task_done(&mut self, name: &job_model::TaskName, run_id: u64, now: time::Duration) {
--- a/crates/cuminkeel_pool/src/pool/schedule.rs
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -97,13 +97,17 @@
         ) else {
             return false;
         };
-        let estimate = time::Duration::from_millis(u64::from(step.estimate_ms.max(1)));
-        let Some((server, pace)) = self.choose_server(job_id, position, estimate, now) else {
+        let run_time = job
+            .run_times
+            .get(usize::from(task.name.step))
+            .copied()
+            .unwrap_or_else(|| step.estimate());
+        let Some((server, pace)) = self.choose_server(job_id, position, run_time, now) else {
             return false;
         };
         let (name, run_id) = (task.name.clone(), task.next_run);
         let payload = Arc::clone(&job.spec.payload);
-        let expected = estimate.mul_f64(pace);
+        let expected = run_time.mul_f64(pace);
         let run = server_slot::ServerRun {
             run_id,
             cpu_millis: step.cpu_millis,
@@ -114,7 +118,8 @@
             owned: true,
             ordered_at: now,
             confirmed_at: None,
-            estimate,
+            estimate: step.estimate(),
+            run_time,
             expected,
             check_at: now + expected.mul_f64(CHECK_AFTER) + CHECK_MARGIN,
         };
@@ -171,7 +176,7 @@
         &self,
         job_id: &Arc<str>,
         position: usize,
-        estimate: time::Duration,
+        run_time: time::Duration,
         now: time::Duration,
     ) -> Option<(Arc<str>, f64)> {
         let job = self.jobs.get(job_id)?;
@@ -193,7 +198,7 @@
             let option = task_placement::PlacementOption {
                 free_cpu: slot.free_cpu(),
                 pace,
-                in_time: now + estimate.mul_f64(pace) <= job.objective_at,
+                in_time: now + run_time.mul_f64(pace) <= job.objective_at,
                 near_data: step
                     .data_rack
                     .as_ref()
--- a/crates/cuminkeel_pool/src/server_slot.rs
+++ b/crates/cuminkeel_pool/src/server_slot.rs
@@ -66,7 +66,9 @@
     pub confirmed_at: Option<time::Duration>,
     /// The caller's estimate of its run time.
     pub estimate: time::Duration,
-    /// Estimate corrected for the server's pace.
+    /// Expected run time on a server of usual pace.
+    pub run_time: time::Duration,
+    /// Expected run time on this server.
     pub expected: time::Duration,
     /// When it is checked for missing progress.
     pub check_at: time::Duration,
