Let long tasks wait for a fast server, and forecast by servers that can be in time

Cause: on sites where a third of the servers take over twice as long, a long job put on a slow server is late from its start, though it has time to wait.

--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -14,6 +14,8 @@
 const RUNS_PER_POOL: u64 = 16;
 /// Shortest advice to come back: below it a return would meet the same queue.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Largest pace that a forecast counts with, so that times stay finite without any server.
+const MAX_FORECAST_PACE: f64 = 10.0;
 /// Weight of a new task in the typical size of tasks.
 const TYPICAL_SHARE: u32 = 32;
 
@@ -256,7 +258,7 @@
         {
             return None;
         }
-        let mut forecast = self.forecast(job, now);
+        let (mut forecast, pace) = self.forecast(job, now);
         for position in self.queue.range(..&job.position) {
             if let Some(ahead) = self.jobs.get(&position.job) {
                 let _planned = forecast.plan(waiting_work(ahead));
@@ -269,12 +271,24 @@
             ));
         };
         // A late job stands behind all that arrives in time, so its wait counts twice.
-        let in_time = now + start + job.chain <= job.objective_at;
-        let still_useful = accept_late && now + start * 2 + job.chain <= job.useless_at;
+        let chain = job.chain.mul_f64(pace);
+        let in_time = now + start + chain <= job.objective_at;
+        let still_useful = accept_late && now + start * 2 + chain <= job.useless_at;
         (!in_time && !still_useful).then_some((job_model::RefusalReason::QueueTooLong, start))
     }
 
-    fn forecast(&self, job: &JobEntry, now: time::Duration) -> admission::RoomForecast {
+    /// Room on the servers that can run the job in time, or on all if none can,
+    /// with the least pace of these.
+    fn forecast(&self, job: &JobEntry, now: time::Duration) -> (admission::RoomForecast, f64) {
+        let in_service = || {
+            self.servers
+                .values()
+                .filter(|slot| slot.entry.service == job.spec.service && slot.is_usable(now))
+                .map(|slot| (slot, self.pace(slot, now)))
+        };
+        let in_time = |pace: f64| now + job.chain.mul_f64(pace) <= job.objective_at;
+        let any_in_time = in_service().any(|(_, pace)| in_time(pace));
+        let mut least_pace = f64::MAX;
         let mut forecast = admission::RoomForecast::default();
         let cpu = job
             .spec
@@ -284,10 +298,11 @@
             .max()
             .unwrap_or(0)
             .max(1);
-        for slot in self.servers.values() {
-            if slot.entry.service != job.spec.service || !slot.is_usable(now) {
+        for (slot, pace) in in_service() {
+            if any_in_time && !in_time(pace) {
                 continue;
             }
+            least_pace = least_pace.min(pace);
             for _ in 0..slot.free_cpu() / cpu {
                 forecast.add_lane(time::Duration::ZERO);
             }
@@ -296,7 +311,7 @@
                 forecast.add_lane(end.saturating_sub(now));
             }
         }
-        forecast
+        (forecast, least_pace.min(MAX_FORECAST_PACE))
     }
 
     /// `waiter` doesn't wait any more; without another, its job is dropped.
--- a/crates/cuminkeel_pool/src/pool/schedule.rs
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -206,7 +206,6 @@
             let option = task_placement::PlacementOption {
                 free_cpu: slot.free_cpu(),
                 pace,
-                in_time: now + run_time.mul_f64(pace) <= job.objective_at,
                 near_data: step
                     .data_rack
                     .as_ref()
@@ -222,7 +221,24 @@
                 best = Some((cost, id, pace));
             }
         }
-        best.map(|(_, id, pace)| (Arc::clone(id), pace))
+        let (_, id, pace) = best?;
+        let choice = task_placement::WaitChoice {
+            end_here: now + run_time.mul_f64(pace),
+            end_on_fastest: now + run_time.mul_f64(self.fastest_pace(&job.spec.service, now)),
+            objective_at: job.objective_at,
+        };
+        let waits = self.settings.rules.placement == settings::PlacementRule::LeastCost
+            && task_placement::waits_for_faster(&choice);
+        (!waits).then(|| (Arc::clone(id), pace))
+    }
+
+    /// Least pace of the usable servers of `service`.
+    fn fastest_pace(&self, service: &str, now: time::Duration) -> f64 {
+        self.servers
+            .values()
+            .filter(|slot| &*slot.entry.service == service && slot.is_usable(now))
+            .map(|slot| self.pace(slot, now))
+            .fold(f64::MAX, f64::min)
     }
 
     pub(super) fn pace(&self, slot: &server_slot::ServerSlot, now: time::Duration) -> f64 {
--- a/crates/cuminkeel_pool/src/task_placement.rs
+++ b/crates/cuminkeel_pool/src/task_placement.rs
@@ -4,10 +4,10 @@
 //! nothing, with the room nearly used up. Two tasks fit on one server or three,
 //! so what a placement leaves over counts as much as how fast the server is.
 
+use std::time;
+
 /// Weight of cores that are left over and fit no other task, against the pace.
 const WASTE_WEIGHT: f64 = 0.4;
-/// Penalty for missing the objective on this server: more than any difference of pace.
-const LATE_PENALTY: f64 = 4.0;
 /// Penalty for a rack other than the data's.
 const RACK_PENALTY: f64 = 1.0;
 
@@ -18,8 +18,6 @@
     pub free_cpu: u32,
     /// Expected run time as a multiple of the estimate.
     pub pace: f64,
-    /// Whether the run is expected to end within the job's objective.
-    pub in_time: bool,
     /// Whether the data is near, or the task has no rack.
     pub near_data: bool,
 }
@@ -29,7 +27,26 @@
 pub fn placement_cost(option: &PlacementOption, cpu: u32, typical_cpu: u32) -> f64 {
     let left = option.free_cpu.saturating_sub(cpu);
     let waste = f64::from(left % typical_cpu.max(1)) / f64::from(typical_cpu.max(1));
-    let late = if option.in_time { 0.0 } else { LATE_PENALTY };
     let far = if option.near_data { 0.0 } else { RACK_PENALTY };
-    option.pace + WASTE_WEIGHT * waste + late + far
+    option.pace + WASTE_WEIGHT * waste + far
+}
+
+/// Times that decide whether a task waits for a faster server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitChoice {
+    /// When the run would end on the best server with room.
+    pub end_here: time::Duration,
+    /// When it would end if the fastest server had room now.
+    pub end_on_fastest: time::Duration,
+    /// When it has to end.
+    pub objective_at: time::Duration,
+}
+
+/// Whether a task waits for room on a faster server.
+///
+/// Load pattern: long jobs on sites where a third of the servers takes over twice
+/// as long as the others. There a long job is late from its start, though it has
+/// time to wait for a fast server; the slow ones serve short jobs in time.
+pub fn waits_for_faster(choice: &WaitChoice) -> bool {
+    choice.end_here > choice.objective_at && choice.end_on_fastest <= choice.objective_at
 }
