Offer a job to a domain with room as soon as the own one would let it wait

Cause: in a burst the pool of the busiest domain took jobs by an optimistic forecast (39 queued, 27% late) while the other two stood at 0.3 to 0.6 queued jobs. Change: offers carry terms: at once (the start waits for no more than a quarter of the slack) while other pools have room, useful otherwise.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -68,7 +68,12 @@
 impl CallerJob<'_> {
     async fn run(&mut self) -> JobAnswer {
         let alone = self.far_pools().is_empty();
-        let refusal = match self.offer_near(alone).await {
+        let terms = if alone {
+            job_model::OfferTerms::Useful
+        } else {
+            job_model::OfferTerms::AtOnce
+        };
+        let refusal = match self.offer_near(terms).await {
             Ok(answer) => return answer,
             // Runs of it may go on in the own domain, where other domains' pools can't see them.
             Err(_) if self.maybe_started => {
@@ -78,7 +83,10 @@
             Err(refusal) => refusal,
         };
         for (link, peer) in self.far_pools() {
-            match self.offer(PoolTarget::Peer(link, peer), false).await {
+            match self
+                .offer(PoolTarget::Peer(link, peer), job_model::OfferTerms::AtOnce)
+                .await
+            {
                 Some(job_model::JobEnd::Completed) => return JobAnswer::Completed,
                 Some(job_model::JobEnd::Failed(reason)) => return JobAnswer::Failed(reason),
                 // Another domain's pool may go on with it out of reach.
@@ -92,7 +100,7 @@
             JobAnswer::Refused {
                 reason: job_model::RefusalReason::QueueTooLong,
                 ..
-            } => match self.offer_near(true).await {
+            } => match self.offer_near(job_model::OfferTerms::Useful).await {
                 Ok(answer) => answer,
                 Err(_) if self.maybe_started => {
                     JobAnswer::Failed(job_model::FailureReason::PoolLost)
@@ -104,12 +112,12 @@
     }
 
     /// Offers the job to the own domain's pool until one takes or refuses it.
-    async fn offer_near(&mut self, accept_late: bool) -> Result<JobAnswer, JobAnswer> {
+    async fn offer_near(&mut self, terms: job_model::OfferTerms) -> Result<JobAnswer, JobAnswer> {
         let mut leaderless_since = None;
         loop {
             let target = self.near_pool();
             let end = match target {
-                Some(target) => self.offer(target, accept_late).await,
+                Some(target) => self.offer(target, terms).await,
                 None => Some(job_model::JobEnd::NotLeader),
             };
             match end {
@@ -140,14 +148,18 @@
     }
 
     /// Offers the job to one pool; `None` when its end can't be learnt.
-    async fn offer(&self, target: PoolTarget, accept_late: bool) -> Option<job_model::JobEnd> {
+    async fn offer(
+        &self,
+        target: PoolTarget,
+        terms: job_model::OfferTerms,
+    ) -> Option<job_model::JobEnd> {
         let now = self.node.now();
         let ticket = job_model::JobTicket {
             spec: Arc::clone(&self.spec),
             age: now.saturating_sub(self.arrived),
             patience: self.deadline.saturating_sub(now),
             resubmitted: self.maybe_started,
-            accept_late,
+            terms,
         };
         let (peer, end) = match target {
             PoolTarget::Own => {
@@ -165,7 +177,7 @@
         );
         if !quiet {
             slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*peer,
-                "accept_late" => accept_late, "outcome" => ?end,
+                "terms" => ?terms, "outcome" => ?end,
                 "age_ms" => u64::try_from(now.saturating_sub(self.arrived).as_millis()).unwrap_or(u64::MAX));
         }
         end
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -24,7 +24,7 @@
 /// Time between states sent inside a failure domain, where a leader's loss has to be noticed.
 const NEAR_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// Time between states sent to other failure domains.
-const FAR_INTERVAL: time::Duration = time::Duration::from_millis(400);
+const FAR_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Intervals without a frame after which a link counts as broken.
 const SILENT_INTERVALS: u32 = 4;
 
--- a/crates/cuminkeel_pool/src/job_model.rs
+++ b/crates/cuminkeel_pool/src/job_model.rs
@@ -148,8 +148,17 @@
     pub patience: time::Duration,
     /// Whether another pool may have started tasks of it.
     pub resubmitted: bool,
-    /// Whether an answer after the objective is wanted, as no other pool has room.
-    pub accept_late: bool,
+    /// On which terms it is offered.
+    pub terms: OfferTerms,
+}
+
+/// When a pool should take a job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OfferTerms {
+    /// If it can start almost at once; another pool may have room otherwise.
+    AtOnce,
+    /// If its answer is still of use, even late: no other pool has room.
+    Useful,
 }
 
 /// Why a pool turned a job away.
--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -14,6 +14,9 @@
 const RUNS_PER_POOL: u64 = 16;
 /// Shortest advice to come back: below it a return would meet the same queue.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Part of a job's slack that its start may wait where another pool may have room: more
+/// urgent jobs will come before it, so the forecast is a lower bound.
+const PROMPT_SHARE: u32 = 4;
 /// Largest pace that a forecast counts with, so that times stay finite without any server.
 const MAX_FORECAST_PACE: f64 = 10.0;
 /// Weight of a new task in the typical size of tasks.
@@ -44,9 +47,7 @@
             .tasks
             .iter()
             .any(|task| task.phase != TaskPhase::Waiting);
-        if !adopted
-            && let Some((reason, wait)) = self.foretell_refusal(&job, ticket.accept_late, now)
-        {
+        if !adopted && let Some((reason, wait)) = self.foretell_refusal(&job, ticket.terms, now) {
             let inputs = [
                 ("queued", claims::as_count(self.queue.len())),
                 ("start_in_ms", pool_action::note_ms(wait)),
@@ -226,7 +227,7 @@
     fn foretell_refusal(
         &self,
         job: &JobEntry,
-        accept_late: bool,
+        terms: job_model::OfferTerms,
         now: time::Duration,
     ) -> Option<(job_model::RefusalReason, time::Duration)> {
         let in_service = |slot: &&server_slot::ServerSlot| {
@@ -270,11 +271,17 @@
                 time::Duration::ZERO,
             ));
         };
-        // A late job stands behind all that arrives in time, so its wait counts twice.
         let chain = job.chain.mul_f64(pace);
         let in_time = now + start + chain <= job.objective_at;
-        let still_useful = accept_late && now + start * 2 + chain <= job.useless_at;
-        (!in_time && !still_useful).then_some((job_model::RefusalReason::QueueTooLong, start))
+        let taken = match terms {
+            job_model::OfferTerms::AtOnce => {
+                let slack = job.objective_at.saturating_sub(now + chain);
+                in_time && start <= slack / PROMPT_SHARE
+            }
+            // A late job stands behind all that arrives in time, so its wait counts twice.
+            job_model::OfferTerms::Useful => in_time || now + start * 2 + chain <= job.useless_at,
+        };
+        (!taken).then_some((job_model::RefusalReason::QueueTooLong, start))
     }
 
     /// Room on the servers that can run the job in time, or on all if none can,
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -234,7 +234,7 @@
             age: time::Duration::ZERO,
             patience: time::Duration::from_millis(2_500),
             resubmitted: false,
-            accept_late: true,
+            terms: job_model::OfferTerms::Useful,
         },
         truth: fake_server::TaskTruth {
             cpu_millis: whole(cpu_millis),
