Let the leases of a silent server run out, and test each promise of the pool

Cause, found by the new test of a silent server: every repeated claim asked for a new lease, so the time at which the leases count as over moved on with each, and tasks on a dead server never started elsewhere. Change: only the first two claims renew.

--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -9,6 +9,8 @@
 const MIN_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(10);
 /// Longest pause between claims of a silent server: it is used again this long after it is back.
 const MAX_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Claims of a silent server that renew its leases: one lost answer or two lose no run.
+const RENEWING_CLAIMS: u32 = 2;
 /// Claims in a row after which a server that turns them away is left alone for a while.
 const MAX_FENCED_TRIES: u32 = 40;
 
@@ -129,7 +131,10 @@
         slot.claim_tries += 1;
         slot.claim_at = None;
         slot.hold_sent_at = now;
-        let deadline = slot.lease_end_ms(now, self.settings.lease);
+        // A silent server's leases have to run out for its tasks to start elsewhere.
+        let deadline = slot
+            .lease_end_ms(now, self.settings.lease)
+            .filter(|_| slot.claim_tries <= RENEWING_CLAIMS);
         slot.lease_deadline_ms = slot.lease_deadline_ms.max(deadline.unwrap_or(0));
         let order = server_model::HoldOrder {
             server: Arc::clone(id),
--- a/crates/cuminkeel_replay/src/replay_world.rs
+++ b/crates/cuminkeel_replay/src/replay_world.rs
@@ -191,6 +191,20 @@
         self.carry_out(number);
     }
 
+    /// The callers of `job` stop waiting for pool `number`.
+    pub fn withdraw(&mut self, number: usize, job: &str) {
+        let waiters: Vec<pool_action::WaiterId> = self
+            .waiters
+            .iter()
+            .filter(|(_, waited)| &***waited == job)
+            .map(|(waiter, _)| *waiter)
+            .collect();
+        for waiter in waiters {
+            self.pools[number].withdraw(&Arc::from(job), waiter, self.now);
+        }
+        self.carry_out(number);
+    }
+
     /// Tells pool `number` of a change of the registry.
     pub fn relist(&mut self, number: usize, server: &str) {
         if let Some(server) = self.servers.get(server) {
