Explain a request from the logs; keep a part of the log buffer for what went wrong

Change: cuminkeel-node explain, time of day and level on each line, routine decisions at debug level and dropped first, half of the buffer reserved.

--- a/crates/cuminkeel_node/src/decision_log.rs
+++ b/crates/cuminkeel_node/src/decision_log.rs
@@ -18,6 +18,9 @@
 /// Time between two writes.
 const FLUSH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
+/// Part of the buffer that is kept for lines on what went wrong.
+const RESERVED_PART: usize = 2;
+
 /// Lines that wait to be written.
 #[derive(Debug, Default)]
 pub struct LogBuffer {
@@ -26,6 +29,19 @@
 }
 
 impl LogBuffer {
+    /// Whether a line of `level` may still be added.
+    fn admits(&self, level: slog::Level) -> bool {
+        let waiting = self
+            .waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len();
+        match level {
+            slog::Level::Debug | slog::Level::Trace => waiting < LOG_BUFFER_BYTES / RESERVED_PART,
+            _ => waiting < LOG_BUFFER_BYTES,
+        }
+    }
+
     /// Takes the waiting lines, and a line on those that were dropped.
     pub fn take(&self) -> Vec<u8> {
         let mut lines =
@@ -39,21 +55,40 @@
     }
 }
 
+/// Drops lines for which the buffer has no room, routine ones first, and counts them.
+struct BudgetDrain<D> {
+    lines: D,
+    buffer: Arc<LogBuffer>,
+}
+
+impl<D: Drain> Drain for BudgetDrain<D> {
+    type Ok = ();
+    type Err = D::Err;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<Self::Ok, Self::Err> {
+        if !self.buffer.admits(record.level()) {
+            self.buffer.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            return Ok(());
+        }
+        self.lines.log(record, values).map(|_| ())
+    }
+}
+
 struct BufferWriter(Arc<LogBuffer>);
 
 impl Write for BufferWriter {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, part: &[u8]) -> io::Result<usize> {
         let mut waiting = self
             .0
             .waiting
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        if waiting.len() + line.len() <= LOG_BUFFER_BYTES {
-            waiting.extend_from_slice(line);
-        } else {
-            self.0.dropped.fetch_add(1, atomic::Ordering::Relaxed);
-        }
-        Ok(line.len())
+        waiting.extend_from_slice(part);
+        Ok(part.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -70,10 +105,21 @@
             "t_ms" => slog::FnValue(move |_| {
                 u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
             }),
+            "at_ms" => slog::FnValue(|_| {
+                let time_of_day = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+                time_of_day.map_or(0, |time_of_day| {
+                    u64::try_from(time_of_day.as_millis()).unwrap_or(u64::MAX)
+                })
+            }),
+            "level" => slog::FnValue(|record| record.level().as_short_str()),
             "msg" => slog::PushFnValue(|record, serializer| serializer.emit(record.msg())),
         ))
         .build();
-    let drain = Mutex::new(drain).map(slog::Fuse);
+    let drain = BudgetDrain {
+        lines: Mutex::new(drain),
+        buffer: Arc::clone(buffer),
+    };
+    let drain = drain.fuse();
     slog::Logger::root(drain, slog::o!("node" => String::from(&**node)))
 }
 
@@ -107,11 +153,27 @@
 /// Writes one decision of the pool.
 pub fn log_decision(logger: &slog::Logger, note: &pool_action::DecisionNote) {
     let [first, second, third] = note.inputs;
-    slog::info!(logger, "{}", note.kind;
-        "request" => note.request.as_deref(),
-        "server" => note.server.as_deref(),
+    let values = slog::o!(
+        "request" => note.request.as_deref().map(String::from),
+        "server" => note.server.as_deref().map(String::from),
         "outcome" => note.outcome,
-        Inputs([first, second, third]));
+        Inputs([first, second, third]),
+    );
+    if is_routine(note) {
+        slog::debug!(logger, "{}", note.kind; values);
+    } else {
+        slog::info!(logger, "{}", note.kind; values);
+    }
+}
+
+/// Whether a decision is one of those made for every request that is served.
+fn is_routine(note: &pool_action::DecisionNote) -> bool {
+    match note.kind {
+        pool_action::DecisionKind::Queued | pool_action::DecisionKind::Placed => true,
+        pool_action::DecisionKind::RunEnded => note.outcome == "done",
+        pool_action::DecisionKind::JobEnded => note.outcome == "completed",
+        _ => false,
+    }
 }
 
 struct Inputs([(&'static str, i64); 3]);
--- a/crates/cuminkeel_node/src/front.rs
+++ b/crates/cuminkeel_node/src/front.rs
@@ -201,11 +201,19 @@
         stretch_factor: route.stretch_factor,
         target_latency_ms: route.target_latency_ms,
     });
+    slog::debug!(node.logger, "received"; "request" => &*id, "route" => &*route.name,
+        "config_version" => config.version, "tasks" => spec.task_count(),
+        "patience_ms" => u64::try_from(patience.as_millis()).unwrap_or(u64::MAX));
     let answer = coordinator::run_job(node, spec, patience).await;
     let took = node.now().saturating_sub(received);
-    slog::info!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
-        "outcome" => ?answer, "took_ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-        "config_version" => config.version);
+    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    if answer == coordinator::JobAnswer::Completed {
+        slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
+            "outcome" => "completed", "took_ms" => took_ms);
+    } else {
+        slog::info!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
+            "outcome" => ?answer, "took_ms" => took_ms);
+    }
     node.metrics.count_answer(&route.name, &answer, took);
     match answer {
         coordinator::JobAnswer::Completed => {
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod coordinator;
 pub mod decision_log;
 pub mod domain_view;
+pub mod explain;
 pub mod front;
 pub mod link_frame;
 pub mod link_listener;
--- a/crates/cuminkeel_node/src/main.rs
+++ b/crates/cuminkeel_node/src/main.rs
@@ -3,7 +3,7 @@
 use std::{env, path, process::ExitCode};
 
 use argh::FromArgs;
-use cuminkeel_node::process;
+use cuminkeel_node::{explain, process};
 use derive_more::{Display, Error, From};
 use platform_adapter::settings;
 
@@ -19,6 +19,7 @@
 enum Command {
     Serve(ServeCommand),
     Check(CheckCommand),
+    Explain(ExplainCommand),
 }
 
 /// Serve callers until SIGTERM.
@@ -39,6 +40,21 @@
     settings: Option<path::PathBuf>,
 }
 
+/// Show the way of one request through the processes, from their log files.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainCommand {
+    /// id of the request, as the client chose it
+    #[argh(positional)]
+    request: String,
+    /// log files of the processes
+    #[argh(positional)]
+    files: Vec<path::PathBuf>,
+    /// print the lines as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 #[derive(Debug, Display, Error, From)]
 enum CommandError {
     #[display("{_0}")]
@@ -52,6 +68,8 @@
         settings::SETTINGS_VARIABLE
     )]
     NoSettings,
+    #[display("{_0}")]
+    Explain(explain::ExplainError),
 }
 
 fn main() -> ExitCode {
@@ -59,6 +77,7 @@
     let result = match arguments.command {
         Command::Serve(command) => serve(command.settings),
         Command::Check(command) => check(command.settings),
+        Command::Explain(command) => show_way(&command),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -90,3 +109,15 @@
     println!("{settings:#?}");
     Ok(())
 }
+
+fn show_way(command: &ExplainCommand) -> Result<(), CommandError> {
+    let lines = explain::explain(&command.request, &command.files)?;
+    if command.json {
+        for line in &lines {
+            println!("{}", line.fields);
+        }
+    } else {
+        print!("{}", explain::render_table(&lines));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cuminkeel_node/tests/node/logs.rs
@@ -0,0 +1,102 @@
+//! Logs: bounded, and enough to explain a request.
+
+use std::{fs, path::PathBuf, sync::Arc};
+
+use cuminkeel_node::{decision_log, explain};
+
+/// Lines of a second at ten times the usual load of a leader: fifty jobs, three hundred
+/// decisions on their tasks.
+const FLOOD_LINES: u64 = 35_000;
+/// Most bytes that may wait, whatever is logged: the buffer and one line.
+const MAX_WAITING_BYTES: usize = 2 * 1024 * 1024 + 1024;
+
+fn logger(buffer: &Arc<decision_log::LogBuffer>) -> slog::Logger {
+    decision_log::buffered_logger(buffer, &Arc::from("n1"))
+}
+
+fn lines(buffer: &decision_log::LogBuffer) -> Vec<serde_json::Value> {
+    String::from_utf8(buffer.take())
+        .expect("text")
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("one object a line"))
+        .collect()
+}
+
+#[test]
+fn a_line_has_its_time_level_and_fields() {
+    let buffer = Arc::new(decision_log::LogBuffer::default());
+    slog::info!(logger(&buffer), "refused"; "request" => "a1", "queued" => 3);
+    let lines = lines(&buffer);
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["msg"], "refused");
+    assert_eq!(lines[0]["node"], "n1");
+    assert_eq!(lines[0]["request"], "a1");
+    assert_eq!(lines[0]["queued"], 3);
+    assert!(lines[0]["at_ms"].is_u64() && lines[0]["t_ms"].is_u64());
+}
+
+#[test]
+fn nobody_reads_and_the_buffer_stays_bounded_and_keeps_failures() {
+    let buffer = Arc::new(decision_log::LogBuffer::default());
+    let logger = logger(&buffer);
+    for number in 0..FLOOD_LINES {
+        slog::debug!(logger, "placed"; "request" => number, "outcome" => "ordered", "expected_ms" => 60);
+    }
+    slog::info!(logger, "refused"; "request" => "the one that failed");
+    let bytes = buffer.take();
+    assert!(bytes.len() <= MAX_WAITING_BYTES, "{} bytes", bytes.len());
+    let text = String::from_utf8(bytes).expect("text");
+    assert!(text.contains("the one that failed"));
+    assert!(
+        text.contains("lines_dropped"),
+        "what was left out is counted"
+    );
+}
+
+struct LogFile(PathBuf);
+
+impl Drop for LogFile {
+    fn drop(&mut self) {
+        // A file that is left over does no harm.
+        let _gone = fs::remove_file(&self.0);
+    }
+}
+
+fn log_file(name: &str, text: &str) -> LogFile {
+    let path = std::env::temp_dir().join(format!("{name}-{}.log", std::process::id()));
+    fs::write(&path, text).expect("a log file");
+    LogFile(path)
+}
+
+#[test]
+fn the_way_of_a_request_is_read_from_all_files_in_order() {
+    let first = log_file(
+        "explain-first",
+        concat!(
+            r#"{"at_ms":5,"node":"n1","msg":"received","request":"aa"}"#,
+            "\nno object at all\n",
+            r#"{"at_ms":30,"node":"n1","msg":"answered","request":"aa","outcome":"refused"}"#,
+            "\n",
+            r#"{"at_ms":9,"node":"n1","msg":"received","request":"aab"}"#,
+        ),
+    );
+    let second = log_file(
+        "explain-second",
+        concat!(
+            r#"  12.25 n2 {"at_ms":20,"node":"n2","msg":"placed","request":"aa.0.0.1","server":"s1","wait_ms":15}"#,
+            "\n",
+        ),
+    );
+    let lines = explain::explain("aa", &[first.0.clone(), second.0.clone()]).expect("lines");
+    let messages: Vec<&str> = lines.iter().map(|line| &*line.message).collect();
+    assert_eq!(messages, ["received", "placed", "answered"]);
+    let table = explain::render_table(&lines);
+    assert!(table.contains("aa.0.0.1 s1 wait_ms=15"), "{table}");
+    let missing = explain::explain("aa", &[PathBuf::from("/nonexistent/log")]);
+    assert!(
+        missing
+            .expect_err("no file")
+            .to_string()
+            .contains("/nonexistent/log")
+    );
+}
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -3,4 +3,5 @@
 mod fleet;
 mod front;
 mod links;
+mod logs;
 mod recovery;
