--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -16,7 +16,7 @@
 use crate::{link_frame, node_state};
 
 /// Time for a dial: a round trip between failure domains takes a few ms.
-const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 /// Pause before the second dial; doubled each time.
 const MIN_DIAL_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Longest pause between dials: a healed cut is noticed within it.
