--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -37,6 +37,21 @@
     pub started_at: time::Duration,
 }
 
+/// A run that is over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunRecord {
+    /// Task of the run.
+    pub task: job_model::TaskName,
+    /// Number of the run.
+    pub run_id: u64,
+    /// When it started.
+    pub from: time::Duration,
+    /// When it ended.
+    pub until: time::Duration,
+    /// How it ended; unknown for one that was lost with its server.
+    pub end: Option<server_model::RunEnd>,
+}
+
 /// What a start needs to know of its task, which the order doesn't tell.
 #[derive(Clone, Copy, Debug)]
 pub struct TaskTruth {
@@ -64,6 +79,10 @@
     ends: Vec<server_model::ListedEnd>,
     ends_listed: u64,
     started_at: time::Duration,
+    /// Runs that are over.
+    pub history: Vec<RunRecord>,
+    /// Most processor that was in use at a time.
+    pub most_cpu: u32,
 }
 
 impl FakeServer {
@@ -92,6 +111,8 @@
             ends: Vec::new(),
             ends_listed: 0,
             started_at: time::Duration::ZERO,
+            history: Vec::new(),
+            most_cpu: 0,
         }
     }
 
@@ -109,7 +130,9 @@
     pub fn restart(&mut self, now: time::Duration) {
         self.entry.born += 1;
         self.entry.sequence += 1;
-        self.runs.clear();
+        for (task, run) in std::mem::take(&mut self.runs) {
+            self.record(&task, &run, now, None);
+        }
         self.token = 0;
         self.lease_ms = 0;
         self.ends.clear();
@@ -126,18 +149,38 @@
             .filter(|(_, run)| lapsed || run.ends_at <= now)
             .map(|(task, _)| task.clone())
             .collect();
+        let lease_end = self.started_at + time::Duration::from_millis(self.lease_ms);
         for task in over {
             if let Some(run) = self.runs.remove(&task) {
+                let in_lease = run.ends_at <= lease_end || !lapsed;
                 let end = match () {
-                    () if run.ends_at <= now && run.fails => server_model::RunEnd::Failed,
-                    () if run.ends_at <= now => server_model::RunEnd::Done,
+                    () if in_lease && run.fails => server_model::RunEnd::Failed,
+                    () if in_lease => server_model::RunEnd::Done,
                     () => server_model::RunEnd::Lapsed,
                 };
+                let until = if in_lease { run.ends_at } else { lease_end };
+                self.record(&task, &run, until, Some(end));
                 self.list_end(task, run.run_id, end);
             }
         }
     }
 
+    fn record(
+        &mut self,
+        task: &job_model::TaskName,
+        run: &FakeRun,
+        until: time::Duration,
+        end: Option<server_model::RunEnd>,
+    ) {
+        self.history.push(RunRecord {
+            task: task.clone(),
+            run_id: run.run_id,
+            from: run.started_at,
+            until,
+            end,
+        });
+    }
+
     fn list_end(&mut self, task: job_model::TaskName, run_id: u64, end: server_model::RunEnd) {
         self.ends_listed += 1;
         self.ends.push(server_model::ListedEnd {
@@ -183,6 +226,7 @@
                 started_at: now,
             },
         );
+        self.most_cpu = self.most_cpu.max(self.used_cpu());
         server_model::StartVerdict::Started { clock_ms }
     }
 
@@ -193,8 +237,11 @@
             .runs
             .get(&order.task)
             .is_some_and(|run| run.run_id == order.run_id);
-        if order.token >= self.token && known {
-            self.runs.remove(&order.task);
+        if order.token >= self.token
+            && known
+            && let Some(run) = self.runs.remove(&order.task)
+        {
+            self.record(&order.task, &run, now, Some(server_model::RunEnd::Stopped));
             self.list_end(
                 order.task.clone(),
                 order.run_id,
