Don't start queued jobs that a successor may run, after another pool has claimed servers

Change: being fenced, or a second offer that says so, marks jobs as possibly running elsewhere, so they wait for all claims.

--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -4,4 +4,5 @@
 mod front;
 mod links;
 mod logs;
+mod parts;
 mod recovery;
--- /dev/null
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -0,0 +1,145 @@
+//! Parts of a process by themselves.
+
+use std::{collections::BTreeSet, sync::Arc, time};
+
+use cuminkeel_node::{domain_view, link_frame, store_feed};
+use cuminkeel_pool::{job_model, leadership};
+
+fn ms(value: u64) -> time::Duration {
+    time::Duration::from_millis(value)
+}
+
+#[test]
+fn entries_lapsed_during_an_outage_are_given_time_to_come_back() {
+    let server: Arc<str> = Arc::from("s1");
+    let mut lapsed = store_feed::LapsedEntries::default();
+    assert!(
+        lapsed.note_dropped(&server, ms(100)),
+        "the store was never away"
+    );
+    lapsed.note_outage(ms(1_000));
+    assert!(!lapsed.note_dropped(&server, ms(1_500)));
+    assert!(
+        lapsed.take_gone(ms(3_000)).is_empty(),
+        "two seconds are not over"
+    );
+    assert_eq!(lapsed.take_gone(ms(4_000)), [Arc::clone(&server)]);
+    assert!(lapsed.take_gone(ms(9_000)).is_empty(), "told once");
+    lapsed.note_outage(ms(10_000));
+    assert!(!lapsed.note_dropped(&server, ms(10_100)));
+    lapsed.note_listed("s1");
+    assert!(lapsed.take_gone(ms(20_000)).is_empty(), "it came back");
+    assert!(
+        lapsed.note_dropped(&server, ms(20_000)),
+        "the outage is long over"
+    );
+}
+
+fn member(name: &str, reachable: bool, held_servers: u32) -> leadership::DomainMember {
+    leadership::DomainMember {
+        name: Arc::from(name),
+        cpu_millis: 250,
+        reachable,
+        leaving: false,
+        held_servers,
+    }
+}
+
+fn names(prefix: &str, count: usize) -> Vec<Arc<str>> {
+    (0..count)
+        .map(|number| Arc::from(format!("{prefix}{number}")))
+        .collect()
+}
+
+#[test]
+fn only_a_leader_wants_servers() {
+    let servers = names("s", 16);
+    let mut view = domain_view::DomainView::new(Arc::from("b"));
+    let members = [member("a", true, 0), member("b", true, 0)];
+    assert!(
+        view.wanted_servers(&members, servers.iter(), ms(0))
+            .is_empty()
+    );
+    let members = [member("a", false, 0), member("b", true, 0)];
+    assert_eq!(
+        view.wanted_servers(&members, servers.iter(), ms(0)).len(),
+        16
+    );
+}
+
+#[test]
+fn two_halves_of_a_cut_domain_settle_on_a_division() {
+    let servers = names("s", 16);
+    let mut left = domain_view::DomainView::new(Arc::from("a"));
+    let mut right = domain_view::DomainView::new(Arc::from("b"));
+    let seen_left = [member("a", true, 16), member("b", false, 0)];
+    let seen_right = [member("a", false, 0), member("b", true, 16)];
+    // Each claims what it wants and doesn't hold; the later claim wins, and the former
+    // holder learns of it.
+    let mut held_left: BTreeSet<Arc<str>> = servers.iter().cloned().collect();
+    let mut held_right = BTreeSet::new();
+    let mut now = ms(0);
+    for _ in 0..10 {
+        for server in right.wanted_servers(&seen_right, servers.iter(), now) {
+            if held_right.insert(Arc::clone(&server)) && held_left.remove(&server) {
+                left.note_lost(&server, &seen_left, now);
+            }
+        }
+        for server in left.wanted_servers(&seen_left, servers.iter(), now) {
+            if held_left.insert(Arc::clone(&server)) && held_right.remove(&server) {
+                right.note_lost(&server, &seen_right, now);
+            }
+        }
+        now += ms(100);
+    }
+    let left_wants = left.wanted_servers(&seen_left, servers.iter(), now);
+    let right_wants = right.wanted_servers(&seen_right, servers.iter(), now);
+    assert_eq!(left_wants.intersection(&right_wants).count(), 0);
+    assert!(!left_wants.is_empty() && !right_wants.is_empty());
+    // Once they reach each other, one leads and wants all.
+    let both = [member("a", true, 9), member("b", true, 7)];
+    assert_eq!(left.wanted_servers(&both, servers.iter(), now).len(), 16);
+    assert!(right.wanted_servers(&both, servers.iter(), now).is_empty());
+}
+
+#[tokio::test]
+async fn frames_are_read_back_and_unknown_formats_skipped() {
+    let frames = [
+        link_frame::LinkFrame::Status(link_frame::PeerStatus {
+            held_servers: 3,
+            config_version: 9,
+            ..link_frame::PeerStatus::default()
+        }),
+        link_frame::LinkFrame::End {
+            request: 4,
+            end: job_model::JobEnd::Completed,
+        },
+    ];
+    let mut bytes = vec![0, 0, 0, 3, 250, 1, 2];
+    for frame in &frames {
+        link_frame::encode_frame(frame, &mut bytes).expect("a frame");
+    }
+    let mut reader = &bytes[..];
+    for frame in &frames {
+        let read = link_frame::read_frame(&mut reader).await.expect("a frame");
+        assert_eq!(&read, frame);
+    }
+    assert!(
+        link_frame::read_frame(&mut reader).await.is_err(),
+        "the end"
+    );
+}
+
+#[tokio::test]
+async fn bad_frames_are_typed() {
+    let cases: [(&str, &[u8]); 4] = [
+        ("an empty frame", &[0, 0, 0, 0]),
+        ("an oversized frame", &[255, 0, 0, 0, 1]),
+        ("a frame that breaks off", &[0, 0, 0, 9, 1, 2]),
+        ("a body that is none", &[0, 0, 0, 2, 1, 99]),
+    ];
+    for (name, bytes) in cases {
+        let mut reader = bytes;
+        assert!(link_frame::read_frame(&mut reader).await.is_err(), "{name}");
+    }
+}
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -11,7 +11,9 @@
 use rand::SeedableRng;
 
 /// Seeds of the short run, and each that ever failed with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+///
+/// 7: a leader that was paused led again and started a queued job that its successor ran.
+const SEEDS: [u64; 3] = [1, 2, 7];
 /// Length of the part with faults.
 const FAULT_TIME: std::time::Duration = std::time::Duration::from_secs(6);
 
--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -204,6 +204,10 @@
             | server_slot::ServerStanding::Held
             | server_slot::ServerStanding::Suspect => {
                 self.release(id, now, "fenced");
+                // Another pool has acted meanwhile; it may run any job that waits here.
+                for job in self.jobs.values_mut() {
+                    job.maybe_elsewhere = true;
+                }
                 self.actions.push(pool_action::PoolAction::LostServer {
                     server: Arc::clone(id),
                 });
--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -33,6 +33,7 @@
         let id = Arc::clone(&ticket.spec.id);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiters.push(waiter);
+            job.maybe_elsewhere |= ticket.resubmitted;
             self.note(
                 pool_action::DecisionKind::Attached,
                 Some(id),
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -165,6 +165,41 @@
     assert_eq!(placed, 2, "no task started again");
 }
 
+#[test]
+fn a_former_leader_that_leads_again_starts_nothing_that_its_successor_runs() {
+    for offset in 0..20 {
+        let mut world = led_world(2, &["s1", "s2"]);
+        // The servers are full, so the job waits in the first pool.
+        world.submit(0, &ticket("filling", 4, LONG), truth(LONG));
+        let mut patient = ticket("job", 1, LONG);
+        let mut spec = (*patient.spec).clone();
+        spec.target_latency_ms = 10_000;
+        patient.spec = Arc::new(spec);
+        patient.patience = ms(20_000);
+        world.submit(0, &patient, truth(LONG));
+        world.run_until(ms(120));
+        world.pause(0);
+        world.run_until(ms(2_300));
+        world.lead(1);
+        let again = job_model::JobTicket {
+            resubmitted: true,
+            ..patient
+        };
+        // The first server is full, so the job runs on the one that answers claims last.
+        world.submit(1, &ticket("blocker", 2, LONG), truth(SHORT));
+        world.submit(1, &again, truth(LONG));
+        world.run_until(ms(2_500 + offset * 10));
+        world.resume(0);
+        let later = world.now() + ms(30);
+        world.run_until(later);
+        world.step_down(1);
+        world.lead(0);
+        world.submit(0, &again, truth(LONG));
+        world.run_until(ms(9_000));
+        assert_eq!(world.broken, [], "offset {offset}");
+    }
+}
+
 #[test]
 fn runs_that_nobody_asks_for_are_stopped() {
     let mut world = led_world(2, &["s1"]);
