--- a/crates/cuminkeel_node/src/decision_log.rs
+++ b/crates/cuminkeel_node/src/decision_log.rs
@@ -186,7 +186,7 @@
     ) -> slog::Result {
         for (name, value) in self.0 {
             if !name.is_empty() {
-                serializer.emit_i64(name, value)?;
+                serializer.emit_i64(slog::Key::from(name), value)?;
             }
         }
         Ok(())
