bench worst-load: print the replays; delete a follower's place in the history in its test

Cause: breaking mechanisms on purpose showed that the test of a compacted store could not fail: the follower's offset was never behind the first retained record.

--- a/crates/cuminkeel/src/commands/bench.rs
+++ b/crates/cuminkeel/src/commands/bench.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use cuminkeel_dispatch::factory;
 use cuminkeel_entry::{settings, telemetry};
+use cuminkeel_replay::replay_report;
 use cuminkeel_standin::{
     capacity,
     load::{
@@ -45,6 +46,10 @@
         list_scenarios();
         return Ok(process::ExitCode::SUCCESS);
     }
+    if command.scenario == "worst-load" {
+        replay_worst_load(command.seed);
+        return Ok(process::ExitCode::SUCCESS);
+    }
     if command.scenario == "capacity" {
         return measure_capacity(command);
     }
@@ -79,7 +84,27 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+/// Prints the worth of each load pattern under the pool's rules and the baselines.
+fn replay_worst_load(seed: u64) {
+    print!("{:20}", "pattern");
+    for (name, _) in replay_report::compared_rules() {
+        print!("  {name:>13}");
+    }
+    println!("  {:>13}", "bound");
+    for row in replay_report::compare(seed) {
+        print!("{:20}", row.pattern);
+        for worth in &row.worth {
+            print!("  {worth:>13.3}");
+        }
+        println!("  {:>13.3}", row.bound);
+    }
+}
+
 fn list_scenarios() {
+    println!(
+        "{:16} load patterns through the decisions of a pool, in virtual time",
+        "worst-load"
+    );
     println!("{:16} slopes of each role's cost", "capacity");
     for scenario in catalog::SCENARIOS {
         println!("{:16} {}", scenario.name, scenario.summary);
--- a/crates/cuminkeel_node/tests/node/recovery.rs
+++ b/crates/cuminkeel_node/tests/node/recovery.rs
@@ -129,10 +129,17 @@
 async fn a_compacted_store_loses_nothing_that_counts() {
     let site = fleet::TestSite::start(&["north"]).await;
     let node = site.ready_node("n1", "north").await;
+    // While the process can't read, its place in the history is deleted.
+    site.store.set_mode(store_host::StoreMode::Busy);
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    site.configure(2, "/newer/");
+    for server in &site.servers {
+        server.register(&site.store);
+    }
     for topic in ["keyed.op", "keyed.servers", "keyed.peers"] {
         site.store.compact(topic);
     }
-    site.configure(2, "/newer/");
+    site.store.set_mode(store_host::StoreMode::Up);
     fleet::eventually("the new route", async || {
         node.call("GET", "/newer/", "").await.0 == 200
     })
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -94,6 +94,36 @@
     ]
 }
 
+/// Worth of one pattern under all compared rules.
+#[derive(Clone, Debug)]
+pub struct PatternRow {
+    /// Name of the pattern.
+    pub pattern: &'static str,
+    /// Worth under each of [`compared_rules`], in their order.
+    pub worth: Vec<f64>,
+    /// Upper bound on the worth.
+    pub bound: f64,
+}
+
+/// Replays all patterns of `seed` under all compared rules.
+pub fn compare(seed: u64) -> Vec<PatternRow> {
+    worst_patterns(seed)
+        .iter()
+        .map(|spec| {
+            let pattern = load_pattern::draw(spec);
+            let reports: Vec<ReplayReport> = compared_rules()
+                .into_iter()
+                .map(|(_, rules)| replay(&pattern, rules))
+                .collect();
+            PatternRow {
+                pattern: spec.name,
+                worth: reports.iter().map(|report| report.worth).collect(),
+                bound: reports.first().map_or(0.0, |report| report.bound),
+            }
+        })
+        .collect()
+}
+
 /// Result of one replay.
 #[derive(Clone, Debug)]
 pub struct ReplayReport {
