--- a/crates/cuminkeel_node/src/front.rs
+++ b/crates/cuminkeel_node/src/front.rs
@@ -150,46 +150,10 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.trim().parse().ok())
         .map_or(DEFAULT_PATIENCE, time::Duration::from_millis);
-    let body = match Limited::new(request.into_body(), config.max_body_bytes)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
-            return plain(
-                http::StatusCode::BAD_REQUEST,
-                caller::encode_refusal("unreadable_body"),
-            );
-        }
-    };
-    let job = match caller::decode_job(&body) {
+    let job = match read_job(node, config, route, &id, request).await {
         Ok(job) => job,
-        Err(failure) => {
-            slog::info!(node.logger, "job_unreadable"; "request" => &*id, "error" => %failure);
-            return plain(
-                http::StatusCode::BAD_REQUEST,
-                caller::encode_refusal("unreadable_job"),
-            );
-        }
+        Err(refusal) => return refusal,
     };
-    let unsupported = job
-        .unsupported
-        .first()
-        .map(ToString::to_string)
-        .or_else(|| {
-            route
-                .needs_recommendation
-                .then(|| String::from("recommendation"))
-        });
-    if let Some(feature) = unsupported {
-        slog::info!(node.logger, "job_unsupported"; "request" => &*id, "feature" => &*feature);
-        node.metrics.count_refusal("unsupported");
-        return refusal(
-            http::StatusCode::SERVICE_UNAVAILABLE,
-            &feature,
-            UNSUPPORTED_RETRY,
-        );
-    }
     let spec = Arc::new(job_model::JobSpec {
         id: Arc::clone(&id),
         route: Arc::clone(&route.name),
@@ -203,18 +167,70 @@
     });
     slog::debug!(node.logger, "received"; "request" => &*id, "route" => &*route.name,
         "config_version" => config.version, "tasks" => spec.task_count(),
-        "patience_ms" => u64::try_from(patience.as_millis()).unwrap_or(u64::MAX));
+        "patience_ms" => whole_ms(patience));
     let answer = coordinator::run_job(node, spec, patience).await;
     let took = node.now().saturating_sub(received);
-    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
     if answer == coordinator::JobAnswer::Completed {
         slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
-            "outcome" => "completed", "took_ms" => took_ms);
+            "outcome" => "completed", "took_ms" => whole_ms(took));
     } else {
         slog::info!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
-            "outcome" => ?answer, "took_ms" => took_ms);
+            "outcome" => ?answer, "took_ms" => whole_ms(took));
     }
     node.metrics.count_answer(&route.name, &answer, took);
+    answer_job(&answer)
+}
+
+/// The job in the body of `request`, or the answer that turns it away.
+async fn read_job(
+    node: &node_state::Node,
+    config: &routing::RoutingConfig,
+    route: &routing::JobRoute,
+    id: &str,
+    request: http::Request<body::Incoming>,
+) -> Result<caller::SubmittedJob, Response> {
+    let bad_request = |reason| {
+        plain(
+            http::StatusCode::BAD_REQUEST,
+            caller::encode_refusal(reason),
+        )
+    };
+    let body = Limited::new(request.into_body(), config.max_body_bytes)
+        .collect()
+        .await
+        .map_err(|failure| {
+            slog::info!(node.logger, "body_unreadable"; "request" => id, "error" => %failure);
+            bad_request("unreadable_body")
+        })?
+        .to_bytes();
+    let job = caller::decode_job(&body).map_err(|failure| {
+        slog::info!(node.logger, "job_unreadable"; "request" => id, "error" => %failure);
+        bad_request("unreadable_job")
+    })?;
+    let unsupported = job
+        .unsupported
+        .first()
+        .map(ToString::to_string)
+        .or_else(|| {
+            route
+                .needs_recommendation
+                .then(|| String::from("recommendation"))
+        });
+    match unsupported {
+        Some(feature) => {
+            slog::info!(node.logger, "job_unsupported"; "request" => id, "feature" => &*feature);
+            node.metrics.count_refusal("unsupported");
+            Err(refusal(
+                http::StatusCode::SERVICE_UNAVAILABLE,
+                &feature,
+                UNSUPPORTED_RETRY,
+            ))
+        }
+        None => Ok(job),
+    }
+}
+
+fn answer_job(answer: &coordinator::JobAnswer) -> Response {
     match answer {
         coordinator::JobAnswer::Completed => {
             plain(http::StatusCode::OK, caller::encode_job_end(true))
@@ -239,11 +255,15 @@
         } => refusal(
             http::StatusCode::SERVICE_UNAVAILABLE,
             &reason.to_string(),
-            retry_after,
+            *retry_after,
         ),
     }
 }
 
+fn whole_ms(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn plain(status: http::StatusCode, body: Bytes) -> Response {
     let mut response = http::Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/cuminkeel_node/tests/node/fleet.rs
+++ b/crates/cuminkeel_node/tests/node/fleet.rs
@@ -1,15 +1,11 @@
 //! Processes, a store and backend servers for a test.
 
-use std::{
-    net, path,
-    sync::{Arc, atomic},
-    thread, time,
-};
+use std::{path, sync::Arc, thread, time};
 
 use bytes::Bytes;
 use cuminkeel_node::process;
 use platform_adapter::{http_peer, settings};
-use platform_emulator::{runner_host, store_host};
+use platform_emulator::{loopback, runner_host, store_host};
 use tokio::sync::{mpsc, oneshot};
 
 /// Longest time that anything in these tests may take.
@@ -18,28 +14,6 @@
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/orders/";
 
-static NEXT_ADDRESS: atomic::AtomicU32 = atomic::AtomicU32::new(1);
-
-/// A loopback address that no other process of this machine's tests uses.
-fn own_ip() -> net::Ipv4Addr {
-    let number = NEXT_ADDRESS.fetch_add(1, atomic::Ordering::Relaxed);
-    let process = std::process::id();
-    let [_, _, high, low] = process.to_be_bytes();
-    net::Ipv4Addr::new(
-        127,
-        64 + high % 128,
-        low,
-        u8::try_from(number).expect("few nodes"),
-    )
-}
-
-fn free_port(ip: net::Ipv4Addr) -> u16 {
-    net::TcpListener::bind((ip, 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a free port")
-        .port()
-}
-
 /// A process in a thread and a runtime of its own.
 pub struct TestNode {
     pub settings: settings::ProcessSettings,
@@ -257,8 +231,8 @@
 
     /// Settings of one more process.
     pub fn settings(&self, name: &str, domain: &str) -> settings::ProcessSettings {
-        let ip = own_ip();
-        let address = || Arc::from(format!("{ip}:{}", free_port(ip)));
+        let ip = loopback::own_ip();
+        let address = || Arc::from(format!("{ip}:{}", loopback::free_port(ip)));
         settings::ProcessSettings {
             node_name: Arc::from(name),
             failure_domain: Arc::from(domain),
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -1,7 +1,7 @@
 //! Processes of the real program, a store and backend servers.
 
 use std::{
-    fs, net,
+    fs,
     path::{Path, PathBuf},
     process,
     sync::Arc,
@@ -9,7 +9,7 @@
 };
 
 use cuminkeel_replay::fake_server;
-use platform_emulator::{runner_host, store_host};
+use platform_emulator::{loopback, runner_host, store_host};
 use rustix::process::{Pid, Signal, kill_process};
 
 pub const HOST: &str = "desk.example";
@@ -147,9 +147,11 @@
     }
 
     fn node(&self, name: &'static str, domain: &str) -> SoakNode {
-        let (callers, ready, links) = (free_address(), free_address(), free_address());
+        let ip = loopback::own_ip();
+        let address = || -> Arc<str> { Arc::from(format!("{ip}:{}", loopback::free_port(ip))) };
+        let (callers, ready, links) = (address(), address(), address());
         let settings = serde_json::json!({
-            "node_name": name, "ip": "127.0.0.1", "zone": domain,
+            "node_name": name, "ip": ip.to_string(), "zone": domain,
             "bind_addrs": {"frontend": callers, "ready": ready, "control_plane": links},
             "seed_nodes": [], "limits": {"cpu_share": 0.5},
             "bounds": {"max_hold_ms": 1000, "stop_timeout_ms": 50, "grace_s": 3, "config_apply_ms": 2000},
@@ -209,10 +211,3 @@
         }
     }
 }
-
-fn free_address() -> Arc<str> {
-    let address = net::TcpListener::bind(("127.0.0.1", 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a free port");
-    Arc::from(address.to_string())
-}
--- a/crates/cuminkeel_pool/src/pool.rs
+++ b/crates/cuminkeel_pool/src/pool.rs
@@ -1,9 +1,12 @@
 //! The state machine of a pool: jobs, servers, and what happens between them.
 
 mod claims;
+mod forecasts;
 mod jobs;
 mod reports;
+mod run_ends;
 mod schedule;
+mod starts;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
--- a/crates/cuminkeel_pool/src/pool/reports.rs
+++ b/crates/cuminkeel_pool/src/pool/reports.rs
@@ -1,120 +1,14 @@
-//! What servers answer to orders.
+//! What servers list in answer to holds.
 
 use std::{collections::HashSet, sync::Arc, time};
 
-use super::{FOREIGN_GRACE, NO_INPUTS, Pool, TaskPhase, claims};
-use crate::{health, job_model, overdue_run, pool_action, server_model, server_slot};
+use super::{FOREIGN_GRACE, NO_INPUTS, Pool, TaskPhase, claims, starts};
+use crate::{job_model, overdue_run, pool_action, server_model, server_slot};
 
-/// Numbers skipped when a server has used up a run's number.
-const SKIPPED_RUNS: u64 = 16;
 /// Shortest wait of a hold, so that checks of overdue runs don't become a loop.
 const MIN_HOLD_WAIT: time::Duration = time::Duration::from_millis(40);
 
 impl Pool {
-    /// A start was answered, or wasn't in time.
-    pub fn start_answered(
-        &mut self,
-        order: &server_model::StartOrder,
-        verdict: server_model::StartVerdict,
-        now: time::Duration,
-    ) {
-        let Some(slot) = self.servers.get_mut(&order.server) else {
-            return;
-        };
-        let newer_claim = order.token < slot.token;
-        let Some(run) = slot.runs.get_mut(&order.task) else {
-            return;
-        };
-        if run.run_id != order.run_id
-            || (run.phase == server_slot::RunPhase::Running && run.confirmed_at.is_some())
-        {
-            return;
-        }
-        match verdict {
-            server_model::StartVerdict::Started { clock_ms } => {
-                run.confirmed_at = Some(now);
-                if run.phase == server_slot::RunPhase::Starting {
-                    run.phase = server_slot::RunPhase::Running;
-                }
-                read_clock(slot, clock_ms, now);
-            }
-            server_model::StartVerdict::Unanswered => {
-                self.suspect(&order.server, now, "start_unanswered");
-            }
-            server_model::StartVerdict::Fenced if !newer_claim => self.fenced(&order.server, now),
-            server_model::StartVerdict::Fenced
-            | server_model::StartVerdict::RunTooOld
-            | server_model::StartVerdict::TooLate
-            | server_model::StartVerdict::NoRoom
-            | server_model::StartVerdict::Unhealthy
-            | server_model::StartVerdict::OtherServer
-            | server_model::StartVerdict::Malformed => self.start_denied(order, verdict, now),
-        }
-    }
-
-    fn start_denied(
-        &mut self,
-        order: &server_model::StartOrder,
-        verdict: server_model::StartVerdict,
-        now: time::Duration,
-    ) {
-        let Some(slot) = self.servers.get_mut(&order.server) else {
-            return;
-        };
-        slot.runs.remove(&order.task);
-        let outcome = match verdict {
-            server_model::StartVerdict::Unhealthy | server_model::StartVerdict::NoRoom => {
-                slot.health.eject(now);
-                "unhealthy_or_full"
-            }
-            server_model::StartVerdict::OtherServer => {
-                slot.health.eject(now);
-                "other_server"
-            }
-            server_model::StartVerdict::TooLate => {
-                // The clock reading is off; the next hold brings a new one.
-                slot.clock = None;
-                "too_late"
-            }
-            server_model::StartVerdict::RunTooOld => "run_too_old",
-            server_model::StartVerdict::Malformed => "malformed",
-            _ => "fenced_by_newer_claim",
-        };
-        self.run_places.remove(&order.task);
-        let request = Some(Arc::from(order.task.to_string()));
-        let server = Some(Arc::clone(&order.server));
-        self.note(
-            pool_action::DecisionKind::StartDenied,
-            request,
-            server,
-            outcome,
-            NO_INPUTS,
-        );
-        let skipped = if verdict == server_model::StartVerdict::RunTooOld {
-            SKIPPED_RUNS
-        } else {
-            0
-        };
-        if verdict == server_model::StartVerdict::Malformed {
-            self.task_failed(&order.server, &order.task, order.run_id, now);
-        } else {
-            self.requeue(&order.task, order.run_id, skipped, now);
-        }
-        self.schedule(now);
-    }
-
-    /// A stop was answered, or wasn't in time.
-    pub fn stop_answered(
-        &mut self,
-        order: &server_model::StopOrder,
-        verdict: server_model::StopVerdict,
-        now: time::Duration,
-    ) {
-        if verdict == server_model::StopVerdict::Unanswered {
-            self.suspect(&order.server, now, "stop_unanswered");
-        }
-    }
-
     /// A hold was answered, or wasn't in time.
     pub fn hold_answered(
         &mut self,
@@ -174,27 +68,9 @@
             slot.lease_deadline_ms = 0;
             slot.clock = None;
         }
-        read_clock(slot, report.clock_ms, now);
+        starts::read_clock(slot, report.clock_ms, now);
         if slot.standing != server_slot::ServerStanding::Held {
-            slot.standing = server_slot::ServerStanding::Held;
-            let inputs = [
-                ("tries", i64::from(slot.claim_tries)),
-                (
-                    "after_ms",
-                    pool_action::note_ms(now.saturating_sub(slot.claim_since)),
-                ),
-                ("running", claims::as_count(report.running.len())),
-            ];
-            slot.claim_tries = 0;
-            let epoch = slot.token >> super::TOKEN_NONCE_BITS;
-            self.epoch = self.epoch.max(epoch);
-            self.note(
-                pool_action::DecisionKind::Held,
-                None,
-                Some(Arc::clone(id)),
-                "granted",
-                inputs,
-            );
+            self.grant_claim(id, report.running.len(), now);
         }
         if reborn {
             let inputs = [("runs", claims::as_count(over.len())), ("", 0), ("", 0)];
@@ -216,6 +92,32 @@
         self.drop_if_gone(id);
     }
 
+    /// The server has listed its runs in answer to a claim.
+    fn grant_claim(&mut self, id: &Arc<str>, running: usize, now: time::Duration) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        slot.standing = server_slot::ServerStanding::Held;
+        let inputs = [
+            ("tries", i64::from(slot.claim_tries)),
+            (
+                "after_ms",
+                pool_action::note_ms(now.saturating_sub(slot.claim_since)),
+            ),
+            ("running", claims::as_count(running)),
+        ];
+        slot.claim_tries = 0;
+        let epoch = slot.token >> super::TOKEN_NONCE_BITS;
+        self.epoch = self.epoch.max(epoch);
+        self.note(
+            pool_action::DecisionKind::Held,
+            None,
+            Some(Arc::clone(id)),
+            "granted",
+            inputs,
+        );
+    }
+
     fn take_ends(&mut self, id: &Arc<str>, ends: &[server_model::ListedEnd], now: time::Duration) {
         for end in ends {
             let Some(slot) = self.servers.get_mut(id) else {
@@ -454,168 +356,4 @@
         };
         self.actions.push(pool_action::PoolAction::Hold(order));
     }
-
-    /// A run that used room on `id` is over.
-    pub(super) fn end_run(
-        &mut self,
-        id: &Arc<str>,
-        task: &job_model::TaskName,
-        run: &server_slot::ServerRun,
-        end: server_model::RunEnd,
-        now: time::Duration,
-    ) {
-        self.run_places.remove(task);
-        let elapsed = now.saturating_sub(run.ordered_at);
-        let inputs = [
-            ("elapsed_ms", pool_action::note_ms(elapsed)),
-            ("expected_ms", pool_action::note_ms(run.expected)),
-            ("run", i64::try_from(run.run_id).unwrap_or(i64::MAX)),
-        ];
-        let request = Some(Arc::from(task.to_string()));
-        self.note(
-            pool_action::DecisionKind::RunEnded,
-            request,
-            Some(Arc::clone(id)),
-            run_end_text(end),
-            inputs,
-        );
-        match end {
-            server_model::RunEnd::Done => {
-                if run.owned && !run.estimate.is_zero() {
-                    self.learn_pace(id, task, run, elapsed, now);
-                }
-                self.task_done(task, run.run_id, now);
-            }
-            server_model::RunEnd::Failed => self.task_failed(id, task, run.run_id, now),
-            server_model::RunEnd::Stopped
-            | server_model::RunEnd::Lapsed
-            | server_model::RunEnd::GangBroken => {
-                self.requeue(task, run.run_id, 0, now);
-            }
-        }
-    }
-
-    fn learn_pace(
-        &mut self,
-        id: &Arc<str>,
-        task: &job_model::TaskName,
-        run: &server_slot::ServerRun,
-        actual: time::Duration,
-        now: time::Duration,
-    ) {
-        let Some(slot) = self.servers.get_mut(id) else {
-            return;
-        };
-        let kind: &mut health::KindPace = self.kinds.entry(slot.kind()).or_default();
-        let usual = actual.div_f64(kind.pace());
-        if !run.run_time.is_zero() {
-            kind.note(actual, run.run_time);
-            slot.health.note_done(now, actual, run.run_time, kind);
-        }
-        if let Some(job) = self.jobs.get(&task.job) {
-            self.estimates
-                .entry(Arc::clone(&job.spec.route))
-                .or_default()
-                .note(run.estimate, usual);
-        }
-    }
-
-    fn task_done(&mut self, name: &job_model::TaskName, run_id: u64, now: time::Duration) {
-        if let Some(task) = self.placed_task(name, run_id) {
-            task.phase = TaskPhase::Done;
-            self.finish_if_done(&name.job, now);
-        }
-    }
-
-    fn task_failed(
-        &mut self,
-        server: &Arc<str>,
-        name: &job_model::TaskName,
-        run_id: u64,
-        now: time::Duration,
-    ) {
-        let Some(task) = self.placed_task(name, run_id) else {
-            return;
-        };
-        task.failures += 1;
-        task.avoid.push(Arc::clone(server));
-        let failures = task.failures;
-        // A task that failed elsewhere before is itself the likelier cause.
-        if failures == 1
-            && let Some(slot) = self.servers.get_mut(server)
-            && slot.health.note_failed(now)
-        {
-            let inputs = [("", 0), ("", 0), ("", 0)];
-            self.note(
-                pool_action::DecisionKind::Ejected,
-                None,
-                Some(Arc::clone(server)),
-                "failures",
-                inputs,
-            );
-        }
-        let exhausted = self
-            .jobs
-            .get(&name.job)
-            .is_some_and(|job| failures >= job.spec.max_attempts);
-        if exhausted {
-            self.end_job(
-                &name.job,
-                &job_model::JobEnd::Failed(job_model::FailureReason::AttemptsExhausted),
-                now,
-            );
-        } else {
-            self.requeue(name, run_id, 0, now);
-        }
-    }
-
-    /// Puts a task whose run is over back into the queue.
-    fn requeue(
-        &mut self,
-        name: &job_model::TaskName,
-        run_id: u64,
-        skipped_runs: u64,
-        _now: time::Duration,
-    ) {
-        let Some(task) = self.placed_task(name, run_id) else {
-            return;
-        };
-        task.phase = TaskPhase::Waiting;
-        task.next_run += skipped_runs;
-        if let Some(job) = self.jobs.get(&name.job) {
-            self.queue.insert(job.position.clone());
-        }
-    }
-
-    fn placed_task(
-        &mut self,
-        name: &job_model::TaskName,
-        run_id: u64,
-    ) -> Option<&mut super::TaskEntry> {
-        let job = self.jobs.get_mut(&name.job)?;
-        job.tasks.iter_mut().find(|task| {
-            task.name == *name
-                && matches!(&task.phase, TaskPhase::Placed { run_id: placed, .. } if *placed == run_id)
-        })
-    }
-}
-
-/// Takes in a reading of the server's clock; an older one on another connection is ignored.
-fn read_clock(slot: &mut server_slot::ServerSlot, clock_ms: u64, now: time::Duration) {
-    let newer = slot
-        .clock
-        .is_none_or(|reading| clock_ms >= reading.clock_ms);
-    if newer {
-        slot.clock = Some(server_slot::ClockReading { clock_ms, at: now });
-    }
-}
-
-fn run_end_text(end: server_model::RunEnd) -> &'static str {
-    match end {
-        server_model::RunEnd::Done => "done",
-        server_model::RunEnd::Failed => "failed",
-        server_model::RunEnd::Stopped => "stopped",
-        server_model::RunEnd::Lapsed => "lapsed",
-        server_model::RunEnd::GangBroken => "gang_broken",
-    }
 }
