Send states between processes as often as something depends on them

Change: the short intervals only to and from leaders and while a domain has none; one second among followers, two between domains.

--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -121,7 +121,13 @@
 
     /// Takes in the state of the pool.
     pub fn set_pool_status(&self, status: link_frame::PeerStatus) {
-        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+        let mut current = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        let office_changed = (current.held_servers == 0) != (status.held_servers == 0);
+        *current = status;
+        drop(current);
+        if office_changed {
+            self.announce();
+        }
     }
 
     /// Whether the process is about to stop.
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -25,10 +25,6 @@
 const PATIENT_DIALS: u32 = 20;
 /// Pause between dials from then on; a VM that is back dials by itself.
 const RARE_DIAL_PAUSE: time::Duration = time::Duration::from_secs(5);
-/// Time between states sent inside a failure domain, where a leader's loss has to be noticed.
-const NEAR_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Time between states sent to other failure domains.
-const FAR_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Intervals without a frame after which a link counts as broken.
 const SILENT_INTERVALS: u32 = 4;
 
@@ -122,11 +118,7 @@
         node: Arc::downgrade(node),
         name: Arc::clone(&hello.name),
         address: Arc::clone(&hello.link_address),
-        interval: if hello.failure_domain == node.hello.failure_domain {
-            NEAR_INTERVAL
-        } else {
-            FAR_INTERVAL
-        },
+        near: hello.failure_domain == node.hello.failure_domain,
         inbox,
     };
     tokio::spawn(link.run());
@@ -162,11 +154,33 @@
         .unwrap_or(Err(link_frame::LinkError::Silent))
 }
 
+/// Time between states to or from a leader of the own failure domain, or among all of its
+/// processes without one: a leader's loss is noticed in four of these.
+const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time between states among processes of a failure domain that has a leader.
+const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time between states to a leader of another failure domain, whose room is asked for.
+const FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time between states to other processes of other failure domains.
+const FAR_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// Time between states on a link, so that their number grows with the processes of a domain
+/// and hardly with those of all. `urgent` where the choice or the room of a leader depends on
+/// them.
+pub fn status_interval(near: bool, urgent: bool) -> time::Duration {
+    match (near, urgent) {
+        (true, true) => LEADER_INTERVAL,
+        (true, false) => FOLLOWER_INTERVAL,
+        (false, true) => FAR_LEADER_INTERVAL,
+        (false, false) => FAR_INTERVAL,
+    }
+}
+
 struct LinkTask {
     node: Weak<node_state::Node>,
     name: Arc<str>,
     address: Arc<str>,
-    interval: time::Duration,
+    near: bool,
     inbox: mpsc::UnboundedReceiver<LinkOrder>,
 }
 
@@ -266,6 +280,7 @@
         let mut session = LinkSession {
             waiting: HashMap::new(),
             heard_at: node.now(),
+            interval: self.interval(node),
             config_sent: 0,
         };
         if let Some(peer) = node.peers().get_mut(&self.name) {
@@ -275,8 +290,7 @@
         slog::info!(node.logger, "peer_connected"; "peer" => &*self.name);
         node.announce();
         let mut news = node.news();
-        let mut ticks = tokio::time::interval(self.interval);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut next_tick = tokio::time::Instant::now();
         let failure = loop {
             let mut out = Vec::new();
             tokio::select! {
@@ -295,17 +309,23 @@
                     }
                     None => break link_frame::LinkError::Silent,
                 },
-                _ = news.changed() => out.push(link_frame::LinkFrame::Status(node.own_status())),
-                _ = ticks.tick() => {
-                    if node.now() > session.heard_at + self.interval * SILENT_INTERVALS {
+                _ = news.changed() => {
+                    session.set_interval(self.interval(node), node.now());
+                    out.push(link_frame::LinkFrame::Status(node.own_status()));
+                    next_tick = tokio::time::Instant::now() + session.interval;
+                }
+                () = tokio::time::sleep_until(next_tick) => {
+                    if node.now() > session.heard_at + session.interval * SILENT_INTERVALS {
                         break link_frame::LinkError::Silent;
                     }
+                    session.set_interval(self.interval(node), node.now());
                     out.push(link_frame::LinkFrame::Status(node.own_status()));
+                    next_tick = tokio::time::Instant::now() + session.interval;
                 }
             }
             if !out.is_empty() {
                 let writing = link_frame::write_frames(&mut writer, &out);
-                match tokio::time::timeout(self.interval * SILENT_INTERVALS, writing).await {
+                match tokio::time::timeout(session.interval * SILENT_INTERVALS, writing).await {
                     Ok(Ok(())) => {}
                     Ok(Err(failure)) => break failure,
                     Err(_) => break link_frame::LinkError::Silent,
@@ -316,6 +336,22 @@
         failure
     }
 
+    /// Time between states sent over this link, by what depends on them.
+    fn interval(&self, node: &node_state::Node) -> time::Duration {
+        let peer_leads = node
+            .peers()
+            .get(&self.name)
+            .is_some_and(|peer| peer.status.held_servers > 0);
+        let own_leads = node.own_status().held_servers > 0;
+        let has_leader = || {
+            node.domain_members(node.now())
+                .iter()
+                .any(|member| member.reachable && member.held_servers > 0)
+        };
+        let urgent = peer_leads || (self.near && (own_leads || !has_leader()));
+        status_interval(self.near, urgent)
+    }
+
     fn take_frame(
         &self,
         node: &Arc<node_state::Node>,
@@ -354,11 +390,21 @@
 
 struct LinkSession {
     waiting: HashMap<u64, oneshot::Sender<job_model::JobEnd>>,
+    /// When the peer was last heard, or the interval changed.
     heard_at: time::Duration,
+    interval: time::Duration,
     config_sent: u64,
 }
 
 impl LinkSession {
+    fn set_interval(&mut self, interval: time::Duration, now: time::Duration) {
+        if interval != self.interval {
+            // Silence is measured by the interval in force.
+            self.interval = interval;
+            self.heard_at = now;
+        }
+    }
+
     fn take_order(&mut self, order: LinkOrder, out: &mut Vec<link_frame::LinkFrame>) {
         match order {
             LinkOrder::Submit {
--- a/crates/cuminkeel_node/tests/node/parts.rs
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use cuminkeel_node::{domain_view, link_frame, store_feed};
+use cuminkeel_node::{domain_view, link_frame, peer_link, store_feed};
 use cuminkeel_pool::{job_model, leadership};
 
 fn ms(value: u64) -> time::Duration {
@@ -35,6 +35,28 @@
     );
 }
 
+#[test]
+fn states_are_sent_as_often_as_something_depends_on_them() {
+    let cases = [
+        (
+            "to or from a leader of the domain, or without one",
+            true,
+            true,
+            150,
+        ),
+        ("among followers", true, false, 1_000),
+        ("to a leader elsewhere", false, true, 250),
+        ("to followers elsewhere", false, false, 2_000),
+    ];
+    for (name, near, urgent, expected) in cases {
+        assert_eq!(
+            peer_link::status_interval(near, urgent),
+            ms(expected),
+            "{name}"
+        );
+    }
+}
+
 fn member(name: &str, reachable: bool, held_servers: u32) -> leadership::DomainMember {
     leadership::DomainMember {
         name: Arc::from(name),
