Spread the returns of refused callers, drop clients of servers that left, use the bound of configurations

Cause: all callers refused in a burst were told to come back after the same second; clients of unlisted servers stayed in memory for good; the wait of configuration reads was fixed, though the bound is in the settings. Change: Retry-After is the foretold wait and up to as long again (a second at least), by the job's id.

--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -25,6 +25,15 @@
 const PATIENT_DIALS: u32 = 20;
 /// Pause between dials from then on; a VM that is back dials by itself.
 const RARE_DIAL_PAUSE: time::Duration = time::Duration::from_secs(5);
+/// Time between states to or from a leader of the own failure domain, or among all of its
+/// processes without one: a leader's loss is noticed in four of these.
+const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time between states among processes of a failure domain that has a leader.
+const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time between states to a leader of another failure domain, whose room is asked for.
+const FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time between states to other processes of other failure domains.
+const FAR_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Intervals without a frame after which a link counts as broken.
 const SILENT_INTERVALS: u32 = 4;
 
@@ -154,16 +163,6 @@
         .unwrap_or(Err(link_frame::LinkError::Silent))
 }
 
-/// Time between states to or from a leader of the own failure domain, or among all of its
-/// processes without one: a leader's loss is noticed in four of these.
-const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Time between states among processes of a failure domain that has a leader.
-const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Time between states to a leader of another failure domain, whose room is asked for.
-const FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// Time between states to other processes of other failure domains.
-const FAR_INTERVAL: time::Duration = time::Duration::from_secs(2);
-
 /// Time between states on a link, so that their number grows with the processes of a domain
 /// and hardly with those of all. `urgent` where the choice or the room of a leader depends on
 /// them.
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -234,6 +234,8 @@
             }
             PoolEvent::Registry(RegistryChange::Unlisted(server)) => {
                 self.pool.unlist_server(&server);
+                // Orders that are still due open new connections.
+                self.clients.remove(&server);
             }
             PoolEvent::Pending { route, reply } => {
                 let _gone = reply.send(self.pool.pending_jobs(&route));
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -12,9 +12,9 @@
 
 /// Time for the store's answer beyond what was asked to wait: it may be slow by a factor of 60.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
-/// Longest wait of a read of the configuration. A silent connection is given up
-/// `STORE_TIMEOUT` later, so that a change is in force within two seconds all the same.
-const CONFIG_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Part of the time for a configuration to be in force, in percent, for which a read waits.
+/// A silent connection is given up `STORE_TIMEOUT` later, and there is time for another read.
+const CONFIG_WAIT_PERCENT: u32 = 35;
 /// Pause after a failed call.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Time between reads of the registry by the process that leads: a draining server gets
@@ -55,12 +55,13 @@
 /// Follows the operator's configuration.
 pub async fn follow_config(node: Arc<node_state::Node>) {
     let store = client(&node);
+    let wait = node.settings.config_apply * CONFIG_WAIT_PERCENT / 100;
     let mut offset = None;
     let mut failures = 0;
     loop {
         let batch = match offset {
             None => store.newest(store::OPERATOR_TOPIC).await,
-            Some(offset) => store.read(store::OPERATOR_TOPIC, offset, CONFIG_WAIT).await,
+            Some(offset) => store.read(store::OPERATOR_TOPIC, offset, wait).await,
         };
         match batch {
             Ok(batch) => {
--- a/crates/cuminkeel_pool/src/lib.rs
+++ b/crates/cuminkeel_pool/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
+pub mod retry_advice;
 pub mod run_estimate;
 pub mod server_model;
 pub mod server_slot;
--- a/crates/cuminkeel_pool/src/pool/jobs.rs
+++ b/crates/cuminkeel_pool/src/pool/jobs.rs
@@ -5,15 +5,13 @@
 use smallvec::{SmallVec, smallvec};
 
 use super::{JobEntry, NO_INPUTS, Pool, TaskEntry, TaskPhase, claims};
-use crate::{job_model, job_order, pool_action, server_model, settings};
+use crate::{job_model, job_order, pool_action, retry_advice, server_model, settings};
 
 /// Answers later than this many objectives are worth nothing to the caller.
 const USELESS_OBJECTIVES: u32 = 3;
 /// Numbers skipped for a task's runs when a job comes from another pool, which
 /// may have used some of them at a server.
 const RUNS_PER_POOL: u64 = 16;
-/// Shortest advice to come back: below it a return would meet the same queue.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 /// Weight of a new task in the typical size of tasks.
 const TYPICAL_SHARE: u32 = 32;
 
@@ -91,7 +89,7 @@
         );
         let end = job_model::JobEnd::Refused {
             reason,
-            retry_after: wait.max(MIN_RETRY_AFTER),
+            retry_after: retry_advice::return_after(&ticket.spec.id, wait),
         };
         self.actions
             .push(pool_action::PoolAction::End { waiter, end });
@@ -360,7 +358,7 @@
             } else {
                 job_model::JobEnd::Refused {
                     reason: job_model::RefusalReason::ExpiredInQueue,
-                    retry_after: MIN_RETRY_AFTER,
+                    retry_after: retry_advice::return_after(&id, time::Duration::ZERO),
                 }
             };
             self.end_job(&id, &end, now);
