Let a process that stops alone serve what still arrives

Cause, found by reading: the pool let a stopping process lead while nobody could follow it, but coordinators didn't know of that rule, so in a domain with one process left a planned stop refused all that still arrived after 1.5 s (503 no_pool). Change: one rule in leadership::choose_leader for both. Both new tests failed before (table of leaders; a process that stops alone answered 503) and pass after.

--- a/crates/cuminkeel_node/src/domain_view.rs
+++ b/crates/cuminkeel_node/src/domain_view.rs
@@ -32,17 +32,6 @@
         }
     }
 
-    /// The member that should hold the domain's servers.
-    pub fn leader<'a>(&self, members: &'a [leadership::DomainMember]) -> Option<&'a Arc<str>> {
-        leadership::choose_leader(members).or_else(|| {
-            // A process that is about to stop serves on while nobody can follow it.
-            members
-                .iter()
-                .map(|member| &member.name)
-                .find(|name| **name == self.self_name)
-        })
-    }
-
     /// Servers of `listed` that this process should hold; empty when it doesn't lead.
     pub fn wanted_servers<'a>(
         &mut self,
@@ -50,7 +39,7 @@
         listed: impl Iterator<Item = &'a Arc<str>>,
         now: time::Duration,
     ) -> BTreeSet<Arc<str>> {
-        if self.leader(members) != Some(&self.self_name) {
+        if leadership::choose_leader(members) != Some(&self.self_name) {
             return BTreeSet::new();
         }
         for member in members.iter().filter(|member| member.reachable) {
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_pool::{job_model, pool, pool_action, server_model, settings};
+use cuminkeel_pool::{job_model, leadership, pool, pool_action, server_model, settings};
 use platform_adapter::runner;
 use tokio::sync::{mpsc, oneshot};
 
@@ -252,7 +252,7 @@
             return;
         }
         let members = self.node.domain_members(now);
-        let leads = self.view.leader(&members) == Some(&self.node.hello.name);
+        let leads = leadership::choose_leader(&members) == Some(&self.node.hello.name);
         if leads != self.leads {
             slog::info!(self.node.logger, "leadership"; "leads" => leads,
                 "members" => members.len(),
--- a/crates/cuminkeel_node/tests/node/recovery.rs
+++ b/crates/cuminkeel_node/tests/node/recovery.rs
@@ -45,6 +45,17 @@
     assert_eq!(second.submit("00000000000000a4", "20", 1).await.0, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_stops_alone_serves_what_still_arrives() {
+    let site = fleet::TestSite::start(&["north"]).await;
+    let mut node = site.ready_node("n1", "north").await;
+    node.stop().await;
+    fleet::eventually("not ready", async || node.readiness().await != 200).await;
+    let (status, body) = node.submit("00000000000000a1", "20", 1).await;
+    assert_eq!((status, &body[..]), (200, &br#"{"state":"completed"}"#[..]));
+    node.ended().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_processes_are_lost_at_once_and_serve_again() {
     let site = fleet::TestSite::start(&["north"]).await;
--- a/crates/cuminkeel_pool/src/leadership.rs
+++ b/crates/cuminkeel_pool/src/leadership.rs
@@ -29,13 +29,15 @@
 /// The member that owns the domain's servers, among those that can be reached.
 ///
 /// The one that holds the most servers stays in office; without any, the one
-/// with the most processor is chosen, and the first name among equals.
+/// with the most processor is chosen, and the first name among equals. One that is
+/// about to stop leads only while nobody else can.
 pub fn choose_leader(members: &[DomainMember]) -> Option<&Arc<str>> {
     members
         .iter()
-        .filter(|member| member.reachable && !member.leaving)
+        .filter(|member| member.reachable)
         .max_by_key(|member| {
             (
+                !member.leaving,
                 member.held_servers,
                 member.cpu_millis,
                 std::cmp::Reverse(Arc::clone(&member.name)),
--- a/crates/cuminkeel_pool/tests/decisions.rs
+++ b/crates/cuminkeel_pool/tests/decisions.rs
@@ -224,6 +224,11 @@
             vec![member("a", 200, 0), leaving(member("b", 600, 16))],
             Some("a"),
         ),
+        (
+            "alone and leaving",
+            vec![leaving(member("a", 200, 16)), lost(member("b", 600, 0))],
+            Some("a"),
+        ),
         ("nobody", vec![lost(member("a", 200, 0))], None),
     ];
     for (name, members, expected) in cases {
