--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -157,14 +157,17 @@
         self.announce();
     }
 
-    /// Whether every listed peer of the own failure domain has answered or failed to.
-    pub fn knows_domain(&self) -> bool {
+    /// Whether the store's list of peers was read since the start.
+    pub fn knows_peers(&self) -> bool {
         self.peers_listed.load(atomic::Ordering::Relaxed)
-            && self
-                .peers()
-                .iter()
-                .filter(|peer| peer.hello.failure_domain == self.hello.failure_domain)
-                .all(|peer| peer.tried)
+    }
+
+    /// Whether every known peer of the own failure domain has answered or failed to.
+    pub fn has_tried_domain(&self) -> bool {
+        self.peers()
+            .iter()
+            .filter(|peer| peer.hello.failure_domain == self.hello.failure_domain)
+            .all(|peer| peer.tried)
     }
 
     /// Members of the own failure domain, this process included.
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -31,6 +31,8 @@
     Listed(server_model::ServerEntry),
     /// A server is listed no more.
     Unlisted(Arc<str>),
+    /// Entries may be missing until then, as the store may not have heard from their servers.
+    Doubtful(time::Duration),
 }
 
 #[derive(Debug)]
@@ -232,6 +234,9 @@
             PoolEvent::Registry(RegistryChange::Listed(entry)) => {
                 self.pool.list_server(entry, now);
             }
+            PoolEvent::Registry(RegistryChange::Doubtful(until)) => {
+                self.pool.doubt_registry(until);
+            }
             PoolEvent::Registry(RegistryChange::Unlisted(server)) => {
                 self.pool.unlist_server(&server);
                 // Orders that are still due open new connections.
@@ -248,7 +253,10 @@
     /// Claims or gives up servers after a change of the peers.
     fn reconsider(&mut self) {
         let now = self.node.now();
-        if now < MAX_LEAD_DELAY && !self.node.knows_domain() {
+        // Without the list of peers there was no list of servers either.
+        let knows_domain =
+            self.node.knows_peers() && (now >= MAX_LEAD_DELAY || self.node.has_tried_domain());
+        if !knows_domain {
             return;
         }
         let members = self.node.domain_members(now);
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -159,6 +159,12 @@
             Ok(batch) => {
                 note_success(&feed.node, "registry", &mut failures);
                 offset = Some(batch.next_offset);
+                if feed.known.is_empty() {
+                    // Before the start the store may have been away, or servers cut off from it.
+                    feed.node
+                        .pool
+                        .change_registry(pool_driver::RegistryChange::Doubtful(now + LAPSE_GRACE));
+                }
                 feed.take_records(batch.records, snapshot, now);
             }
             Err(store::StoreError::Deleted) => {
--- a/crates/cuminkeel_pool/src/pool.rs
+++ b/crates/cuminkeel_pool/src/pool.rs
@@ -100,6 +100,8 @@
     arrivals: u64,
     /// Until when runs of another pool may be unknown here.
     unsettled_until: time::Duration,
+    /// Until when servers may be missing in the registry that run something.
+    registry_sure_at: time::Duration,
     /// Ends that a former owner's coordinator may still ask for.
     foreign_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
     /// Mean processor of recent tasks, in thousandths of a core.
@@ -122,6 +124,7 @@
             run_places: HashMap::new(),
             arrivals: 0,
             unsettled_until: time::Duration::ZERO,
+            registry_sure_at: time::Duration::ZERO,
             foreign_ends: HashMap::new(),
             typical_cpu: 0,
             actions: Vec::new(),
@@ -143,6 +146,11 @@
         self.epoch = self.epoch.max(epoch.min(MAX_EPOCH));
     }
 
+    /// Entries of servers that run something may be missing in the registry until then.
+    pub fn doubt_registry(&mut self, until: time::Duration) {
+        self.registry_sure_at = self.registry_sure_at.max(until);
+    }
+
     /// Load of the pool at `now`.
     pub fn load(&self, now: time::Duration) -> PoolLoad {
         let mut load = PoolLoad::default();
--- a/crates/cuminkeel_pool/src/pool/schedule.rs
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -77,11 +77,11 @@
 
     /// Whether runs of a former owner can't be unknown any more.
     fn is_settled(&self, now: time::Duration) -> bool {
-        now >= self.unsettled_until
-            || !self
-                .servers
-                .values()
-                .any(|slot| slot.listed && !slot.standing.knows_runs())
+        let all_known = self
+            .servers
+            .values()
+            .all(|slot| !slot.listed || slot.standing.knows_runs());
+        now >= self.unsettled_until || (all_known && now >= self.registry_sure_at)
     }
 
     fn place_task(&mut self, job_id: &Arc<str>, position: usize, now: time::Duration) -> bool {
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -200,6 +200,27 @@
     }
 }
 
+#[test]
+fn a_new_leader_with_a_doubtful_registry_starts_no_task_twice() {
+    let mut world = led_world(2, &["s1", "s2"]);
+    world.submit(0, &ticket("job", 1, LONG), truth(LONG));
+    world.run_until(ms(200));
+    assert_eq!(world.server("s1").used_cpu(), 7_000);
+    world.pause(0);
+    // The entry of the server that runs the job has lapsed and isn't back yet.
+    world.pools[1].unlist_server("s1");
+    world.pools[1].doubt_registry(ms(2_800));
+    world.lead(1);
+    let again = job_model::JobTicket {
+        resubmitted: true,
+        ..ticket("job", 1, LONG)
+    };
+    world.submit(1, &again, truth(LONG));
+    world.run_until(ms(5_000));
+    assert_eq!(world.broken, []);
+    assert_eq!(ends(&world, "job"), [job_model::JobEnd::Completed]);
+}
+
 #[test]
 fn runs_that_nobody_asks_for_are_stopped() {
     let mut world = led_world(2, &["s1"]);
