Link processes to leaders and to those who would lead next

Change: `link_plan` decides which peers a process dials: all leaders, three who would be chosen next, for a leader all of its domain and two of each other. Peers tell each other who leads (`LinkFrame::Leaders`).

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -191,7 +191,8 @@
         }
         let peers = self.node.peers();
         let peer = peers.get(leader)?;
-        Some(PoolTarget::Peer(peer.link.clone(), Arc::clone(leader)))
+        let link = peer.link.clone()?;
+        Some(PoolTarget::Peer(link, Arc::clone(leader)))
     }
 
     /// Leaders of other failure domains with room, those with most first.
@@ -219,7 +220,7 @@
         pools
             .into_iter()
             .take(FAR_OFFERS)
-            .map(|peer| (peer.link.clone(), Arc::clone(&peer.hello.name)))
+            .filter_map(|peer| Some((peer.link.clone()?, Arc::clone(&peer.hello.name))))
             .collect()
     }
 }
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod front;
 pub mod link_frame;
 pub mod link_listener;
+pub mod link_news;
 pub mod node_metrics;
 pub mod node_state;
 pub mod peer_link;
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -81,6 +81,8 @@
         /// The value of its key.
         body: Vec<u8>,
     },
+    /// Peers that hold servers, as the sender heard from them; sent when they change.
+    Leaders(Vec<PeerHello>),
 }
 
 /// Why a link can't be used any more.
@@ -107,6 +109,9 @@
     /// The first frame didn't say who is there.
     #[display("peer sent no hello")]
     NoHello,
+    /// Nobody needs the link any more.
+    #[display("link is not needed any more")]
+    Unwanted,
     /// Nothing came for too long.
     #[display("peer is silent")]
     Silent,
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -4,7 +4,7 @@
 
 use tokio::{net, sync::mpsc, task};
 
-use crate::{link_frame, node_state, peer_link, pool_driver};
+use crate::{link_frame, link_news, node_state, peer_link, pool_driver};
 
 /// How long jobs of a broken link are kept for the peer to ask again, over a new link
 /// or through another process: a dial and a half.
@@ -55,6 +55,7 @@
     ];
     link_frame::write_frames(&mut writer, &first).await?;
     node_state::learn_peer(node, hello);
+    let mut news = link_news::LinkNews::default();
     let (outgoing, mut outbox) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
     let writer_task = tokio::spawn(async move {
         while let Some(frame) = outbox.recv().await {
@@ -72,6 +73,18 @@
     });
     let result = loop {
         match link_frame::read_frame(&mut reader).await {
+            Ok(link_frame::LinkFrame::Status(status)) => {
+                peer_link::note_status(node, &name, status);
+                let answers = [
+                    Some(link_frame::LinkFrame::Status(node.own_status())),
+                    news.config(node, &status),
+                    news.leaders(node),
+                ];
+                for answer in answers.into_iter().flatten() {
+                    // A writer that is gone means that the link is, which the reader notices.
+                    let _closed = outgoing.send(answer);
+                }
+            }
             Ok(frame) => take_frame(node, &name, frame, &outgoing, waiting),
             Err(failure) => break Err(failure),
         }
@@ -88,11 +101,7 @@
     waiting: &mut HashMap<u64, task::JoinHandle<()>>,
 ) {
     match frame {
-        link_frame::LinkFrame::Status(status) => {
-            peer_link::note_status(node, name, status);
-            // A writer that is gone means that the link is, which the reader notices.
-            let _closed = outgoing.send(link_frame::LinkFrame::Status(node.own_status()));
-        }
+        link_frame::LinkFrame::Leaders(leaders) => peer_link::note_leaders(node, name, leaders),
         link_frame::LinkFrame::Submit { request, ticket } => {
             waiting.retain(|_, job| !job.is_finished());
             let job = node.pool.submit(ticket);
@@ -105,7 +114,9 @@
             }
         }
         link_frame::LinkFrame::Config { body } => node.offer_config(body.into(), "peer"),
-        link_frame::LinkFrame::Hello(_) | link_frame::LinkFrame::End { .. } => {}
+        link_frame::LinkFrame::End { .. }
+        | link_frame::LinkFrame::Hello(_)
+        | link_frame::LinkFrame::Status(_) => {}
     }
 }
 
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -12,7 +12,7 @@
     registry,
 };
 
-use crate::coordinator;
+use crate::{coordinator, link_frame};
 
 /// Upper bounds of the response times' buckets, in seconds: from a hop to a caller's deadline.
 const RESPONSE_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 4.0];
@@ -46,6 +46,58 @@
     refusals: Family<ReasonLabels, counter::Counter>,
     store_failures: Family<ReasonLabels, counter::Counter>,
     connections: gauge::Gauge,
+    state: StateGauges,
+}
+
+/// Gauges of what the process believes and owns.
+#[derive(Debug, Default)]
+struct StateGauges {
+    known_peers: gauge::Gauge,
+    linked_peers: gauge::Gauge,
+    held_servers: gauge::Gauge,
+    free_cpu: gauge::Gauge,
+    queued_jobs: gauge::Gauge,
+    config_version: gauge::Gauge,
+}
+
+impl StateGauges {
+    fn register(&self, registry: &mut registry::Registry) {
+        let gauges = [
+            (
+                "known_peers",
+                "Processes that this one knows of",
+                &self.known_peers,
+            ),
+            (
+                "linked_peers",
+                "Processes that it has a link to",
+                &self.linked_peers,
+            ),
+            (
+                "held_servers",
+                "Backend servers that its pool holds",
+                &self.held_servers,
+            ),
+            (
+                "free_cpu_millis",
+                "Free processor of its pool, in thousandths of a core",
+                &self.free_cpu,
+            ),
+            (
+                "queued_jobs",
+                "Jobs in its pool with tasks that wait for room",
+                &self.queued_jobs,
+            ),
+            (
+                "config_version",
+                "Version of the configuration in force",
+                &self.config_version,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
 }
 
 /// An open connection of a caller, as counted.
@@ -95,6 +147,8 @@
             "Open connections of callers",
             connections.clone(),
         );
+        let state = StateGauges::default();
+        state.register(&mut registry);
         Self {
             registry: Mutex::new(registry),
             answers,
@@ -103,6 +157,7 @@
             refusals,
             store_failures,
             connections,
+            state,
         }
     }
 }
@@ -151,6 +206,24 @@
             .inc();
     }
 
+    /// Shows the number of peers.
+    pub fn show_peers(&self, known: usize, linked: usize) {
+        self.state.known_peers.set(whole(known));
+        self.state.linked_peers.set(whole(linked));
+    }
+
+    /// Shows the state of the pool.
+    pub fn show_pool(&self, status: &link_frame::PeerStatus) {
+        self.state.held_servers.set(i64::from(status.held_servers));
+        self.state.free_cpu.set(i64::from(status.free_cpu));
+        self.state.queued_jobs.set(i64::from(status.queued_jobs));
+    }
+
+    /// Shows the version of the configuration in force.
+    pub fn show_config(&self, version: u64) {
+        self.state.config_version.set(whole(version));
+    }
+
     /// Counts a connection of a caller until the result is dropped.
     pub fn open_connection(&self) -> OpenConnection {
         self.connections.inc();
@@ -172,3 +245,7 @@
         }
     }
 }
+
+fn whole(count: impl TryInto<i64>) -> i64 {
+    count.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -12,6 +12,11 @@
 
 use crate::{link_frame, node_metrics, peer_link, peer_table, pool_driver};
 
+/// Longest time between reviews of the links, for those that are not wanted any more.
+const LINK_REVIEW: time::Duration = time::Duration::from_secs(1);
+/// Shortest time between two of them: a dial inside a failure domain takes as long.
+const LINK_REVIEW_PAUSE: time::Duration = time::Duration::from_millis(10);
+
 /// The configuration in force, with the bytes that it was decoded from.
 #[derive(Clone, Debug)]
 pub struct ConfigInForce {
@@ -40,7 +45,9 @@
     status: Mutex<link_frame::PeerStatus>,
     leaving: atomic::AtomicBool,
     peers_listed: atomic::AtomicBool,
+    links_started: atomic::AtomicU64,
     news: watch::Sender<u64>,
+    peer_changes: watch::Sender<u64>,
 }
 
 impl Node {
@@ -63,7 +70,9 @@
             status: Mutex::new(link_frame::PeerStatus::default()),
             leaving: atomic::AtomicBool::new(false),
             peers_listed: atomic::AtomicBool::new(false),
+            links_started: atomic::AtomicU64::new(0),
             news: watch::Sender::new(0),
+            peer_changes: watch::Sender::new(0),
         }
     }
 
@@ -101,6 +110,7 @@
         }
         slog::info!(self.logger, "config_adopted"; "origin" => origin,
             "from_version" => version, "version" => config.version, "routes" => config.routes.len());
+        self.metrics.show_config(config.version);
         *current = Some(ConfigInForce {
             config: Arc::new(config),
             body,
@@ -122,6 +132,7 @@
     /// Takes in the state of the pool.
     pub fn set_pool_status(&self, status: link_frame::PeerStatus) {
         let mut current = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        self.metrics.show_pool(&status);
         let office_changed = (current.held_servers == 0) != (status.held_servers == 0);
         *current = status;
         drop(current);
@@ -141,20 +152,36 @@
         self.announce();
     }
 
-    /// Tells peers and the pool that something has changed.
+    /// Tells the linked peers at once that the own state has changed.
     pub fn announce(&self) {
         self.news.send_modify(|count| *count += 1);
+        self.note_peer_change();
     }
 
-    /// Changes that peers and the pool should hear of at once.
+    /// Changes of the own state that peers should hear of at once.
     pub fn news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
     }
 
+    /// Tells the parts of this process that something is new of the peers.
+    pub fn note_peer_change(&self) {
+        self.peer_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Changes of the peers, and of this process among them.
+    pub fn peer_changes(&self) -> watch::Receiver<u64> {
+        self.peer_changes.subscribe()
+    }
+
+    /// A number for a link, by which a later one to the same peer is told apart.
+    pub fn next_link_number(&self) -> u64 {
+        self.links_started.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+
     /// The store's list of peers was read.
     pub fn note_peers_listed(&self) {
         self.peers_listed.store(true, atomic::Ordering::Relaxed);
-        self.announce();
+        self.note_peer_change();
     }
 
     /// Whether the store's list of peers was read since the start.
@@ -162,11 +189,13 @@
         self.peers_listed.load(atomic::Ordering::Relaxed)
     }
 
-    /// Whether every known peer of the own failure domain has answered or failed to.
+    /// Whether every peer of the own failure domain that a link is wanted to has answered
+    /// or failed to.
     pub fn has_tried_domain(&self) -> bool {
         self.peers()
             .iter()
             .filter(|peer| peer.hello.failure_domain == self.hello.failure_domain)
+            .filter(|peer| peer.link.is_some())
             .all(|peer| peer.tried)
     }
 
@@ -184,8 +213,8 @@
     }
 }
 
-/// Learns of a peer, and dials it if it is new or has moved.
-pub fn learn_peer(node: &Arc<Node>, hello: link_frame::PeerHello) {
+/// Learns of a peer, or that it has moved or started again.
+pub fn learn_peer(node: &Node, hello: link_frame::PeerHello) {
     if hello.name == node.hello.name {
         return;
     }
@@ -197,21 +226,44 @@
             }
             known.hello = hello;
             known.refused = false;
-            known.link.redial();
+            if let Some(link) = &known.link {
+                link.redial();
+            }
         }
         _ => {
             slog::info!(node.logger, "peer_learnt"; "peer" => &*hello.name,
                 "address" => &*hello.link_address, "domain" => &*hello.failure_domain);
-            let link = peer_link::start_link(node, &hello);
-            peers.insert(peer_table::PeerEntry {
-                hello,
-                status: link_frame::PeerStatus::default(),
-                link,
-                connected: false,
-                tried: false,
-                broken_at: time::Duration::ZERO,
-                refused: false,
-            });
+            peers.insert(peer_table::PeerEntry::new(hello));
         }
     }
+    drop(peers);
+    node.note_peer_change();
+}
+
+/// Dials the peers that this process should be linked to, and gives up other links.
+pub fn plan_links(node: &Arc<Node>) {
+    let now = node.now();
+    let leads = node.own_status().held_servers > 0;
+    let mut peers = node.peers();
+    let wanted = peers.wanted_links(&node.hello.failure_domain, leads, now);
+    for hello in peers.plan_links(&wanted, now) {
+        let link = peer_link::start_link(node, &hello);
+        if let Some(peer) = peers.get_mut(&hello.name) {
+            peer.link = Some(link);
+        }
+    }
+    let linked = peers.iter().filter(|peer| peer.connected).count();
+    node.metrics.show_peers(peers.iter().count(), linked);
+}
+
+/// Keeps the links in step with what is known of the peers.
+pub async fn keep_links(node: Arc<Node>) {
+    let mut changes = node.peer_changes();
+    loop {
+        plan_links(&node);
+        // An error means that the process ends.
+        let _elapsed = tokio::time::timeout(LINK_REVIEW, changes.changed()).await;
+        // Changes come in bursts.
+        tokio::time::sleep(LINK_REVIEW_PAUSE).await;
+    }
 }
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -6,14 +6,13 @@
     time,
 };
 
-use bytes::Bytes;
 use cuminkeel_pool::job_model;
 use tokio::{
     net,
     sync::{mpsc, oneshot},
 };
 
-use crate::{link_frame, node_state};
+use crate::{link_frame, link_news, node_state, peer_table};
 
 /// Time for a dial: a round trip between failure domains takes a few ms.
 const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -25,13 +24,17 @@
 const PATIENT_DIALS: u32 = 20;
 /// Pause between dials from then on; a VM that is back dials by itself.
 const RARE_DIAL_PAUSE: time::Duration = time::Duration::from_secs(5);
-/// Time between states to or from a leader of the own failure domain, or among all of its
-/// processes without one: a leader's loss is noticed in four of these.
+/// Time between states to a leader of the own failure domain, or among its processes
+/// without one: a leader's loss is noticed in four of these.
 const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Time between states among processes of a failure domain that has a leader.
+/// Time between other states inside a failure domain that has a leader.
 const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time between states to a leader of another failure domain, whose room is asked for.
 const FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// The same while no job was sent to it for some time.
+const IDLE_FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time after the last job over a link in which more are expected.
+const BUSY_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time between states to other processes of other failure domains.
 const FAR_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Intervals without a frame after which a link counts as broken.
@@ -51,13 +54,13 @@
     Withdraw {
         request: u64,
     },
-    Config(Bytes),
     Redial,
 }
 
 /// Orders for a link.
 #[derive(Clone, Debug)]
 pub struct PeerLink {
+    number: u64,
     orders: mpsc::UnboundedSender<LinkOrder>,
     requests: Arc<std::sync::atomic::AtomicU64>,
 }
@@ -114,17 +117,15 @@
     pub fn redial(&self) {
         let _closed = self.orders.send(LinkOrder::Redial);
     }
-
-    fn send_config(&self, body: Bytes) {
-        let _closed = self.orders.send(LinkOrder::Config(body));
-    }
 }
 
-/// Starts a link that is dialled until the peer is forgotten.
+/// Starts a link that is dialled until it is dropped.
 pub fn start_link(node: &Arc<node_state::Node>, hello: &link_frame::PeerHello) -> PeerLink {
     let (orders, inbox) = mpsc::unbounded_channel();
+    let number = node.next_link_number();
     let link = LinkTask {
         node: Arc::downgrade(node),
+        number,
         name: Arc::clone(&hello.name),
         address: Arc::clone(&hello.link_address),
         near: hello.failure_domain == node.hello.failure_domain,
@@ -132,6 +133,7 @@
     };
     tokio::spawn(link.run());
     PeerLink {
+        number,
         orders,
         requests: Arc::default(),
     }
@@ -163,20 +165,31 @@
         .unwrap_or(Err(link_frame::LinkError::Silent))
 }
 
-/// Time between states on a link, so that their number grows with the processes of a domain
-/// and hardly with those of all. `urgent` where the choice or the room of a leader depends on
-/// them.
-pub fn status_interval(near: bool, urgent: bool) -> time::Duration {
-    match (near, urgent) {
-        (true, true) => LEADER_INTERVAL,
-        (true, false) => FOLLOWER_INTERVAL,
-        (false, true) => FAR_LEADER_INTERVAL,
-        (false, false) => FAR_INTERVAL,
+/// What depends on the states that a link carries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkUse {
+    /// The choice of a leader, or its jobs.
+    Leader,
+    /// Jobs that the own failure domain has no room for.
+    Spill,
+    /// Nothing for now.
+    Standby,
+}
+
+/// Time between states on a link.
+pub fn status_interval(near: bool, usage: LinkUse, busy: bool) -> time::Duration {
+    match (near, usage) {
+        (true, LinkUse::Leader) => LEADER_INTERVAL,
+        (true, LinkUse::Spill | LinkUse::Standby) => FOLLOWER_INTERVAL,
+        (false, LinkUse::Leader | LinkUse::Spill) if busy => FAR_LEADER_INTERVAL,
+        (false, LinkUse::Leader | LinkUse::Spill) => IDLE_FAR_LEADER_INTERVAL,
+        (false, LinkUse::Standby) => FAR_INTERVAL,
     }
 }
 
 struct LinkTask {
     node: Weak<node_state::Node>,
+    number: u64,
     name: Arc<str>,
     address: Arc<str>,
     near: bool,
@@ -196,6 +209,9 @@
                 }
                 Err(failure) => failure,
             };
+            if matches!(failure, link_frame::LinkError::Unwanted) {
+                return;
+            }
             self.note_broken(&node, &failure);
             drop(node);
             if !self.wait(pause).await {
@@ -234,6 +250,9 @@
         let refused = matches!(failure, link_frame::LinkError::Socket { source }
             if source.kind() == std::io::ErrorKind::ConnectionRefused);
         let mut peers = node.peers();
+        if self.entry(&mut peers).is_none() {
+            return;
+        }
         let left = peers
             .get(&self.name)
             .is_some_and(|peer| peer.status.leaving && peer.connected);
@@ -242,7 +261,7 @@
             slog::info!(node.logger, "peer_left"; "peer" => &*self.name);
             peers.remove(&self.name);
         }
-        if let Some(peer) = peers.get_mut(&self.name) {
+        if let Some(peer) = self.entry(&mut peers) {
             if peer.connected {
                 slog::warn!(node.logger, "peer_lost"; "peer" => &*self.name, "cause" => %failure);
                 peer.broken_at = now;
@@ -252,7 +271,19 @@
             peer.refused = refused;
         }
         drop(peers);
-        node.announce();
+        node.note_peer_change();
+    }
+
+    /// The peer's entry, unless the link was replaced by another one.
+    fn entry<'a>(
+        &self,
+        peers: &'a mut peer_table::PeerTable,
+    ) -> Option<&'a mut peer_table::PeerEntry> {
+        peers.get_mut(&self.name).filter(|peer| {
+            peer.link
+                .as_ref()
+                .is_some_and(|link| link.number == self.number)
+        })
     }
 
     /// Waits before the next dial, and turns jobs away meanwhile; false when nobody needs the link.
@@ -279,15 +310,17 @@
         let mut session = LinkSession {
             waiting: HashMap::new(),
             heard_at: node.now(),
-            interval: self.interval(node),
-            config_sent: 0,
+            interval: self.interval(node, false),
+            used_at: None,
+            news: link_news::LinkNews::default(),
         };
-        if let Some(peer) = node.peers().get_mut(&self.name) {
+        if let Some(peer) = self.entry(&mut node.peers()) {
             peer.connected = true;
+            peer.tried = true;
             peer.refused = false;
         }
         slog::info!(node.logger, "peer_connected"; "peer" => &*self.name);
-        node.announce();
+        node.note_peer_change();
         let mut news = node.news();
         let mut next_tick = tokio::time::Instant::now();
         let failure = loop {
@@ -295,30 +328,28 @@
             tokio::select! {
                 biased;
                 frame = incoming.recv() => match frame {
-                    Some(Ok(frame)) => self.take_frame(node, &mut session, frame),
+                    Some(Ok(frame)) => self.take_frame(node, &mut session, frame, &mut out),
                     Some(Err(failure)) => break failure,
                     None => break link_frame::LinkError::Silent,
                 },
                 order = self.inbox.recv() => match order {
                     Some(order) => {
-                        session.take_order(order, &mut out);
+                        session.take_order(order, node.now(), &mut out);
                         while let Ok(order) = self.inbox.try_recv() {
-                            session.take_order(order, &mut out);
+                            session.take_order(order, node.now(), &mut out);
                         }
                     }
-                    None => break link_frame::LinkError::Silent,
+                    None => break link_frame::LinkError::Unwanted,
                 },
                 _ = news.changed() => {
-                    session.set_interval(self.interval(node), node.now());
-                    out.push(link_frame::LinkFrame::Status(node.own_status()));
+                    self.send_state(node, &mut session, &mut out);
                     next_tick = tokio::time::Instant::now() + session.interval;
                 }
                 () = tokio::time::sleep_until(next_tick) => {
                     if node.now() > session.heard_at + session.interval * SILENT_INTERVALS {
                         break link_frame::LinkError::Silent;
                     }
-                    session.set_interval(self.interval(node), node.now());
-                    out.push(link_frame::LinkFrame::Status(node.own_status()));
+                    self.send_state(node, &mut session, &mut out);
                     next_tick = tokio::time::Instant::now() + session.interval;
                 }
             }
@@ -335,20 +366,36 @@
         failure
     }
 
+    fn send_state(
+        &self,
+        node: &node_state::Node,
+        session: &mut LinkSession,
+        out: &mut Vec<link_frame::LinkFrame>,
+    ) {
+        let now = node.now();
+        let interval = self.interval(node, session.is_busy(now));
+        session.set_interval(interval, now);
+        out.push(link_frame::LinkFrame::Status(node.own_status()));
+        out.extend(session.news.leaders(node));
+    }
+
     /// Time between states sent over this link, by what depends on them.
-    fn interval(&self, node: &node_state::Node) -> time::Duration {
+    fn interval(&self, node: &node_state::Node, busy: bool) -> time::Duration {
         let peer_leads = node
             .peers()
             .get(&self.name)
             .is_some_and(|peer| peer.status.held_servers > 0);
-        let own_leads = node.own_status().held_servers > 0;
         let has_leader = || {
             node.domain_members(node.now())
                 .iter()
                 .any(|member| member.reachable && member.held_servers > 0)
         };
-        let urgent = peer_leads || (self.near && (own_leads || !has_leader()));
-        status_interval(self.near, urgent)
+        let usage = match (self.near, peer_leads) {
+            (true, leads) if leads || !has_leader() => LinkUse::Leader,
+            (false, true) => LinkUse::Spill,
+            (true | false, _) => LinkUse::Standby,
+        };
+        status_interval(self.near, usage, busy)
     }
 
     fn take_frame(
@@ -356,23 +403,15 @@
         node: &Arc<node_state::Node>,
         session: &mut LinkSession,
         frame: link_frame::LinkFrame,
+        out: &mut Vec<link_frame::LinkFrame>,
     ) {
         session.heard_at = node.now();
         match frame {
             link_frame::LinkFrame::Status(status) => {
                 note_status(node, &self.name, status);
-                if let Some(peer) = node.peers().get_mut(&self.name) {
-                    peer.tried = true;
-                }
-                let config = node
-                    .config()
-                    .filter(|current| current.config.version > status.config_version)
-                    .filter(|current| current.config.version > session.config_sent);
-                if let (Some(config), Some(peer)) = (config, node.peers().get(&self.name)) {
-                    session.config_sent = config.config.version;
-                    peer.link.send_config(config.body);
-                }
+                out.extend(session.news.config(node, &status));
             }
+            link_frame::LinkFrame::Leaders(leaders) => note_leaders(node, &self.name, leaders),
             link_frame::LinkFrame::End { request, end } => {
                 if let Some(reply) = session.waiting.remove(&request) {
                     // A waiter that is gone needs no end.
@@ -392,7 +431,9 @@
     /// When the peer was last heard, or the interval changed.
     heard_at: time::Duration,
     interval: time::Duration,
-    config_sent: u64,
+    /// When a job was last sent.
+    used_at: Option<time::Duration>,
+    news: link_news::LinkNews,
 }
 
 impl LinkSession {
@@ -404,13 +445,23 @@
         }
     }
 
-    fn take_order(&mut self, order: LinkOrder, out: &mut Vec<link_frame::LinkFrame>) {
+    fn is_busy(&self, now: time::Duration) -> bool {
+        self.used_at.is_some_and(|at| now < at + BUSY_TIME)
+    }
+
+    fn take_order(
+        &mut self,
+        order: LinkOrder,
+        now: time::Duration,
+        out: &mut Vec<link_frame::LinkFrame>,
+    ) {
         match order {
             LinkOrder::Submit {
                 ticket,
                 reply,
                 request,
             } => {
+                self.used_at = Some(now);
                 self.waiting.insert(request, reply);
                 out.push(link_frame::LinkFrame::Submit { request, ticket });
             }
@@ -419,9 +470,6 @@
                     out.push(link_frame::LinkFrame::Withdraw { request });
                 }
             }
-            LinkOrder::Config(body) => out.push(link_frame::LinkFrame::Config {
-                body: body.to_vec(),
-            }),
             LinkOrder::Redial => {}
         }
     }
@@ -437,10 +485,31 @@
     let changed = peer.status.leaving != status.leaving
         || (peer.status.held_servers == 0) != (status.held_servers == 0);
     peer.status = status;
+    peer.heard_at = node.now();
     drop(peers);
     if changed {
-        node.pool.reconsider();
+        node.note_peer_change();
+    }
+}
+
+/// Takes in who leads by what a peer said.
+pub fn note_leaders(node: &node_state::Node, name: &str, leaders: Vec<link_frame::PeerHello>) {
+    if let Some(peer) = node.peers().get_mut(name) {
+        peer.leaders = leaders
+            .iter()
+            .map(|leader| Arc::clone(&leader.name))
+            .collect();
+    }
+    for leader in leaders {
+        let known = node
+            .peers()
+            .get(&leader.name)
+            .is_some_and(|peer| peer.hello.boot == leader.boot);
+        if !known {
+            node_state::learn_peer(node, leader);
+        }
     }
+    node.note_peer_change();
 }
 
 async fn read_frames(
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -1,13 +1,26 @@
 //! The other processes, as far as their links tell.
 
-use std::{collections::BTreeMap, sync::Arc, time};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time,
+};
 
-use cuminkeel_pool::leadership;
+use cuminkeel_pool::{leadership, link_plan};
+use smallvec::SmallVec;
 
 use crate::{link_frame, peer_link};
 
 /// How long a peer counts as reachable after its link broke, while it is dialled again.
 const REDIAL_GRACE: time::Duration = time::Duration::from_millis(250);
+/// How long a state is taken for the present one: the longest interval between states, twice.
+const STATUS_AGE_LIMIT: time::Duration = time::Duration::from_secs(4);
+/// How long a link is kept after the last moment at which it was wanted, as a leader that
+/// changes twice would otherwise cost all links twice.
+const LINK_LINGER: time::Duration = time::Duration::from_secs(5);
+/// How long a VM is dialled in vain before its entry is dropped: longer than a VM takes to
+/// be replaced or a cut between VMs to be mended. It announces itself again if it lives.
+const ABANDON_TIME: time::Duration = time::Duration::from_mins(10);
 
 /// One peer.
 #[derive(Clone, Debug)]
@@ -16,11 +29,17 @@
     pub hello: link_frame::PeerHello,
     /// What it said last.
     pub status: link_frame::PeerStatus,
-    /// The link that this process dialled.
-    pub link: peer_link::PeerLink,
+    /// When that was.
+    pub heard_at: time::Duration,
+    /// Processes that hold servers, as it said last.
+    pub leaders: SmallVec<[Arc<str>; 6]>,
+    /// The link that this process dials, if it wants one.
+    pub link: Option<peer_link::PeerLink>,
+    /// Since when the link is not wanted any more.
+    pub unwanted_since: Option<time::Duration>,
     /// Whether that link is up.
     pub connected: bool,
-    /// Whether it was up or failed since this process started.
+    /// Whether it was up or failed since it was first wanted.
     pub tried: bool,
     /// When that link broke.
     pub broken_at: time::Duration,
@@ -29,6 +48,48 @@
 }
 
 impl PeerEntry {
+    /// A peer that has introduced itself.
+    pub fn new(hello: link_frame::PeerHello) -> Self {
+        Self {
+            hello,
+            status: link_frame::PeerStatus::default(),
+            heard_at: time::Duration::ZERO,
+            leaders: SmallVec::new(),
+            link: None,
+            unwanted_since: None,
+            connected: false,
+            tried: false,
+            broken_at: time::Duration::ZERO,
+            refused: false,
+        }
+    }
+
+    /// Whether it holds servers, by its own word.
+    pub fn leads(&self, now: time::Duration) -> bool {
+        self.status.held_servers > 0 && self.is_heard(now)
+    }
+
+    fn is_heard(&self, now: time::Duration) -> bool {
+        self.connected || now < self.heard_at + STATUS_AGE_LIMIT
+    }
+
+    fn reach(&self) -> link_plan::PeerReach {
+        match (self.connected, self.tried) {
+            (true, _) => link_plan::PeerReach::Linked,
+            (false, true) => link_plan::PeerReach::Failed,
+            (false, false) => link_plan::PeerReach::Untried,
+        }
+    }
+
+    /// Gives up its link; jobs that were sent over it go on.
+    pub fn drop_link(&mut self) {
+        self.link = None;
+        self.unwanted_since = None;
+        self.connected = false;
+        self.tried = false;
+        self.refused = false;
+    }
+
     /// Whether the peer can be expected to answer.
     pub fn is_reachable(&self, now: time::Duration) -> bool {
         self.connected || (!self.refused && now < self.broken_at + REDIAL_GRACE)
@@ -67,6 +128,83 @@
         self.peers.remove(name)
     }
 
+    /// Forgets the peer on VM `name` unless it is linked.
+    pub fn forget_silent(&mut self, name: &str) {
+        if self.get(name).is_some_and(|peer| !peer.connected) {
+            self.remove(name);
+        }
+    }
+
+    /// Peers in `failure_domain` that no dial has reached for long.
+    pub fn abandoned(&self, failure_domain: &str, now: time::Duration) -> Vec<Arc<str>> {
+        self.peers
+            .values()
+            .filter(|peer| &*peer.hello.failure_domain == failure_domain)
+            .filter(|peer| peer.reach() == link_plan::PeerReach::Failed)
+            .filter(|peer| now >= peer.broken_at + ABANDON_TIME)
+            .map(|peer| Arc::clone(&peer.hello.name))
+            .collect()
+    }
+
+    /// Peers that hold servers, by their own word.
+    pub fn leaders(&self, now: time::Duration) -> Vec<link_frame::PeerHello> {
+        self.peers
+            .values()
+            .filter(|peer| peer.leads(now))
+            .map(|peer| peer.hello.clone())
+            .collect()
+    }
+
+    /// Names of the peers to be linked to from a process in `failure_domain`.
+    pub fn wanted_links(
+        &self,
+        failure_domain: &str,
+        leads: bool,
+        now: time::Duration,
+    ) -> BTreeSet<Arc<str>> {
+        let named: BTreeSet<&Arc<str>> = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .flat_map(|peer| &peer.leaders)
+            .collect();
+        let places: Vec<link_plan::PeerPlace> = self
+            .peers
+            .values()
+            .map(|peer| link_plan::PeerPlace {
+                name: Arc::clone(&peer.hello.name),
+                failure_domain: Arc::clone(&peer.hello.failure_domain),
+                cpu_millis: peer.hello.cpu_millis,
+                reach: peer.reach(),
+                leads: peer.leads(now) || named.contains(&peer.hello.name),
+            })
+            .collect();
+        link_plan::wanted_links(failure_domain, leads, &places)
+    }
+
+    /// Peers to dial, of those that are `wanted`; links not wanted for long are given up.
+    pub fn plan_links(
+        &mut self,
+        wanted: &BTreeSet<Arc<str>>,
+        now: time::Duration,
+    ) -> Vec<link_frame::PeerHello> {
+        let mut dials = Vec::new();
+        for peer in self.peers.values_mut() {
+            match (wanted.contains(&peer.hello.name), &peer.link) {
+                (true, None) => dials.push(peer.hello.clone()),
+                (true, Some(_)) => peer.unwanted_since = None,
+                (false, Some(_)) => {
+                    let since = *peer.unwanted_since.get_or_insert(now);
+                    if now >= since + LINK_LINGER {
+                        peer.drop_link();
+                    }
+                }
+                (false, None) => {}
+            }
+        }
+        dials
+    }
+
     /// Members of `failure_domain` besides this process.
     pub fn domain_members(
         &self,
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -55,7 +55,6 @@
         reply: oneshot::Sender<usize>,
     },
     Epoch(u64),
-    Reconsider,
 }
 
 /// Access to the pool of this process.
@@ -148,11 +147,6 @@
         }
     }
 
-    /// The peers have changed.
-    pub fn reconsider(&self) {
-        self.send(PoolEvent::Reconsider);
-    }
-
     fn send(&self, event: PoolEvent) {
         // The pool ends with the process only.
         let _closed = self.events.send(event);
@@ -180,7 +174,7 @@
         leads: false,
         node,
     };
-    let mut news = driver.node.news();
+    let mut peer_changes = driver.node.peer_changes();
     let mut next_tick = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -200,7 +194,7 @@
                     driver.take_event(event);
                 }
             }
-            _ = news.changed() => driver.reconsider(),
+            _ = peer_changes.changed() => driver.reconsider(),
         }
         driver.carry_out();
     }
@@ -246,7 +240,6 @@
                 let _gone = reply.send(self.pool.pending_jobs(&route));
             }
             PoolEvent::Epoch(epoch) => self.pool.note_epoch(epoch),
-            PoolEvent::Reconsider => self.reconsider(),
         }
     }
 
--- a/crates/cuminkeel_node/src/process.rs
+++ b/crates/cuminkeel_node/src/process.rs
@@ -131,6 +131,7 @@
     tokio::spawn(store_feed::follow_config(Arc::clone(&node)));
     tokio::spawn(store_feed::follow_registry(Arc::clone(&node)));
     tokio::spawn(store_feed::find_peers(Arc::clone(&node)));
+    tokio::spawn(node_state::keep_links(Arc::clone(&node)));
     tokio::spawn(link_listener::accept_links(Arc::clone(&node), links));
     tokio::spawn(front::serve_readiness(Arc::clone(&node), ready));
     let taking = tokio::spawn(front::serve_callers(Arc::clone(&node), callers, stopping));
@@ -202,7 +203,7 @@
     let grace = node.settings.stop_grace;
     slog::info!(node.logger, "stopping"; "grace_ms" => u64::try_from(grace.as_millis()).unwrap_or(0));
     node.leave();
-    node.pool.reconsider();
+    tokio::spawn(store_feed::retire_peer(Arc::clone(node)));
     let begun = tokio::time::Instant::now();
     tokio::time::sleep(grace * SERVE_PERCENT / 100).await;
     taking.abort();
--- a/crates/cuminkeel_node/tests/node/fleet.rs
+++ b/crates/cuminkeel_node/tests/node/fleet.rs
@@ -105,6 +105,21 @@
             .map_or(0, |answer| answer.status.as_u16())
     }
 
+    /// Its counters in the text format.
+    pub async fn metrics(&self) -> String {
+        let peer = http_peer::HttpPeer::new(&format!("{}:9464", self.settings.ip));
+        let call = http_peer::Call {
+            method: http::Method::GET,
+            path: "/metrics",
+            header: None,
+            body: Bytes::new(),
+            timeout: PATIENCE,
+            fresh: true,
+        };
+        let answer = peer.call(call).await.expect("counters");
+        String::from_utf8(answer.body.to_vec()).expect("text")
+    }
+
     /// Waits until the process is ready.
     pub async fn ready(&self) {
         eventually("a ready process", async || self.readiness().await == 200).await;
--- a/crates/cuminkeel_pool/src/lib.rs
+++ b/crates/cuminkeel_pool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod job_model;
 pub mod job_order;
 pub mod leadership;
+pub mod link_plan;
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
--- /dev/null
+++ b/crates/cuminkeel_pool/src/link_plan.rs
@@ -0,0 +1,91 @@
+//! Which peers a process keeps a link to.
+//!
+//! Links of all pairs would cost bytes and descriptors that grow with the square of the
+//! processes. A process needs the leaders, and those that would lead next.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use smallvec::SmallVec;
+
+/// Members of the own failure domain that each of its processes is linked to: the next
+/// leader and two more, as a rack can take neighbours with it.
+const NEAR_CANDIDATES: usize = 3;
+/// Members of each other failure domain that a leader introduces itself to.
+const FAR_CANDIDATES: usize = 2;
+
+/// What is known of the way to a peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerReach {
+    /// Its link broke, or its dial failed.
+    Failed,
+    /// Its link is up.
+    Linked,
+    /// It was not dialled, or hasn't answered yet.
+    Untried,
+}
+
+/// A peer as a link to it is considered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerPlace {
+    /// Name of its VM.
+    pub name: Arc<str>,
+    /// Failure domain of its VM.
+    pub failure_domain: Arc<str>,
+    /// Share of a core that it has, in thousandths.
+    pub cpu_millis: u32,
+    /// What is known of the way to it.
+    pub reach: PeerReach,
+    /// Whether it holds servers, by itself or by what another peer says.
+    pub leads: bool,
+}
+
+/// Names of the `peers` to be linked to from a process in `failure_domain`.
+///
+/// A leader is linked to all of its domain, to learn of a member that can't reach it, and
+/// introduces itself to the other domains; everyone is linked to all leaders and to those
+/// that would be chosen next.
+pub fn wanted_links(failure_domain: &str, leads: bool, peers: &[PeerPlace]) -> BTreeSet<Arc<str>> {
+    let mut wanted: BTreeSet<Arc<str>> = peers
+        .iter()
+        .filter(|peer| peer.leads || (leads && *peer.failure_domain == *failure_domain))
+        .map(|peer| Arc::clone(&peer.name))
+        .collect();
+    let domains: BTreeSet<&Arc<str>> = peers.iter().map(|peer| &peer.failure_domain).collect();
+    for domain in domains {
+        let count = match (&**domain == failure_domain, leads) {
+            (true, _) => NEAR_CANDIDATES,
+            (false, true) => FAR_CANDIDATES,
+            (false, false) => continue,
+        };
+        wanted.extend(candidates(domain, count, peers));
+    }
+    wanted
+}
+
+/// The first peers of a domain in the order in which leaders are chosen, until `count` of
+/// them are linked. Each that failed adds one to those that are tried at once, so that the
+/// loss of most of a domain takes few rounds of dials.
+fn candidates<'a>(
+    domain: &'a str,
+    count: usize,
+    peers: &'a [PeerPlace],
+) -> impl Iterator<Item = Arc<str>> + 'a {
+    let mut members: SmallVec<[&PeerPlace; 16]> = peers
+        .iter()
+        .filter(|peer| *peer.failure_domain == *domain)
+        .collect();
+    members.sort_by_key(|peer| (std::cmp::Reverse(peer.cpu_millis), &peer.name));
+    let (mut linked, mut untried, mut failed) = (0, 0, 0);
+    members
+        .into_iter()
+        .take_while(move |peer| {
+            let enough = linked >= count || linked + untried >= count + failed;
+            match peer.reach {
+                PeerReach::Failed => failed += 1,
+                PeerReach::Linked => linked += 1,
+                PeerReach::Untried => untried += 1,
+            }
+            !enough
+        })
+        .map(|peer| Arc::clone(&peer.name))
+}
