Let only those who may soon lead read the registry

Ruled out: polling less often, as the first read of all entries is the dear one.

Change: eight processes of a domain, in the order in which leaders are chosen, follow the registry; the ninth begins when one before it is lost.

--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -162,14 +162,27 @@
         leads: bool,
         now: time::Duration,
     ) -> BTreeSet<Arc<str>> {
+        link_plan::wanted_links(failure_domain, leads, &self.places(now))
+    }
+
+    /// Whether the process that `own` introduces has to know its domain's servers.
+    pub fn reads_registry(&self, own: &link_frame::PeerHello, now: time::Duration) -> bool {
+        link_plan::reads_registry(
+            &own.name,
+            &own.failure_domain,
+            own.cpu_millis,
+            &self.places(now),
+        )
+    }
+
+    fn places(&self, now: time::Duration) -> Vec<link_plan::PeerPlace> {
         let named: BTreeSet<&Arc<str>> = self
             .peers
             .values()
             .filter(|peer| peer.is_heard(now))
             .flat_map(|peer| &peer.leaders)
             .collect();
-        let places: Vec<link_plan::PeerPlace> = self
-            .peers
+        self.peers
             .values()
             .map(|peer| link_plan::PeerPlace {
                 name: Arc::clone(&peer.hello.name),
@@ -178,8 +191,7 @@
                 reach: peer.reach(),
                 leads: peer.leads(now) || named.contains(&peer.hello.name),
             })
-            .collect();
-        link_plan::wanted_links(failure_domain, leads, &places)
+            .collect()
     }
 
     /// Peers to dial, of those that are `wanted`; links not wanted for long are given up.
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -145,6 +145,7 @@
         lapsed: LapsedEntries::default(),
     };
     loop {
+        feed.wait_for_office().await;
         let snapshot = offset.is_none();
         let batch = match offset {
             None => store.newest(store::REGISTRY_TOPIC).await,
@@ -184,6 +185,20 @@
 }
 
 impl RegistryFeed {
+    /// Waits until this process leads or may soon lead. Others spare the store their reads.
+    async fn wait_for_office(&self) {
+        let node = &self.node;
+        let mut changes = node.peer_changes();
+        let in_office = || {
+            let reads = node.peers().reads_registry(&node.hello, node.now());
+            node.own_status().held_servers > 0 || (node.knows_peers() && reads)
+        };
+        while !in_office() {
+            // An error means that the process ends.
+            let _changed = changes.changed().await;
+        }
+    }
+
     fn take_records(
         &mut self,
         records: Vec<store::KeyedRecord>,
--- a/crates/cuminkeel_pool/src/link_plan.rs
+++ b/crates/cuminkeel_pool/src/link_plan.rs
@@ -13,6 +13,10 @@
 /// Members of each other failure domain that a leader introduces itself to.
 const FAR_CANDIDATES: usize = 2;
 
+/// Members of a failure domain that follow the registry of its servers: enough for the loss of
+/// a rack, while the reads of a large domain stay within what the store gives.
+const REGISTRY_READERS: usize = 8;
+
 /// What is known of the way to a peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerReach {
@@ -62,6 +66,26 @@
     wanted
 }
 
+/// Whether a process with `cpu_millis` on VM `name` may soon lead `failure_domain`, so that it
+/// has to know the domain's servers.
+pub fn reads_registry(
+    name: &str,
+    failure_domain: &str,
+    cpu_millis: u32,
+    peers: &[PeerPlace],
+) -> bool {
+    let before = peers
+        .iter()
+        .filter(|peer| *peer.failure_domain == *failure_domain)
+        .filter(|peer| peer.reach != PeerReach::Failed)
+        .filter(|peer| {
+            (std::cmp::Reverse(peer.cpu_millis), &*peer.name)
+                < (std::cmp::Reverse(cpu_millis), name)
+        })
+        .count();
+    before < REGISTRY_READERS
+}
+
 /// The first peers of a domain in the order in which leaders are chosen, until `count` of
 /// them are linked. Each that failed adds one to those that are tried at once, so that the
 /// loss of most of a domain takes few rounds of dials.
--- a/crates/cuminkeel_pool/tests/decisions.rs
+++ b/crates/cuminkeel_pool/tests/decisions.rs
@@ -387,3 +387,28 @@
     }
     assert_eq!(rounds, 6, "3, 9, 21, 45, 93 and all");
 }
+
+#[test]
+fn the_registry_is_read_by_those_who_may_soon_lead() {
+    let cases = [
+        ("alone", "", 500, true),
+        ("the eighth", "LLLLLLLLL", 894, true),
+        ("the ninth", "LLLLLLLLL", 893, false),
+        (
+            "the ninth, with one lost before it",
+            "LFLLLLLLLL",
+            892,
+            true,
+        ),
+        ("nobody was tried yet", "UUUUUUUUUU", 800, false),
+    ];
+    for (name, peers, cpu_millis, expected) in cases {
+        let peers = peer_places("a", peers);
+        let reads = link_plan::reads_registry("b", "a", cpu_millis, &peers);
+        assert_eq!(reads, expected, "{name}");
+        assert!(
+            link_plan::reads_registry("b", "elsewhere", cpu_millis, &peers),
+            "{name}: other domains don't count"
+        );
+    }
+}
