Divide the servers of a large domain among several leaders

A part of it: for each server and each member a hash was made at every tick, to look for shares that a cut domain's members are entitled to (1,000 servers and 100 members: 100,000 hashes in 20 ms).

Ruled out: several queues with any server each (today's claims would fight); a number of pools that changes with the domain (jobs and servers would change their pool, and a resent job could run twice).

Change: sixteen shards of a domain's servers and jobs, fixed by a hash of the id. A domain has a leader for each 150 servers; each leads its shards, keeps them while it lives, and the loss of one moves its shards only. With up to 150 servers one leader has all shards, as before. A job goes to the leader of its shard; when that is lost among several, the job is answered at once, since runs of it may go on where its next pool can't list them. Hashes for entitlement are made only while a member has claimed servers back. A new link names the leaders before its state, so that a newcomer asks them before it leads.

Free ports are now held until all are found.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -4,7 +4,7 @@
 
 use cuminkeel_pool::{job_model, leadership};
 
-use crate::{node_state, peer_link};
+use crate::{node_state, peer_link, peer_table};
 
 /// How long a job waits for a leader of its failure domain to be found.
 const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_500);
@@ -31,9 +31,13 @@
     },
 }
 
-enum PoolTarget {
-    Own,
-    Peer(peer_link::PeerLink, Arc<str>),
+/// A pool that a job can be offered to.
+struct PoolTarget {
+    peer: Arc<str>,
+    /// None for the pool of this process.
+    link: Option<peer_link::PeerLink>,
+    /// Whether it has all servers of the own failure domain.
+    whole_domain: bool,
 }
 
 /// Runs `spec` for a caller that waits for `patience`.
@@ -82,11 +86,8 @@
             Err(refusal) if alone => return refusal,
             Err(refusal) => refusal,
         };
-        for (link, peer) in self.far_pools() {
-            match self
-                .offer(PoolTarget::Peer(link, peer), job_model::OfferTerms::AtOnce)
-                .await
-            {
+        for target in self.far_pools() {
+            match self.offer(target, job_model::OfferTerms::AtOnce).await {
                 Some(job_model::JobEnd::Completed) => return JobAnswer::Completed,
                 Some(job_model::JobEnd::Failed(reason)) => return JobAnswer::Failed(reason),
                 // Another domain's pool may go on with it out of reach.
@@ -116,7 +117,12 @@
         let mut leaderless_since = None;
         loop {
             let target = self.near_pool();
+            let whole_domain = target.as_ref().is_none_or(|target| target.whole_domain);
             let end = match target {
+                // Runs of it may go on in a pool that another part of the domain now has.
+                Some(target) if self.maybe_started && !target.whole_domain => {
+                    return Ok(JobAnswer::Failed(job_model::FailureReason::PoolLost));
+                }
                 Some(target) => self.offer(target, terms).await,
                 None => Some(job_model::JobEnd::NotLeader),
             };
@@ -132,6 +138,9 @@
                         retry_after,
                     });
                 }
+                Some(job_model::JobEnd::PoolLost) | None if !whole_domain => {
+                    return Ok(JobAnswer::Failed(job_model::FailureReason::PoolLost));
+                }
                 Some(job_model::JobEnd::PoolLost) | None => self.maybe_started = true,
                 Some(job_model::JobEnd::NotLeader) => {}
             }
@@ -161,14 +170,14 @@
             resubmitted: self.maybe_started,
             terms,
         };
-        let (peer, end) = match target {
-            PoolTarget::Own => {
+        let end = match target.link {
+            None => {
                 let mut job = self.node.pool.submit(ticket);
-                (Arc::clone(&self.node.hello.name), Some(job.end().await))
+                Some(job.end().await)
             }
-            PoolTarget::Peer(link, peer) => {
+            Some(link) => {
                 let mut job = link.submit(ticket);
-                (peer, job.end().await.ok())
+                job.end().await.ok()
             }
         };
         let quiet = matches!(
@@ -176,27 +185,33 @@
             Some(job_model::JobEnd::Completed | job_model::JobEnd::NotLeader)
         );
         if !quiet {
-            slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*peer,
+            slog::info!(self.node.logger, "offered"; "request" => &*self.spec.id, "pool" => &*target.peer,
                 "terms" => ?terms, "outcome" => ?end,
                 "age_ms" => u64::try_from(now.saturating_sub(self.arrived).as_millis()).unwrap_or(u64::MAX));
         }
         end
     }
 
+    /// The pool of the own failure domain that jobs with this id belong to.
     fn near_pool(&self) -> Option<PoolTarget> {
         let members = self.node.domain_members(self.node.now());
-        let leader = leadership::choose_leader(&members)?;
-        if *leader == self.node.hello.name {
-            return Some(PoolTarget::Own);
-        }
-        let peers = self.node.peers();
-        let peer = peers.get(leader)?;
-        let link = peer.link.clone()?;
-        Some(PoolTarget::Peer(link, Arc::clone(leader)))
+        let leader = leadership::shard_leader(&members, leadership::shard_of(&self.spec.id))?;
+        let member = members.iter().find(|member| member.name == *leader)?;
+        let link = if *leader == self.node.hello.name {
+            None
+        } else {
+            Some(self.node.peers().get(leader)?.link.clone()?)
+        };
+        Some(PoolTarget {
+            peer: Arc::clone(leader),
+            link,
+            whole_domain: member.shards.is_empty() || member.shards == leadership::ShardSet::ALL,
+        })
     }
 
-    /// Leaders of other failure domains with room, those with most first.
-    fn far_pools(&self) -> Vec<(peer_link::PeerLink, Arc<str>)> {
+    /// Other pools with room, those with most first: in other failure domains, and of other
+    /// shards of the own one.
+    fn far_pools(&self) -> Vec<PoolTarget> {
         let needed = self
             .spec
             .steps
@@ -210,8 +225,8 @@
             .filter(|peer| {
                 peer.connected
                     && !peer.status.leaving
-                    && peer.hello.failure_domain != self.node.hello.failure_domain
                     && peer.status.held_servers > 0
+                    && self.is_other_pool(peer)
                     && peer.status.free_cpu >= needed
                     && peer.status.queued_jobs == 0
             })
@@ -220,7 +235,19 @@
         pools
             .into_iter()
             .take(FAR_OFFERS)
-            .filter_map(|peer| Some((peer.link.clone()?, Arc::clone(&peer.hello.name))))
+            .filter_map(|peer| {
+                Some(PoolTarget {
+                    peer: Arc::clone(&peer.hello.name),
+                    link: Some(peer.link.clone()?),
+                    whole_domain: false,
+                })
+            })
             .collect()
     }
+
+    fn is_other_pool(&self, peer: &peer_table::PeerEntry) -> bool {
+        let shards = peer.status.shards;
+        peer.hello.failure_domain != self.node.hello.failure_domain
+            || (!shards.is_empty() && !shards.contains_id(&self.spec.id))
+    }
 }
--- a/crates/cuminkeel_node/src/domain_view.rs
+++ b/crates/cuminkeel_node/src/domain_view.rs
@@ -32,24 +32,29 @@
         }
     }
 
-    /// Servers of `listed` that this process should hold; empty when it doesn't lead.
+    /// Servers of `listed` in the shards that this process leads, but for those that others
+    /// are entitled to in a cut.
     pub fn wanted_servers<'a>(
         &mut self,
         members: &[leadership::DomainMember],
+        shards: leadership::ShardSet,
         listed: impl Iterator<Item = &'a Arc<str>>,
         now: time::Duration,
     ) -> BTreeSet<Arc<str>> {
-        if leadership::choose_leader(members) != Some(&self.self_name) {
-            return BTreeSet::new();
-        }
         for member in members.iter().filter(|member| member.reachable) {
             self.yields.forget(&member.name);
         }
         self.held_off.retain(|_, until| now < *until);
         listed
+            .filter(|server| shards.contains_id(server))
             .filter(|server| !self.held_off.contains_key(*server))
             .filter(|server| {
-                leadership::entitled_member(server, members.iter().map(|member| &member.name))
+                // Hashes of all members for each server are dear, and seldom needed.
+                self.yields.is_empty()
+                    || leadership::entitled_member(
+                        server,
+                        members.iter().map(|member| &member.name),
+                    )
                     .is_none_or(|member| !self.yields.is_yielded(member, now))
             })
             .cloned()
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -6,13 +6,13 @@
 
 use std::{io, sync::Arc};
 
-use cuminkeel_pool::job_model;
+use cuminkeel_pool::{job_model, leadership};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Format of the frames' bodies.
-const FRAME_FORMAT: u8 = 1;
+const FRAME_FORMAT: u8 = 2;
 /// Largest frame: a configuration in full beside its header.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
@@ -36,6 +36,10 @@
 pub struct PeerStatus {
     /// Servers that its pool holds.
     pub held_servers: u32,
+    /// Shards of its failure domain that its pool has.
+    pub shards: leadership::ShardSet,
+    /// Servers of its failure domain that the registry lists.
+    pub listed_servers: u32,
     /// Free processor of its pool, in thousandths of a core.
     pub free_cpu: u32,
     /// Processor of its pool, in thousandths of a core.
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -49,13 +49,15 @@
         return Err(link_frame::LinkError::NoHello);
     };
     let name = Arc::clone(&hello.name);
+    let mut news = link_news::LinkNews::default();
+    // Who leads goes before the state, with which the peer takes this process as asked.
     let first = [
         link_frame::LinkFrame::Hello(node.hello.clone()),
+        news.first_leaders(node),
         link_frame::LinkFrame::Status(node.own_status()),
     ];
     link_frame::write_frames(&mut writer, &first).await?;
     node_state::learn_peer(node, hello);
-    let mut news = link_news::LinkNews::default();
     let (outgoing, mut outbox) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
     let writer_task = tokio::spawn(async move {
         while let Some(frame) = outbox.recv().await {
--- a/crates/cuminkeel_node/src/link_news.rs
+++ b/crates/cuminkeel_node/src/link_news.rs
@@ -28,17 +28,27 @@
         })
     }
 
+    /// The peers that lead, for a new link.
+    pub fn first_leaders(&mut self, node: &node_state::Node) -> link_frame::LinkFrame {
+        let leaders = node.peers().leaders(node.now());
+        self.leaders_sent = names(&leaders);
+        link_frame::LinkFrame::Leaders(leaders)
+    }
+
     /// The peers that lead, if they are others than before.
     pub fn leaders(&mut self, node: &node_state::Node) -> Option<link_frame::LinkFrame> {
         let leaders = node.peers().leaders(node.now());
-        let names: Vec<Arc<str>> = leaders
-            .iter()
-            .map(|leader| Arc::clone(&leader.name))
-            .collect();
-        if names == self.leaders_sent {
+        if names(&leaders) == self.leaders_sent {
             return None;
         }
-        self.leaders_sent = names;
+        self.leaders_sent = names(&leaders);
         Some(link_frame::LinkFrame::Leaders(leaders))
     }
 }
+
+fn names(leaders: &[link_frame::PeerHello]) -> Vec<Arc<str>> {
+    leaders
+        .iter()
+        .map(|leader| Arc::clone(&leader.name))
+        .collect()
+}
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_pool::leadership;
+use cuminkeel_pool::{leadership, link_plan};
 use platform_adapter::{routing, settings};
 use tokio::sync::watch;
 
@@ -133,7 +133,8 @@
     pub fn set_pool_status(&self, status: link_frame::PeerStatus) {
         let mut current = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         self.metrics.show_pool(&status);
-        let office_changed = (current.held_servers == 0) != (status.held_servers == 0);
+        let office_changed = (current.held_servers == 0) != (status.held_servers == 0)
+            || current.shards != status.shards;
         *current = status;
         drop(current);
         if office_changed {
@@ -201,13 +202,15 @@
 
     /// Members of the own failure domain, this process included.
     pub fn domain_members(&self, now: time::Duration) -> Vec<leadership::DomainMember> {
+        let own = self.own_status();
         let mut members = self.peers().domain_members(&self.hello.failure_domain, now);
         members.push(leadership::DomainMember {
             name: Arc::clone(&self.hello.name),
             cpu_millis: self.hello.cpu_millis,
             reachable: true,
             leaving: self.is_leaving(),
-            held_servers: self.own_status().held_servers,
+            held_servers: own.held_servers,
+            shards: own.shards,
         });
         members
     }
@@ -243,9 +246,9 @@
 /// Dials the peers that this process should be linked to, and gives up other links.
 pub fn plan_links(node: &Arc<Node>) {
     let now = node.now();
-    let leads = node.own_status().held_servers > 0;
+    let own = node.own_status();
     let mut peers = node.peers();
-    let wanted = peers.wanted_links(&node.hello.failure_domain, leads, now);
+    let wanted = link_plan::wanted_links(&own_place(node, own, &peers, now), &peers.places(now));
     for hello in peers.plan_links(&wanted, now) {
         let link = peer_link::start_link(node, &hello);
         if let Some(peer) = peers.get_mut(&hello.name) {
@@ -256,6 +259,33 @@
     node.metrics.show_peers(peers.iter().count(), linked);
 }
 
+/// Whether this process has to know the servers of its failure domain.
+pub fn reads_registry(node: &Node) -> bool {
+    let now = node.now();
+    let own = node.own_status();
+    let peers = node.peers();
+    let place = own_place(node, own, &peers, now);
+    place.leads || (node.knows_peers() && link_plan::reads_registry(&place, &peers.places(now)))
+}
+
+fn own_place<'a>(
+    node: &'a Node,
+    own: link_frame::PeerStatus,
+    peers: &peer_table::PeerTable,
+    now: time::Duration,
+) -> link_plan::OwnPlace<'a> {
+    let listed = peers
+        .listed_servers(&node.hello.failure_domain, now)
+        .max(own.listed_servers);
+    link_plan::OwnPlace {
+        name: &node.hello.name,
+        failure_domain: &node.hello.failure_domain,
+        cpu_millis: node.hello.cpu_millis,
+        leads: own.held_servers > 0,
+        leader_count: leadership::leader_count(usize::try_from(listed).unwrap_or(usize::MAX)),
+    }
+}
+
 /// Keeps the links in step with what is known of the peers.
 pub async fn keep_links(node: Arc<Node>) {
     let mut changes = node.peer_changes();
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -316,7 +316,6 @@
         };
         if let Some(peer) = self.entry(&mut node.peers()) {
             peer.connected = true;
-            peer.tried = true;
             peer.refused = false;
         }
         slog::info!(node.logger, "peer_connected"; "peer" => &*self.name);
@@ -409,6 +408,9 @@
         match frame {
             link_frame::LinkFrame::Status(status) => {
                 note_status(node, &self.name, status);
+                if let Some(peer) = self.entry(&mut node.peers()) {
+                    peer.tried = true;
+                }
                 out.extend(session.news.config(node, &status));
             }
             link_frame::LinkFrame::Leaders(leaders) => note_leaders(node, &self.name, leaders),
@@ -483,7 +485,8 @@
         return;
     };
     let changed = peer.status.leaving != status.leaving
-        || (peer.status.held_servers == 0) != (status.held_servers == 0);
+        || (peer.status.held_servers == 0) != (status.held_servers == 0)
+        || peer.status.shards != status.shards;
     peer.status = status;
     peer.heard_at = node.now();
     drop(peers);
@@ -492,8 +495,8 @@
     }
 }
 
-/// Takes in who leads by what a peer said.
-pub fn note_leaders(node: &node_state::Node, name: &str, leaders: Vec<link_frame::PeerHello>) {
+/// Takes in who leads by what a peer said, and dials those that are new.
+pub fn note_leaders(node: &Arc<node_state::Node>, name: &str, leaders: Vec<link_frame::PeerHello>) {
     if let Some(peer) = node.peers().get_mut(name) {
         peer.leaders = leaders
             .iter()
@@ -509,6 +512,7 @@
             node_state::learn_peer(node, leader);
         }
     }
+    node_state::plan_links(node);
     node.note_peer_change();
 }
 
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -155,27 +155,18 @@
             .collect()
     }
 
-    /// Names of the peers to be linked to from a process in `failure_domain`.
-    pub fn wanted_links(
-        &self,
-        failure_domain: &str,
-        leads: bool,
-        now: time::Duration,
-    ) -> BTreeSet<Arc<str>> {
-        link_plan::wanted_links(failure_domain, leads, &self.places(now))
-    }
-
-    /// Whether the process that `own` introduces has to know its domain's servers.
-    pub fn reads_registry(&self, own: &link_frame::PeerHello, now: time::Duration) -> bool {
-        link_plan::reads_registry(
-            &own.name,
-            &own.failure_domain,
-            own.cpu_millis,
-            &self.places(now),
-        )
+    /// Most servers that a peer in `failure_domain` has seen listed.
+    pub fn listed_servers(&self, failure_domain: &str, now: time::Duration) -> u32 {
+        self.peers
+            .values()
+            .filter(|peer| &*peer.hello.failure_domain == failure_domain && peer.is_heard(now))
+            .map(|peer| peer.status.listed_servers)
+            .max()
+            .unwrap_or(0)
     }
 
-    fn places(&self, now: time::Duration) -> Vec<link_plan::PeerPlace> {
+    /// What a plan of the links needs to know of the peers.
+    pub fn places(&self, now: time::Duration) -> Vec<link_plan::PeerPlace> {
         let named: BTreeSet<&Arc<str>> = self
             .peers
             .values()
@@ -232,6 +223,7 @@
                 reachable: peer.is_reachable(now),
                 leaving: peer.status.leaving,
                 held_servers: peer.status.held_servers,
+                shards: peer.status.shards,
             })
             .collect()
     }
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -253,7 +253,13 @@
             return;
         }
         let members = self.node.domain_members(now);
-        let leads = leadership::choose_leader(&members) == Some(&self.node.hello.name);
+        let listed: Vec<Arc<str>> = self.pool.listed_servers().cloned().collect();
+        let shards = leadership::shards_to_lead(
+            &members,
+            leadership::leader_count(listed.len()),
+            &self.node.hello.name,
+        );
+        let leads = !shards.is_empty();
         if leads != self.leads {
             slog::info!(self.node.logger, "leadership"; "leads" => leads,
                 "members" => members.len(),
@@ -264,13 +270,16 @@
             }
         }
         if leads {
-            let listed: Vec<Arc<str>> = self.pool.listed_servers().cloned().collect();
-            let wanted: BTreeSet<Arc<str>> = self.view.wanted_servers(&members, listed.iter(), now);
+            let wanted: BTreeSet<Arc<str>> =
+                self.view
+                    .wanted_servers(&members, shards, listed.iter(), now);
             self.pool.own_servers(&wanted, now);
         }
         let load = self.pool.load(now);
         self.node.set_pool_status(link_frame::PeerStatus {
             held_servers: load.held_servers,
+            shards,
+            listed_servers: u32::try_from(listed.len()).unwrap_or(u32::MAX),
             free_cpu: load.free_cpu,
             total_cpu: load.total_cpu,
             queued_jobs: load.queued_jobs,
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -189,11 +189,7 @@
     async fn wait_for_office(&self) {
         let node = &self.node;
         let mut changes = node.peer_changes();
-        let in_office = || {
-            let reads = node.peers().reads_registry(&node.hello, node.now());
-            node.own_status().held_servers > 0 || (node.knows_peers() && reads)
-        };
-        while !in_office() {
+        while !node_state::reads_registry(node) {
             // An error means that the process ends.
             let _changed = changes.changed().await;
         }
--- a/crates/cuminkeel_node/tests/node/fleet.rs
+++ b/crates/cuminkeel_node/tests/node/fleet.rs
@@ -247,13 +247,14 @@
     /// Settings of one more process.
     pub fn settings(&self, name: &str, domain: &str) -> settings::ProcessSettings {
         let ip = loopback::own_ip();
-        let address = || Arc::from(format!("{ip}:{}", loopback::free_port(ip)));
+        let [caller_address, ready_address, link_address]: [Arc<str>; 3] =
+            loopback::free_ports(ip).map(|port| Arc::from(format!("{ip}:{port}")));
         settings::ProcessSettings {
             node_name: Arc::from(name),
             failure_domain: Arc::from(domain),
-            caller_address: address(),
-            ready_address: address(),
-            link_address: address(),
+            caller_address,
+            ready_address,
+            link_address,
             ip: Arc::from(ip.to_string()),
             seeds: Vec::new(),
             cpu_share: 0.5,
--- a/crates/cuminkeel_node/tests/node/parts.rs
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -69,9 +69,21 @@
         reachable,
         leaving: false,
         held_servers,
+        shards: leadership::ShardSet::default(),
     }
 }
 
+/// Servers that the process of `view`, named after it, should hold as the only leader.
+fn wanted(
+    (name, view): &mut (&str, domain_view::DomainView),
+    members: &[leadership::DomainMember],
+    servers: &[Arc<str>],
+    now: time::Duration,
+) -> BTreeSet<Arc<str>> {
+    let shards = leadership::shards_to_lead(members, 1, name);
+    view.wanted_servers(members, shards, servers.iter(), now)
+}
+
 fn names(prefix: &str, count: usize) -> Vec<Arc<str>> {
     (0..count)
         .map(|number| Arc::from(format!("{prefix}{number}")))
@@ -81,24 +93,18 @@
 #[test]
 fn only_a_leader_wants_servers() {
     let servers = names("s", 16);
-    let mut view = domain_view::DomainView::new(Arc::from("b"));
+    let mut view = ("b", domain_view::DomainView::new(Arc::from("b")));
     let members = [member("a", true, 0), member("b", true, 0)];
-    assert!(
-        view.wanted_servers(&members, servers.iter(), ms(0))
-            .is_empty()
-    );
+    assert!(wanted(&mut view, &members, &servers, ms(0)).is_empty());
     let members = [member("a", false, 0), member("b", true, 0)];
-    assert_eq!(
-        view.wanted_servers(&members, servers.iter(), ms(0)).len(),
-        16
-    );
+    assert_eq!(wanted(&mut view, &members, &servers, ms(0)).len(), 16);
 }
 
 #[test]
 fn two_halves_of_a_cut_domain_settle_on_a_division() {
     let servers = names("s", 16);
-    let mut left = domain_view::DomainView::new(Arc::from("a"));
-    let mut right = domain_view::DomainView::new(Arc::from("b"));
+    let mut left = ("a", domain_view::DomainView::new(Arc::from("a")));
+    let mut right = ("b", domain_view::DomainView::new(Arc::from("b")));
     let seen_left = [member("a", true, 16), member("b", false, 0)];
     let seen_right = [member("a", false, 0), member("b", true, 16)];
     // Each claims what it wants and doesn't hold; the later claim wins, and the former
@@ -107,26 +113,26 @@
     let mut held_right = BTreeSet::new();
     let mut now = ms(0);
     for _ in 0..10 {
-        for server in right.wanted_servers(&seen_right, servers.iter(), now) {
+        for server in wanted(&mut right, &seen_right, &servers, now) {
             if held_right.insert(Arc::clone(&server)) && held_left.remove(&server) {
-                left.note_lost(&server, &seen_left, now);
+                left.1.note_lost(&server, &seen_left, now);
             }
         }
-        for server in left.wanted_servers(&seen_left, servers.iter(), now) {
+        for server in wanted(&mut left, &seen_left, &servers, now) {
             if held_left.insert(Arc::clone(&server)) && held_right.remove(&server) {
-                right.note_lost(&server, &seen_right, now);
+                right.1.note_lost(&server, &seen_right, now);
             }
         }
         now += ms(100);
     }
-    let left_wants = left.wanted_servers(&seen_left, servers.iter(), now);
-    let right_wants = right.wanted_servers(&seen_right, servers.iter(), now);
+    let left_wants = wanted(&mut left, &seen_left, &servers, now);
+    let right_wants = wanted(&mut right, &seen_right, &servers, now);
     assert_eq!(left_wants.intersection(&right_wants).count(), 0);
     assert!(!left_wants.is_empty() && !right_wants.is_empty());
     // Once they reach each other, one leads and wants all.
     let both = [member("a", true, 9), member("b", true, 7)];
-    assert_eq!(left.wanted_servers(&both, servers.iter(), now).len(), 16);
-    assert!(right.wanted_servers(&both, servers.iter(), now).is_empty());
+    assert_eq!(wanted(&mut left, &both, &servers, now).len(), 16);
+    assert!(wanted(&mut right, &both, &servers, now).is_empty());
 }
 
 #[tokio::test]
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -148,8 +148,8 @@
 
     fn node(&self, name: &'static str, domain: &str) -> SoakNode {
         let ip = loopback::own_ip();
-        let address = || -> Arc<str> { Arc::from(format!("{ip}:{}", loopback::free_port(ip))) };
-        let (callers, ready, links) = (address(), address(), address());
+        let [callers, ready, links]: [Arc<str>; 3] =
+            loopback::free_ports(ip).map(|port| Arc::from(format!("{ip}:{port}")));
         let settings = serde_json::json!({
             "node_name": name, "ip": ip.to_string(), "zone": domain,
             "bind_addrs": {"frontend": callers, "ready": ready, "control_plane": links},
--- a/crates/cuminkeel_pool/src/link_plan.rs
+++ b/crates/cuminkeel_pool/src/link_plan.rs
@@ -7,15 +7,16 @@
 
 use smallvec::SmallVec;
 
-/// Members of the own failure domain that each of its processes is linked to: the next
-/// leader and two more, as a rack can take neighbours with it.
-const NEAR_CANDIDATES: usize = 3;
+/// Members of the own failure domain that each of its processes is linked to beyond its
+/// leaders, as a rack can take neighbours with it.
+const NEAR_CANDIDATES: usize = 2;
 /// Members of each other failure domain that a leader introduces itself to.
 const FAR_CANDIDATES: usize = 2;
 
-/// Members of a failure domain that follow the registry of its servers: enough for the loss of
-/// a rack, while the reads of a large domain stay within what the store gives.
-const REGISTRY_READERS: usize = 8;
+/// Members of a failure domain that follow the registry of its servers beyond its leaders:
+/// enough for the loss of a rack, while the reads of a large domain stay within what the
+/// store gives.
+const REGISTRY_READERS: usize = 7;
 
 /// What is known of the way to a peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,21 +44,36 @@
     pub leads: bool,
 }
 
-/// Names of the `peers` to be linked to from a process in `failure_domain`.
+/// The process that plans its links.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnPlace<'a> {
+    /// Name of its VM.
+    pub name: &'a str,
+    /// Failure domain of its VM.
+    pub failure_domain: &'a str,
+    /// Share of a core that it has, in thousandths.
+    pub cpu_millis: u32,
+    /// Whether it holds servers.
+    pub leads: bool,
+    /// Leaders that its domain needs.
+    pub leader_count: usize,
+}
+
+/// Names of the `peers` to be linked to.
 ///
 /// A leader is linked to all of its domain, to learn of a member that can't reach it, and
 /// introduces itself to the other domains; everyone is linked to all leaders and to those
 /// that would be chosen next.
-pub fn wanted_links(failure_domain: &str, leads: bool, peers: &[PeerPlace]) -> BTreeSet<Arc<str>> {
+pub fn wanted_links(own: &OwnPlace<'_>, peers: &[PeerPlace]) -> BTreeSet<Arc<str>> {
     let mut wanted: BTreeSet<Arc<str>> = peers
         .iter()
-        .filter(|peer| peer.leads || (leads && *peer.failure_domain == *failure_domain))
+        .filter(|peer| peer.leads || (own.leads && *peer.failure_domain == *own.failure_domain))
         .map(|peer| Arc::clone(&peer.name))
         .collect();
     let domains: BTreeSet<&Arc<str>> = peers.iter().map(|peer| &peer.failure_domain).collect();
     for domain in domains {
-        let count = match (&**domain == failure_domain, leads) {
-            (true, _) => NEAR_CANDIDATES,
+        let count = match (&**domain == own.failure_domain, own.leads) {
+            (true, _) => own.leader_count + NEAR_CANDIDATES,
             (false, true) => FAR_CANDIDATES,
             (false, false) => continue,
         };
@@ -66,24 +82,18 @@
     wanted
 }
 
-/// Whether a process with `cpu_millis` on VM `name` may soon lead `failure_domain`, so that it
-/// has to know the domain's servers.
-pub fn reads_registry(
-    name: &str,
-    failure_domain: &str,
-    cpu_millis: u32,
-    peers: &[PeerPlace],
-) -> bool {
+/// Whether a process may soon lead, so that it has to know its domain's servers.
+pub fn reads_registry(own: &OwnPlace<'_>, peers: &[PeerPlace]) -> bool {
     let before = peers
         .iter()
-        .filter(|peer| *peer.failure_domain == *failure_domain)
+        .filter(|peer| *peer.failure_domain == *own.failure_domain)
         .filter(|peer| peer.reach != PeerReach::Failed)
         .filter(|peer| {
             (std::cmp::Reverse(peer.cpu_millis), &*peer.name)
-                < (std::cmp::Reverse(cpu_millis), name)
+                < (std::cmp::Reverse(own.cpu_millis), own.name)
         })
         .count();
-    before < REGISTRY_READERS
+    before < own.leader_count + REGISTRY_READERS
 }
 
 /// The first peers of a domain in the order in which leaders are chosen, until `count` of
--- a/crates/cuminkeel_pool/tests/decisions.rs
+++ b/crates/cuminkeel_pool/tests/decisions.rs
@@ -185,6 +185,7 @@
         reachable: true,
         leaving: false,
         held_servers,
+        shards: leadership::ShardSet::default(),
     }
 }
 
@@ -313,6 +314,17 @@
     }
 }
 
+/// The process on VM `b`, in a domain with one leader.
+fn own_place(failure_domain: &str, cpu_millis: u32, leads: bool) -> link_plan::OwnPlace<'_> {
+    link_plan::OwnPlace {
+        name: "b",
+        failure_domain,
+        cpu_millis,
+        leads,
+        leader_count: 1,
+    }
+}
+
 /// Peers of `domain` in the order in which they would lead; `F` for failed, `L` for linked,
 /// `U` for untried, `l` for linked and leading.
 fn peer_places(domain: &str, states: &str) -> Vec<link_plan::PeerPlace> {
@@ -360,7 +372,7 @@
     for (name, near, far, leads, expected) in cases {
         let mut peers = peer_places("a", near);
         peers.extend(peer_places("b", far));
-        let wanted = link_plan::wanted_links("a", leads, &peers);
+        let wanted = link_plan::wanted_links(&own_place("a", 500, leads), &peers);
         let wanted: Vec<&str> = wanted.iter().map(|name| &**name).collect();
         assert_eq!(wanted.join(" "), expected, "{name}");
     }
@@ -376,7 +388,7 @@
         .any(|peer| peer.reach == link_plan::PeerReach::Linked)
     {
         rounds += 1;
-        let wanted = link_plan::wanted_links("a", false, &peers);
+        let wanted = link_plan::wanted_links(&own_place("a", 500, false), &peers);
         for (number, peer) in peers.iter_mut().enumerate() {
             peer.reach = match (wanted.contains(&peer.name), number >= alive) {
                 (true, true) => link_plan::PeerReach::Linked,
@@ -404,11 +416,128 @@
     ];
     for (name, peers, cpu_millis, expected) in cases {
         let peers = peer_places("a", peers);
-        let reads = link_plan::reads_registry("b", "a", cpu_millis, &peers);
+        let reads = link_plan::reads_registry(&own_place("a", cpu_millis, false), &peers);
         assert_eq!(reads, expected, "{name}");
         assert!(
-            link_plan::reads_registry("b", "elsewhere", cpu_millis, &peers),
+            link_plan::reads_registry(&own_place("elsewhere", cpu_millis, false), &peers),
             "{name}: other domains don't count"
         );
     }
 }
+
+#[test]
+fn large_domains_have_more_leaders() {
+    for (servers, expected) in [(0, 1), (1, 1), (150, 1), (151, 2), (1_000, 7), (9_000, 16)] {
+        assert_eq!(
+            leadership::leader_count(servers),
+            expected,
+            "{servers} servers"
+        );
+    }
+}
+
+/// Shards that each of `members` leads by its own view, which is the same for all.
+fn led_shards(
+    members: &[leadership::DomainMember],
+    count: usize,
+) -> Vec<(Arc<str>, leadership::ShardSet)> {
+    members
+        .iter()
+        .map(|member| {
+            let shards = leadership::shards_to_lead(members, count, &member.name);
+            (Arc::clone(&member.name), shards)
+        })
+        .collect()
+}
+
+fn shard_owners(led: &[(Arc<str>, leadership::ShardSet)]) -> Vec<&str> {
+    (0..16)
+        .map(|shard| {
+            let owners: Vec<&str> = led
+                .iter()
+                .filter(|(_, shards)| shards.contains(shard))
+                .map(|(name, _)| &**name)
+                .collect();
+            assert_eq!(owners.len(), 1, "shard {shard} has {owners:?}");
+            owners[0]
+        })
+        .collect()
+}
+
+#[test]
+fn one_leader_has_all_shards() {
+    let members = [
+        member("a", 200, 0),
+        member("b", 600, 0),
+        member("c", 600, 0),
+    ];
+    assert_eq!(
+        leadership::shards_to_lead(&members, 1, "b"),
+        leadership::ShardSet::ALL
+    );
+    for name in ["a", "c", "unknown"] {
+        assert!(leadership::shards_to_lead(&members, 1, name).is_empty());
+    }
+    assert!(leadership::shards_to_lead(&[], 1, "a").is_empty());
+}
+
+#[test]
+fn several_leaders_divide_the_shards_and_a_loss_moves_no_others() {
+    let mut members: Vec<_> = ["a", "b", "c", "d", "e"]
+        .into_iter()
+        .map(|name| member(name, 500, 0))
+        .collect();
+    let led = led_shards(&members, 3);
+    let before: Vec<String> = shard_owners(&led).into_iter().map(String::from).collect();
+    for name in ["a", "b", "c"] {
+        let count = before.iter().filter(|owner| *owner == name).count();
+        assert!((5..=6).contains(&count), "{name} has {count}");
+    }
+    for (member, (_, shards)) in members.iter_mut().zip(&led) {
+        member.shards = *shards;
+        member.held_servers = if shards.is_empty() { 0 } else { 100 };
+    }
+    // Nothing moves while all live, and only the shards of the lost one afterwards.
+    assert_eq!(led_shards(&members, 3), led);
+    members[1].reachable = false;
+    members[1].shards = leadership::ShardSet::default();
+    let led = led_shards(&members, 3);
+    for (shard, (owner, former)) in shard_owners(&led).into_iter().zip(&before).enumerate() {
+        let expected = if former == "b" { "d" } else { former };
+        assert_eq!(owner, expected, "shard {shard}");
+    }
+}
+
+#[test]
+fn a_leader_gives_shards_away_when_its_domain_grows() {
+    let mut members = vec![
+        member("a", 500, 100),
+        member("b", 500, 0),
+        member("c", 500, 0),
+    ];
+    members[0].shards = leadership::ShardSet::ALL;
+    let led = led_shards(&members, 2);
+    let kept = shard_owners(&led)
+        .into_iter()
+        .filter(|owner| *owner == "a")
+        .count();
+    assert_eq!(kept, 8);
+}
+
+#[test]
+fn jobs_go_to_the_leader_of_their_shard() {
+    let mut members = vec![member("a", 500, 90), member("b", 500, 80)];
+    let all = leadership::shards_to_lead(&members, 2, "a");
+    members[0].shards = all;
+    members[1].shards = leadership::shards_to_lead(&members, 2, "b");
+    for shard in 0..16 {
+        let expected = if all.contains(shard) { "a" } else { "b" };
+        let leader = leadership::shard_leader(&members, shard).map(|leader| &**leader);
+        assert_eq!(leader, Some(expected), "shard {shard}");
+    }
+    // A shard that nobody has yet: the next leader will say so, or take the job.
+    members[1].shards = leadership::ShardSet::default();
+    let vacant = (0..16).find(|shard| !all.contains(*shard)).expect("one");
+    let leader = leadership::shard_leader(&members, vacant).map(|leader| &**leader);
+    assert_eq!(leader, Some("a"));
+}
