Claim in portions, keep leaders while servers come and go, try more at a start

Change: 64 claims in flight; a leader more only beyond 200 servers for each in office, one less only below 130; sixteen peers of the domain are tried at first; links carry which leaders came and went; looks at the peers are 5 ms apart; one of several leaders is asked for its state every 300 ms.

--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -54,6 +54,15 @@
     pub leaving: bool,
 }
 
+/// Peers that hold servers, beside those of the change before on the same link.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LeaderChange {
+    /// Peers that hold servers now, new or started again.
+    pub added: Vec<PeerHello>,
+    /// VMs of those that hold none any more.
+    pub removed: Vec<Arc<str>>,
+}
+
 /// A message on a link.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum LinkFrame {
@@ -85,8 +94,8 @@
         /// The value of its key.
         body: Vec<u8>,
     },
-    /// Peers that hold servers, as the sender heard from them; sent when they change.
-    Leaders(Vec<PeerHello>),
+    /// How the peers that hold servers have changed, as the sender heard from them.
+    Leaders(LeaderChange),
 }
 
 /// Why a link can't be used any more.
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time};
 
+use smallvec::SmallVec;
 use tokio::{net, sync::mpsc, task};
 
 use crate::{link_frame, link_news, node_state, peer_link, pool_driver};
@@ -51,11 +52,14 @@
     let name = Arc::clone(&hello.name);
     let mut news = link_news::LinkNews::default();
     // Who leads goes before the state, with which the peer takes this process as asked.
-    let first = [
-        link_frame::LinkFrame::Hello(node.hello.clone()),
-        news.first_leaders(node),
-        link_frame::LinkFrame::Status(node.own_status()),
-    ];
+    let first: SmallVec<[link_frame::LinkFrame; 3]> = [
+        Some(link_frame::LinkFrame::Hello(node.hello.clone())),
+        news.leaders(node),
+        Some(link_frame::LinkFrame::Status(node.own_status())),
+    ]
+    .into_iter()
+    .flatten()
+    .collect();
     link_frame::write_frames(&mut writer, &first).await?;
     node_state::learn_peer(node, hello);
     let (outgoing, mut outbox) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
@@ -103,7 +107,7 @@
     waiting: &mut HashMap<u64, task::JoinHandle<()>>,
 ) {
     match frame {
-        link_frame::LinkFrame::Leaders(leaders) => peer_link::note_leaders(node, name, leaders),
+        link_frame::LinkFrame::Leaders(change) => peer_link::note_leaders(node, name, change),
         link_frame::LinkFrame::Submit { request, ticket } => {
             waiting.retain(|_, job| !job.is_finished());
             let job = node.pool.submit(ticket);
--- a/crates/cuminkeel_node/src/link_news.rs
+++ b/crates/cuminkeel_node/src/link_news.rs
@@ -1,6 +1,6 @@
 //! What a link carries only when it has changed.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{link_frame, node_state};
 
@@ -8,7 +8,8 @@
 #[derive(Debug, Default)]
 pub struct LinkNews {
     config_sent: u64,
-    leaders_sent: Vec<Arc<str>>,
+    /// Leaders that the peer knows of, with the numbers of their starts.
+    leaders_sent: BTreeMap<Arc<str>, u64>,
 }
 
 impl LinkNews {
@@ -28,27 +29,27 @@
         })
     }
 
-    /// The peers that lead, for a new link.
-    pub fn first_leaders(&mut self, node: &node_state::Node) -> link_frame::LinkFrame {
-        let leaders = node.peers().leaders(node.now());
-        self.leaders_sent = names(&leaders);
-        link_frame::LinkFrame::Leaders(leaders)
-    }
-
-    /// The peers that lead, if they are others than before.
+    /// How the peers that lead have changed, if they have.
     pub fn leaders(&mut self, node: &node_state::Node) -> Option<link_frame::LinkFrame> {
-        let leaders = node.peers().leaders(node.now());
-        if names(&leaders) == self.leaders_sent {
+        let mut leaders = node.peers().leaders(node.now());
+        let current: BTreeMap<Arc<str>, u64> = leaders
+            .iter()
+            .map(|leader| (Arc::clone(&leader.name), leader.boot))
+            .collect();
+        if current == self.leaders_sent {
             return None;
         }
-        self.leaders_sent = names(&leaders);
-        Some(link_frame::LinkFrame::Leaders(leaders))
+        leaders.retain(|leader| self.leaders_sent.get(&leader.name) != Some(&leader.boot));
+        let removed = self
+            .leaders_sent
+            .keys()
+            .filter(|name| !current.contains_key(*name))
+            .cloned()
+            .collect();
+        self.leaders_sent = current;
+        Some(link_frame::LinkFrame::Leaders(link_frame::LeaderChange {
+            added: leaders,
+            removed,
+        }))
     }
 }
-
-fn names(leaders: &[link_frame::PeerHello]) -> Vec<Arc<str>> {
-    leaders
-        .iter()
-        .map(|leader| Arc::clone(&leader.name))
-        .collect()
-}
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -277,12 +277,21 @@
     let listed = peers
         .listed_servers(&node.hello.failure_domain, now)
         .max(own.listed_servers);
+    let in_office = peers
+        .domain_members(&node.hello.failure_domain, now)
+        .iter()
+        .filter(|member| member.reachable && !member.shards.is_empty())
+        .count()
+        + usize::from(!own.shards.is_empty());
     link_plan::OwnPlace {
         name: &node.hello.name,
         failure_domain: &node.hello.failure_domain,
         cpu_millis: node.hello.cpu_millis,
         leads: own.held_servers > 0,
-        leader_count: leadership::leader_count(usize::try_from(listed).unwrap_or(usize::MAX)),
+        leader_count: leadership::leader_count(
+            usize::try_from(listed).unwrap_or(usize::MAX),
+            in_office,
+        ),
     }
 }
 
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_pool::job_model;
+use cuminkeel_pool::{job_model, leadership};
 use tokio::{
     net,
     sync::{mpsc, oneshot},
@@ -27,6 +27,9 @@
 /// Time between states to a leader of the own failure domain, or among its processes
 /// without one: a leader's loss is noticed in four of these.
 const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time between states to one of several leaders of the own failure domain: others serve
+/// meanwhile, and a process has a link to each.
+const SHARD_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// Time between other states inside a failure domain that has a leader.
 const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time between states to a leader of another failure domain, whose room is asked for.
@@ -170,6 +173,8 @@
 pub enum LinkUse {
     /// The choice of a leader, or its jobs.
     Leader,
+    /// Jobs of some shards.
+    ShardLeader,
     /// Jobs that the own failure domain has no room for.
     Spill,
     /// Nothing for now.
@@ -180,10 +185,11 @@
 pub fn status_interval(near: bool, usage: LinkUse, busy: bool) -> time::Duration {
     match (near, usage) {
         (true, LinkUse::Leader) => LEADER_INTERVAL,
+        (true, LinkUse::ShardLeader) => SHARD_LEADER_INTERVAL,
         (true, LinkUse::Spill | LinkUse::Standby) => FOLLOWER_INTERVAL,
-        (false, LinkUse::Leader | LinkUse::Spill) if busy => FAR_LEADER_INTERVAL,
-        (false, LinkUse::Leader | LinkUse::Spill) => IDLE_FAR_LEADER_INTERVAL,
         (false, LinkUse::Standby) => FAR_INTERVAL,
+        (false, _) if busy => FAR_LEADER_INTERVAL,
+        (false, _) => IDLE_FAR_LEADER_INTERVAL,
     }
 }
 
@@ -380,16 +386,19 @@
 
     /// Time between states sent over this link, by what depends on them.
     fn interval(&self, node: &node_state::Node, busy: bool) -> time::Duration {
-        let peer_leads = node
+        let status = node
             .peers()
             .get(&self.name)
-            .is_some_and(|peer| peer.status.held_servers > 0);
+            .map_or_else(link_frame::PeerStatus::default, |peer| peer.status);
         let has_leader = || {
             node.domain_members(node.now())
                 .iter()
                 .any(|member| member.reachable && member.held_servers > 0)
         };
-        let usage = match (self.near, peer_leads) {
+        let leads = status.held_servers > 0;
+        let leads_all = status.shards.is_empty() || status.shards == leadership::ShardSet::ALL;
+        let usage = match (self.near, leads) {
+            (true, true) if !leads_all => LinkUse::ShardLeader,
             (true, leads) if leads || !has_leader() => LinkUse::Leader,
             (false, true) => LinkUse::Spill,
             (true | false, _) => LinkUse::Standby,
@@ -413,7 +422,7 @@
                 }
                 out.extend(session.news.config(node, &status));
             }
-            link_frame::LinkFrame::Leaders(leaders) => note_leaders(node, &self.name, leaders),
+            link_frame::LinkFrame::Leaders(change) => note_leaders(node, &self.name, change),
             link_frame::LinkFrame::End { request, end } => {
                 if let Some(reply) = session.waiting.remove(&request) {
                     // A waiter that is gone needs no end.
@@ -496,14 +505,17 @@
 }
 
 /// Takes in who leads by what a peer said, and dials those that are new.
-pub fn note_leaders(node: &Arc<node_state::Node>, name: &str, leaders: Vec<link_frame::PeerHello>) {
+pub fn note_leaders(node: &Arc<node_state::Node>, name: &str, change: link_frame::LeaderChange) {
     if let Some(peer) = node.peers().get_mut(name) {
-        peer.leaders = leaders
-            .iter()
-            .map(|leader| Arc::clone(&leader.name))
-            .collect();
+        peer.leaders
+            .retain(|leader| !change.removed.contains(leader));
+        for leader in &change.added {
+            if !peer.leaders.contains(&leader.name) {
+                peer.leaders.push(Arc::clone(&leader.name));
+            }
+        }
     }
-    for leader in leaders {
+    for leader in change.added {
         let known = node
             .peers()
             .get(&leader.name)
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -21,6 +21,8 @@
 const BUSY_TICK: time::Duration = time::Duration::from_millis(20);
 /// Time between looks at what is due, without jobs.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
+/// Shortest time between looks at the peers: a look costs up to a millisecond in a large domain.
+const RECONSIDER_PAUSE: time::Duration = time::Duration::from_millis(5);
 /// Longest time after the start that this process waits for news of its peers before it leads.
 const MAX_LEAD_DELAY: time::Duration = time::Duration::from_millis(800);
 
@@ -160,6 +162,7 @@
     waiters: HashMap<pool_action::WaiterId, oneshot::Sender<job_model::JobEnd>>,
     clients: HashMap<Arc<str>, Arc<runner::RunnerClient>>,
     leads: bool,
+    reconsidered_at: time::Duration,
 }
 
 /// Runs the pool until the process ends.
@@ -172,6 +175,7 @@
         waiters: HashMap::new(),
         clients: HashMap::new(),
         leads: false,
+        reconsidered_at: time::Duration::ZERO,
         node,
     };
     let mut peer_changes = driver.node.peer_changes();
@@ -194,7 +198,14 @@
                     driver.take_event(event);
                 }
             }
-            _ = peer_changes.changed() => driver.reconsider(),
+            _ = peer_changes.changed() => {
+                // Changes come in bursts; the first is acted on at once.
+                if driver.node.now() >= driver.reconsidered_at + RECONSIDER_PAUSE {
+                    driver.reconsider();
+                } else {
+                    next_tick = next_tick.min(tokio::time::Instant::now() + RECONSIDER_PAUSE);
+                }
+            }
         }
         driver.carry_out();
     }
@@ -246,6 +257,7 @@
     /// Claims or gives up servers after a change of the peers.
     fn reconsider(&mut self) {
         let now = self.node.now();
+        self.reconsidered_at = now;
         // Without the list of peers there was no list of servers either.
         let knows_domain =
             self.node.knows_peers() && (now >= MAX_LEAD_DELAY || self.node.has_tried_domain());
@@ -256,7 +268,7 @@
         let listed: Vec<Arc<str>> = self.pool.listed_servers().cloned().collect();
         let shards = leadership::shards_to_lead(
             &members,
-            leadership::leader_count(listed.len()),
+            leadership::leader_count(listed.len(), leadership::leaders_in_office(&members)),
             &self.node.hello.name,
         );
         let leads = !shards.is_empty();
--- a/crates/cuminkeel_node/tests/node/parts.rs
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -37,11 +37,12 @@
 
 #[test]
 fn states_are_sent_as_often_as_something_depends_on_them() {
-    use peer_link::LinkUse::{Leader, Spill, Standby};
+    use peer_link::LinkUse::{Leader, ShardLeader, Spill, Standby};
 
     let cases = [
         ("to a leader of the domain", true, Leader, false, 150),
         ("the same with jobs", true, Leader, true, 150),
+        ("to one of several", true, ShardLeader, false, 300),
         ("among followers", true, Standby, false, 1_000),
         (
             "to a leader that gets jobs elsewhere",
--- a/crates/cuminkeel_pool/src/leadership.rs
+++ b/crates/cuminkeel_pool/src/leadership.rs
@@ -18,6 +18,11 @@
 /// Servers that one leader serves: a VM of half a core is at a third of it with 333 servers
 /// and at its limit with 1,000 (`docs/CAPACITY.md`).
 const SERVERS_PER_LEADER: usize = 150;
+/// Servers for each leader in office below which a domain does without one of them. Apart
+/// from what calls for another one, so that servers that come and go move no shards.
+const FEWEST_PER_LEADER: usize = 130;
+/// Servers for each leader in office at which a domain takes another one.
+const MOST_PER_LEADER: usize = 200;
 /// Shards of a domain: more than its leaders, so that they can be divided evenly.
 const SHARD_COUNT: u8 = 16;
 
@@ -58,11 +63,23 @@
     blake3::hash(id.as_bytes()).as_bytes()[0] % SHARD_COUNT
 }
 
-/// Leaders that a domain with `listed_servers` needs.
-pub fn leader_count(listed_servers: usize) -> usize {
-    listed_servers
-        .div_ceil(SERVERS_PER_LEADER)
-        .clamp(1, usize::from(SHARD_COUNT))
+/// Leaders that a domain with `listed_servers` needs while `in_office` lead.
+pub fn leader_count(listed_servers: usize, in_office: usize) -> usize {
+    let fewest = listed_servers.div_ceil(MOST_PER_LEADER);
+    let most = listed_servers.div_ceil(FEWEST_PER_LEADER);
+    let count = match in_office {
+        0 => listed_servers.div_ceil(SERVERS_PER_LEADER),
+        _ => in_office.clamp(fewest, most.max(fewest)),
+    };
+    count.clamp(1, usize::from(SHARD_COUNT))
+}
+
+/// Members that lead shards, as far as they can be reached.
+pub fn leaders_in_office(members: &[DomainMember]) -> usize {
+    members
+        .iter()
+        .filter(|member| member.reachable && !member.shards.is_empty())
+        .count()
 }
 
 /// A process of the failure domain, as seen by one of them.
--- a/crates/cuminkeel_pool/src/link_plan.rs
+++ b/crates/cuminkeel_pool/src/link_plan.rs
@@ -10,6 +10,9 @@
 /// Members of the own failure domain that each of its processes is linked to beyond its
 /// leaders, as a rack can take neighbours with it.
 const NEAR_CANDIDATES: usize = 2;
+/// Members of the own failure domain that are tried at once while none is linked: dials of
+/// lost VMs take long to fail, and a process that starts has to find who leads.
+const FIRST_TRIES: usize = 16;
 /// Members of each other failure domain that a leader introduces itself to.
 const FAR_CANDIDATES: usize = 2;
 
@@ -72,12 +75,12 @@
         .collect();
     let domains: BTreeSet<&Arc<str>> = peers.iter().map(|peer| &peer.failure_domain).collect();
     for domain in domains {
-        let count = match (&**domain == own.failure_domain, own.leads) {
-            (true, _) => own.leader_count + NEAR_CANDIDATES,
-            (false, true) => FAR_CANDIDATES,
+        let (count, first_tries) = match (&**domain == own.failure_domain, own.leads) {
+            (true, _) => (own.leader_count + NEAR_CANDIDATES, FIRST_TRIES),
+            (false, true) => (FAR_CANDIDATES, FAR_CANDIDATES),
             (false, false) => continue,
         };
-        wanted.extend(candidates(domain, count, peers));
+        wanted.extend(candidates(domain, count, first_tries, peers));
     }
     wanted
 }
@@ -102,6 +105,7 @@
 fn candidates<'a>(
     domain: &'a str,
     count: usize,
+    first_tries: usize,
     peers: &'a [PeerPlace],
 ) -> impl Iterator<Item = Arc<str>> + 'a {
     let mut members: SmallVec<[&PeerPlace; 16]> = peers
@@ -109,11 +113,17 @@
         .filter(|peer| *peer.failure_domain == *domain)
         .collect();
     members.sort_by_key(|peer| (std::cmp::Reverse(peer.cpu_millis), &peer.name));
+    let none_linked = members.iter().all(|peer| peer.reach != PeerReach::Linked);
+    let tries = if none_linked {
+        count.max(first_tries)
+    } else {
+        count
+    };
     let (mut linked, mut untried, mut failed) = (0, 0, 0);
     members
         .into_iter()
         .take_while(move |peer| {
-            let enough = linked >= count || linked + untried >= count + failed;
+            let enough = linked >= count || linked + untried >= tries + failed;
             match peer.reach {
                 PeerReach::Failed => failed += 1,
                 PeerReach::Linked => linked += 1,
--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -11,6 +11,9 @@
 const MAX_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Claims of a silent server that renew its leases: one lost answer or two lose no run.
 const RENEWING_CLAIMS: u32 = 2;
+/// Claims that may wait for their answers: on a small share of a core more would time out
+/// in the process itself.
+const MAX_CLAIMS_IN_FLIGHT: usize = 64;
 /// Claims in a row after which a server that turns them away is left alone for a while.
 const MAX_FENCED_TRIES: u32 = 40;
 
@@ -84,14 +87,26 @@
         for id in released {
             self.release(&id, now, "given_up");
         }
-        for id in wanted {
-            let released = self
-                .servers
-                .get(id)
-                .is_some_and(|slot| slot.standing == server_slot::ServerStanding::Released);
-            if released {
-                self.begin_claim(id, now);
-            }
+        let in_flight = self
+            .servers
+            .values()
+            .filter(|slot| {
+                slot.standing == server_slot::ServerStanding::Claiming && slot.claim_at.is_none()
+            })
+            .count();
+        // The others follow at the next look.
+        let due: Vec<Arc<str>> = wanted
+            .iter()
+            .filter(|id| {
+                self.servers
+                    .get(*id)
+                    .is_some_and(|slot| slot.standing == server_slot::ServerStanding::Released)
+            })
+            .take(MAX_CLAIMS_IN_FLIGHT.saturating_sub(in_flight))
+            .cloned()
+            .collect();
+        for id in due {
+            self.begin_claim(&id, now);
         }
     }
 
