Name the cause of a request's outcome from its log lines

On-call engineers had the lines of a request and had to read them. explain now ends with the cause: refused (by whom, why), lost with its process, its pool or a run, slowed by a server, waited for room. Three failures made on purpose on the emulator (a full pool, a killed leader, a server cut off) are each traced to their cause by the lines alone; a table holds the other cases.

--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod peer_table;
 pub mod pool_driver;
 pub mod process;
+pub mod request_cause;
 pub mod store_feed;
--- a/crates/cuminkeel_node/src/main.rs
+++ b/crates/cuminkeel_node/src/main.rs
@@ -3,7 +3,7 @@
 use std::{env, path, process::ExitCode};
 
 use argh::FromArgs;
-use cuminkeel_node::{explain, process};
+use cuminkeel_node::{explain, process, request_cause};
 use derive_more::{Display, Error, From};
 use platform_adapter::settings;
 
@@ -40,7 +40,8 @@
     settings: Option<path::PathBuf>,
 }
 
-/// Show the way of one request through the processes, from their log files.
+/// Show the way of one request through the processes, and the cause of its outcome, from
+/// their log files.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 struct ExplainCommand {
@@ -118,6 +119,7 @@
         }
     } else {
         print!("{}", explain::render_table(&lines));
+        println!("cause: {}", request_cause::find_cause(&lines));
     }
     Ok(())
 }
--- a/crates/cuminkeel_node/tests/node/fleet.rs
+++ b/crates/cuminkeel_node/tests/node/fleet.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time};
 
 use bytes::Bytes;
-use cuminkeel_node::hosted_process;
+use cuminkeel_node::{decision_log, hosted_process};
 use platform_adapter::{http_peer, settings};
 use platform_emulator::{loopback, runner_host, store_host};
 
@@ -17,19 +17,27 @@
 pub struct TestNode {
     pub settings: settings::ProcessSettings,
     process: Arc<hosted_process::HostedProcess>,
+    log: Arc<decision_log::LogBuffer>,
 }
 
 impl TestNode {
     /// Starts a process.
     pub fn start(settings: settings::ProcessSettings) -> Self {
-        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let log = Arc::new(decision_log::LogBuffer::default());
+        let logger = decision_log::buffered_logger(&log, &settings.node_name);
         let process = hosted_process::HostedProcess::start(settings.clone(), logger);
         Self {
             settings,
             process: Arc::new(process.expect("a process")),
+            log,
         }
     }
 
+    /// What it has logged since the last call.
+    pub fn take_log(&self) -> Vec<u8> {
+        self.log.take()
+    }
+
     /// Ends the process at once, as SIGKILL would.
     pub fn kill(&mut self) {
         self.process.kill();
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Whole processes on the emulated platform, over loopback.
 
+mod causes;
 mod fleet;
 mod front;
 mod links;
