Count what of the platform's answers can't be read, and log it

A registry record whose value can't be decoded was taken for a dropped one, and rows of a server's lists that can't be read were left out without a word.

--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -235,7 +235,15 @@
             }
             PoolEvent::Start(order, verdict) => self.pool.start_answered(&order, verdict, now),
             PoolEvent::Stop(order, verdict) => self.pool.stop_answered(&order, verdict, now),
-            PoolEvent::Hold(order, verdict) => self.pool.hold_answered(&order, verdict, now),
+            PoolEvent::Hold(order, verdict) => {
+                if let server_model::HoldVerdict::Listed(report) = &verdict
+                    && report.unreadable > 0
+                {
+                    slog::warn!(self.node.logger, "rows_unreadable"; "server" => &*order.server,
+                        "rows" => report.unreadable);
+                }
+                self.pool.hold_answered(&order, verdict, now);
+            }
             PoolEvent::Registry(RegistryChange::Listed(entry)) => {
                 self.pool.list_server(entry, now);
             }
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -45,7 +45,17 @@
     node.metrics.count_store_failure(what);
 }
 
-fn note_success(node: &node_state::Node, what: &'static str, failures: &mut u32) {
+/// Notes an answer, and what of it can't be read.
+fn note_success(
+    node: &node_state::Node,
+    what: &'static str,
+    failures: &mut u32,
+    batch: &store::RecordBatch,
+) {
+    if batch.unreadable > 0 {
+        slog::warn!(node.logger, "records_unreadable"; "feed" => what,
+            "records" => batch.unreadable);
+    }
     if *failures > 0 {
         slog::info!(node.logger, "store_regained"; "feed" => what, "failures" => *failures);
     }
@@ -65,7 +75,7 @@
         };
         match batch {
             Ok(batch) => {
-                note_success(&node, "config", &mut failures);
+                note_success(&node, "config", &mut failures, &batch);
                 offset = Some(batch.next_offset);
                 for record in batch.records {
                     if &*record.key == store::CONFIG_KEY
@@ -158,7 +168,7 @@
         let now = feed.node.now();
         match batch {
             Ok(batch) => {
-                note_success(&feed.node, "registry", &mut failures);
+                note_success(&feed.node, "registry", &mut failures, &batch);
                 offset = Some(batch.next_offset);
                 if feed.known.is_empty() {
                     // Before the start the store may have been away, or servers cut off from it.
@@ -293,7 +303,7 @@
         };
         match batch {
             Ok(batch) => {
-                note_success(&node, "peers", &mut failures);
+                note_success(&node, "peers", &mut failures, &batch);
                 offset = Some(batch.next_offset);
                 // An entry that was taken for abandoned is written anew.
                 announced &= !is_dropped(&node.hello.name, &batch.records);
--- a/crates/cuminkeel_pool/src/server_model.rs
+++ b/crates/cuminkeel_pool/src/server_model.rs
@@ -84,6 +84,8 @@
     pub running: Vec<ListedRun>,
     /// What ended and was not acknowledged before.
     pub finished: Vec<ListedEnd>,
+    /// Rows of either list that can't be read.
+    pub unreadable: usize,
 }
 
 /// What became of a hold.
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -276,6 +276,7 @@
     pub fn report(&self, now: time::Duration) -> server_model::HoldReport {
         server_model::HoldReport {
             clock_ms: self.clock_ms(now),
+            unreadable: 0,
             born: Some(self.entry.born),
             running: self
                 .runs
