Tune by a YAML file; a proxy in the soak; the address that peers dial

What an operator would change was in constants: order and hold time-outs, the wait for a leader, port of the counters, level and buffer of the log. They are settings with unit and range now, in YAML, checked with line and column.

The soak had no faults between processes, store and servers. A loopback proxy stands in front of each now and delays, holds back (either way or both) or resets.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -6,8 +6,6 @@
 
 use crate::{node_state, peer_link, peer_table};
 
-/// How long a job waits for a leader of its failure domain to be found.
-const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Pause between looks for a leader.
 const LEADER_PAUSE: time::Duration = time::Duration::from_millis(25);
 /// Pools of other failure domains that a job is offered to.
@@ -114,6 +112,7 @@
 
     /// Offers the job to the own domain's pool until one takes or refuses it.
     async fn offer_near(&mut self, terms: job_model::OfferTerms) -> Result<JobAnswer, JobAnswer> {
+        let leader_wait = self.node.tuning.leader_wait();
         let mut leaderless_since = None;
         loop {
             let target = self.near_pool();
@@ -146,10 +145,10 @@
             }
             let now = self.node.now();
             let since = *leaderless_since.get_or_insert(now);
-            if now > since + LEADER_WAIT || now + LEADER_PAUSE > self.deadline {
+            if now > since + leader_wait || now + LEADER_PAUSE > self.deadline {
                 return Err(JobAnswer::Refused {
                     reason: job_model::RefusalReason::NoPool,
-                    retry_after: LEADER_WAIT,
+                    retry_after: leader_wait,
                 });
             }
             tokio::time::sleep(LEADER_PAUSE).await;
--- a/crates/cuminkeel_node/src/decision_log.rs
+++ b/crates/cuminkeel_node/src/decision_log.rs
@@ -13,8 +13,8 @@
 use cuminkeel_pool::pool_action;
 use slog::Drain;
 
-/// Bytes that may wait to be written: a second at ten times the lines of a full load.
-const LOG_BUFFER_BYTES: usize = 2 * 1024 * 1024;
+use crate::node_tuning;
+
 /// Time between two writes.
 const FLUSH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -22,13 +22,35 @@
 const RESERVED_PART: usize = 2;
 
 /// Lines that wait to be written.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LogBuffer {
     waiting: Mutex<Vec<u8>>,
     dropped: atomic::AtomicU64,
+    capacity: usize,
+    least_severe: slog::Level,
+}
+
+impl Default for LogBuffer {
+    fn default() -> Self {
+        Self::new(&node_tuning::NodeTuning::default())
+    }
 }
 
 impl LogBuffer {
+    /// A buffer of the size, and for the lines, that `tuning` asks for.
+    pub fn new(tuning: &node_tuning::NodeTuning) -> Self {
+        Self {
+            waiting: Mutex::new(Vec::new()),
+            dropped: atomic::AtomicU64::new(0),
+            capacity: tuning.log_buffer_bytes(),
+            least_severe: match tuning.log_level {
+                node_tuning::LogLevel::Debug => slog::Level::Debug,
+                node_tuning::LogLevel::Info => slog::Level::Info,
+                node_tuning::LogLevel::Warning => slog::Level::Warning,
+            },
+        }
+    }
+
     /// Whether a line of `level` may still be added.
     fn admits(&self, level: slog::Level) -> bool {
         let waiting = self
@@ -37,8 +59,8 @@
             .unwrap_or_else(PoisonError::into_inner)
             .len();
         match level {
-            slog::Level::Debug | slog::Level::Trace => waiting < LOG_BUFFER_BYTES / RESERVED_PART,
-            _ => waiting < LOG_BUFFER_BYTES,
+            slog::Level::Debug | slog::Level::Trace => waiting < self.capacity / RESERVED_PART,
+            _ => waiting < self.capacity,
         }
     }
 
@@ -70,6 +92,9 @@
         record: &slog::Record<'_>,
         values: &slog::OwnedKVList,
     ) -> Result<Self::Ok, Self::Err> {
+        if !record.level().is_at_least(self.buffer.least_severe) {
+            return Ok(());
+        }
         if !self.buffer.admits(record.level()) {
             self.buffer.dropped.fetch_add(1, atomic::Ordering::Relaxed);
             return Ok(());
--- a/crates/cuminkeel_node/src/hosted_process.rs
+++ b/crates/cuminkeel_node/src/hosted_process.rs
@@ -44,7 +44,7 @@
             .spawn(move || {
                 let ended = runtime.block_on(async {
                     tokio::select! {
-                        ended = process::serve(own, None, logger, inbox) => ended,
+                        ended = process::serve(own, None, process::StartOptions::default(), logger, inbox) => ended,
                         _ = killed => Ok(()),
                     }
                 });
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link_news;
 pub mod node_metrics;
 pub mod node_state;
+pub mod node_tuning;
 pub mod peer_link;
 pub mod peer_table;
 pub mod pool_driver;
--- a/crates/cuminkeel_node/src/main.rs
+++ b/crates/cuminkeel_node/src/main.rs
@@ -1,9 +1,9 @@
 //! `cuminkeel-node`: reads its arguments and runs one command.
 
-use std::{env, path, process::ExitCode};
+use std::{env, net, path, process::ExitCode, sync::Arc};
 
 use argh::FromArgs;
-use cuminkeel_node::{explain, process, request_cause};
+use cuminkeel_node::{explain, node_tuning, process, request_cause};
 use derive_more::{Display, Error, From};
 use platform_adapter::settings;
 
@@ -29,15 +29,24 @@
     /// path of the platform's settings file; by default the one named in the environment
     #[argh(option)]
     settings: Option<path::PathBuf>,
+    /// address at which other processes reach this one, where it isn't that of the settings
+    #[argh(option)]
+    advertise: Option<net::SocketAddr>,
+    /// YAML file of what may be tuned (examples/tuning.yaml)
+    #[argh(option)]
+    tuning: Option<path::PathBuf>,
 }
 
-/// Check a settings file.
+/// Check the platform's settings file, or a file of what may be tuned.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 struct CheckCommand {
     /// path of the platform's settings file; by default the one named in the environment
     #[argh(option)]
     settings: Option<path::PathBuf>,
+    /// YAML file of what may be tuned, checked by itself unless --settings is given, too
+    #[argh(option)]
+    tuning: Option<path::PathBuf>,
 }
 
 /// Show the way of one request through the processes, and the cause of its outcome, from
@@ -63,6 +72,8 @@
     #[display("{_0}")]
     Settings(settings::SettingsError),
     #[display("{_0}")]
+    Tuning(node_tuning::TuningError),
+    #[display("{_0}")]
     Runtime(std::io::Error),
     #[display(
         "no settings file: give --settings or set {}",
@@ -76,8 +87,8 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let result = match arguments.command {
-        Command::Serve(command) => serve(command.settings),
-        Command::Check(command) => check(command.settings),
+        Command::Serve(command) => serve(command),
+        Command::Check(command) => check(command),
         Command::Explain(command) => show_way(&command),
     };
     match result {
@@ -95,19 +106,35 @@
         .ok_or(CommandError::NoSettings)
 }
 
-fn serve(given: Option<path::PathBuf>) -> Result<(), CommandError> {
-    let path = settings_path(given)?;
+fn serve(command: ServeCommand) -> Result<(), CommandError> {
+    let path = settings_path(command.settings)?;
+    let options = process::StartOptions {
+        advertised: command
+            .advertise
+            .map(|address| Arc::from(address.to_string())),
+        tuning: read_tuning(command.tuning.as_deref())?,
+    };
     // VMs have one core or less: one thread decides and does all I/O.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(process::run(&path))?;
+    runtime.block_on(process::run(&path, options))?;
     Ok(())
 }
 
-fn check(given: Option<path::PathBuf>) -> Result<(), CommandError> {
-    let settings = settings::ProcessSettings::read(&settings_path(given)?)?;
-    println!("{settings:#?}");
+fn read_tuning(path: Option<&path::Path>) -> Result<node_tuning::NodeTuning, CommandError> {
+    let tuning = path.map(node_tuning::NodeTuning::read).transpose()?;
+    Ok(tuning.unwrap_or_default())
+}
+
+fn check(command: CheckCommand) -> Result<(), CommandError> {
+    if let Some(path) = &command.tuning {
+        println!("{:#?}", node_tuning::NodeTuning::read(path)?);
+    }
+    if command.tuning.is_none() || command.settings.is_some() {
+        let path = settings_path(command.settings)?;
+        println!("{:#?}", settings::ProcessSettings::read(&path)?);
+    }
     Ok(())
 }
 
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -10,7 +10,7 @@
 use platform_adapter::{routing, settings};
 use tokio::sync::watch;
 
-use crate::{link_frame, node_metrics, peer_link, peer_table, pool_driver};
+use crate::{link_frame, node_metrics, node_tuning, peer_link, peer_table, pool_driver};
 
 /// Longest time between reviews of the links, for those that are not wanted any more.
 const LINK_REVIEW: time::Duration = time::Duration::from_secs(1);
@@ -31,6 +31,8 @@
 pub struct Node {
     /// The platform's settings.
     pub settings: settings::ProcessSettings,
+    /// Settings of our own.
+    pub tuning: node_tuning::NodeTuning,
     /// How the process introduces itself to peers.
     pub hello: link_frame::PeerHello,
     /// The log.
@@ -54,12 +56,14 @@
     /// The state of a process that has just started.
     pub fn new(
         settings: settings::ProcessSettings,
+        tuning: node_tuning::NodeTuning,
         hello: link_frame::PeerHello,
         logger: slog::Logger,
         pool: pool_driver::PoolHandle,
     ) -> Self {
         Self {
             settings,
+            tuning,
             hello,
             logger,
             metrics: node_metrics::NodeMetrics::default(),
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -12,11 +12,6 @@
 
 use crate::{decision_log, domain_view, link_frame, node_state};
 
-/// Time for the answer to a start or a stop: forty round trips inside a failure domain. A
-/// new claim follows, which settles in one round trip what became of the order.
-const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(40);
-/// Time for the answer to a hold, beyond what it asks the server to wait.
-const HOLD_TIMEOUT: time::Duration = time::Duration::from_millis(80);
 /// Time between looks at what is due, while there are jobs.
 const BUSY_TICK: time::Duration = time::Duration::from_millis(20);
 /// Time between looks at what is due, without jobs.
@@ -310,13 +305,15 @@
     }
 
     fn carry_out(&mut self) {
+        let order_timeout = self.node.tuning.order_timeout();
+        let hold_timeout = self.node.tuning.hold_timeout();
         for action in self.pool.take_actions() {
             match action {
                 pool_action::PoolAction::Start(order) => {
                     let client = self.client(&order.server, &order.address);
                     let events = self.node.pool.events.clone();
                     tokio::spawn(async move {
-                        let verdict = client.start(&order, ORDER_TIMEOUT).await;
+                        let verdict = client.start(&order, order_timeout).await;
                         let _closed = events.send(PoolEvent::Start(order, verdict));
                     });
                 }
@@ -324,7 +321,7 @@
                     let client = self.client(&order.server, &order.address);
                     let events = self.node.pool.events.clone();
                     tokio::spawn(async move {
-                        let verdict = client.hold(&order, HOLD_TIMEOUT).await;
+                        let verdict = client.hold(&order, hold_timeout).await;
                         let _closed = events.send(PoolEvent::Hold(order, verdict));
                     });
                 }
@@ -332,7 +329,7 @@
                     let client = self.client(&order.server, &order.address);
                     let events = self.node.pool.events.clone();
                     tokio::spawn(async move {
-                        let verdict = client.stop(&order, ORDER_TIMEOUT).await;
+                        let verdict = client.stop(&order, order_timeout).await;
                         let _closed = events.send(PoolEvent::Stop(order, verdict));
                     });
                 }
--- a/crates/cuminkeel_node/src/process.rs
+++ b/crates/cuminkeel_node/src/process.rs
@@ -10,7 +10,10 @@
     sync::{mpsc, watch},
 };
 
-use crate::{decision_log, front, link_frame, link_listener, node_state, pool_driver, store_feed};
+use crate::{
+    decision_log, front, link_frame, link_listener, node_state, node_tuning, pool_driver,
+    store_feed,
+};
 
 /// Tries to bind an address that a former process may still hold.
 const BIND_TRIES: u32 = 20;
@@ -23,8 +26,6 @@
 const END_PERCENT: u32 = 92;
 /// Time between looks at the settings file, which may change without a signal.
 const SETTINGS_POLL: time::Duration = time::Duration::from_secs(2);
-/// Port of the counters on the VM's address, unless the settings of the process say otherwise.
-const METRICS_PORT: u16 = 9464;
 
 /// Why a process ended by itself.
 #[derive(Debug, Display, Error)]
@@ -72,14 +73,23 @@
     Reload,
 }
 
+/// What a process is given at its start beside the platform's settings.
+#[derive(Clone, Debug, Default)]
+pub struct StartOptions {
+    /// Address at which peers dial it, where that isn't the one that it listens on for links.
+    pub advertised: Option<Arc<str>>,
+    /// Settings of our own.
+    pub tuning: node_tuning::NodeTuning,
+}
+
 /// Runs the process until SIGTERM.
 ///
 /// # Errors
 ///
 /// Fails when the settings, an address or the system's means can't be used.
-pub async fn run(settings_path: &path::Path) -> Result<(), ProcessError> {
+pub async fn run(settings_path: &path::Path, options: StartOptions) -> Result<(), ProcessError> {
     let settings = settings::ProcessSettings::read(settings_path)?;
-    let buffer = Arc::new(decision_log::LogBuffer::default());
+    let buffer = Arc::new(decision_log::LogBuffer::new(&options.tuning));
     let logger = decision_log::buffered_logger(&buffer, &settings.node_name);
     decision_log::start_writer(&buffer)?;
     let mut term = unix::signal(unix::SignalKind::terminate())?;
@@ -96,7 +106,7 @@
             }
         }
     });
-    let result = serve(settings, Some(settings_path), logger, inbox).await;
+    let result = serve(settings, Some(settings_path), options, logger, inbox).await;
     decision_log::write_waiting(&buffer);
     result
 }
@@ -110,6 +120,7 @@
 pub async fn serve(
     settings: settings::ProcessSettings,
     settings_path: Option<&path::Path>,
+    options: StartOptions,
     logger: slog::Logger,
     mut signals: mpsc::Receiver<ProcessSignal>,
 ) -> Result<(), ProcessError> {
@@ -119,14 +130,22 @@
     let hello = link_frame::PeerHello {
         name: Arc::clone(&settings.node_name),
         failure_domain: Arc::clone(&settings.failure_domain),
-        link_address: Arc::clone(&settings.link_address),
+        link_address: options
+            .advertised
+            .unwrap_or_else(|| Arc::clone(&settings.link_address)),
         cpu_millis: whole_millis(settings.cpu_share),
         boot: rand::random(),
     };
     slog::info!(logger, "started"; "domain" => &*hello.failure_domain,
         "boot" => hello.boot, "cpu_millis" => hello.cpu_millis, "version" => env!("CARGO_PKG_VERSION"));
     let (pool, inbox) = pool_driver::PoolHandle::new();
-    let node = Arc::new(node_state::Node::new(settings, hello, logger, pool));
+    let node = Arc::new(node_state::Node::new(
+        settings,
+        options.tuning,
+        hello,
+        logger,
+        pool,
+    ));
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(pool_driver::run_pool(Arc::clone(&node), inbox));
     tokio::spawn(store_feed::follow_config(Arc::clone(&node)));
@@ -170,7 +189,7 @@
 
 /// The counters are no reason not to serve.
 async fn serve_metrics(node: &Arc<node_state::Node>) {
-    let address = format!("{}:{METRICS_PORT}", node.settings.ip);
+    let address = format!("{}:{}", node.settings.ip, node.tuning.metrics_port);
     match net::TcpListener::bind(&address).await {
         Ok(listener) => {
             tokio::spawn(front::serve_metrics(Arc::clone(node), listener));
--- a/crates/cuminkeel_node/tests/node/logs.rs
+++ b/crates/cuminkeel_node/tests/node/logs.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf, sync::Arc};
 
-use cuminkeel_node::{decision_log, explain};
+use cuminkeel_node::{decision_log, explain, node_tuning};
 
 /// Lines of a second at ten times the usual load of a leader: fifty jobs, three hundred
 /// decisions on their tasks.
@@ -53,6 +53,21 @@
     );
 }
 
+#[test]
+fn lines_below_the_level_in_the_settings_are_left_out() {
+    let tuning = node_tuning::NodeTuning {
+        log_level: node_tuning::LogLevel::Info,
+        ..node_tuning::NodeTuning::default()
+    };
+    let buffer = Arc::new(decision_log::LogBuffer::new(&tuning));
+    let logger = logger(&buffer);
+    slog::debug!(logger, "placed");
+    slog::info!(logger, "refused");
+    let lines = lines(&buffer);
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["msg"], "refused");
+}
+
 struct LogFile(PathBuf);
 
 impl Drop for LogFile {
--- a/crates/cuminkeel_node/tests/node/parts.rs
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use cuminkeel_node::{domain_view, link_frame, peer_link, store_feed};
+use cuminkeel_node::{domain_view, link_frame, node_tuning, peer_link, store_feed};
 use cuminkeel_pool::{job_model, leadership};
 
 fn ms(value: u64) -> time::Duration {
@@ -177,3 +177,44 @@
         assert!(link_frame::read_frame(&mut reader).await.is_err(), "{name}");
     }
 }
+
+#[test]
+fn the_example_of_what_may_be_tuned_has_the_defaults() {
+    let example =
+        std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/tuning.yaml");
+    let tuning = node_tuning::NodeTuning::read(&example).expect("an example");
+    assert_eq!(tuning, node_tuning::NodeTuning::default());
+}
+
+#[test]
+fn bad_tuning_is_refused_with_its_place_and_range() {
+    let path = std::env::temp_dir().join(format!("cuminkeel-tuning-{}.yaml", std::process::id()));
+    let cases = [
+        (
+            "leader_wait_ms: 50\n",
+            "`leader_wait_ms` is 50 ms; use 100 to 10000",
+        ),
+        ("metrics_port: 0\n", "`metrics_port` is 0"),
+        ("order_timeout_ms: 40\nhold_timeout: 80\n", "hold_timeout"),
+        ("log_level: loud\n", "loud"),
+        ("log_buffer_kib: much\n", "line 1"),
+    ];
+    for (text, expected) in cases {
+        std::fs::write(&path, text).expect("a file");
+        let failure = node_tuning::NodeTuning::read(&path)
+            .expect_err(text)
+            .to_string();
+        assert!(failure.contains(expected), "{text}: {failure}");
+    }
+    std::fs::write(&path, "order_timeout_ms: 60\n").expect("a file");
+    let tuning = node_tuning::NodeTuning::read(&path).expect("settings");
+    assert_eq!(tuning.order_timeout(), ms(60));
+    assert_eq!(
+        tuning.leader_wait(),
+        ms(1_500),
+        "the rest keeps its default"
+    );
+    std::fs::remove_file(&path).expect("it was written");
+    let failure = node_tuning::NodeTuning::read(&path).expect_err("no file");
+    assert!(failure.to_string().starts_with("can't read"), "{failure}");
+}
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, rngs::StdRng};
 use rustix::process::Signal;
 
-use crate::site;
+use crate::{proxy, site};
 
 /// A fault as it was injected.
 #[derive(Clone, Debug)]
@@ -26,6 +26,7 @@
     ResumeNode(usize),
     MendServer(usize),
     MendStore,
+    MendProxy(usize),
 }
 
 /// Injects faults for `length`.
@@ -72,7 +73,7 @@
     let node = random.random_range(0..site.nodes.len());
     let server = random.random_range(0..site.servers.len());
     let name = site.nodes[node].name;
-    match random.random_range(0..12) {
+    match random.random_range(0..16) {
         0 => {
             site.nodes[node].signal(Signal::KILL);
             site.nodes[node].ended().await;
@@ -114,6 +115,23 @@
             site.configure(version);
             (format!("configuration {version}"), None)
         }
+        9..=12 => {
+            let count = site.proxies().count();
+            let number = random.random_range(0..count);
+            let delay = time::Duration::from_millis(random.random_range(5..200));
+            let mode = match random.random_range(0..5) {
+                0 => proxy::ProxyMode::Delay(delay),
+                1 => proxy::ProxyMode::SilentUp,
+                2 => proxy::ProxyMode::SilentDown,
+                3 => proxy::ProxyMode::Silent,
+                _ => proxy::ProxyMode::Reset,
+            };
+            set_proxy(site, number, mode);
+            (
+                format!("proxy {number} {mode:?}"),
+                Some(Repair::MendProxy(number)),
+            )
+        }
         _ => {
             let late = time::Duration::from_millis(random.random_range(300..3_000));
             let mode = match random.random_range(0..5) {
@@ -146,5 +164,13 @@
             site.servers[server].set_mode(fake_server::ServerMode::Sound);
         }
         Repair::MendStore => site.store.set_mode(store_host::StoreMode::Up),
+        Repair::MendProxy(number) => set_proxy(site, number, proxy::ProxyMode::Pass),
+    }
+}
+
+/// Numbers of the proxies: 0 for the store, then the servers, then the links.
+fn set_proxy(site: &site::SoakSite, number: usize, mode: proxy::ProxyMode) {
+    if let Some(proxy) = site.proxies().nth(number) {
+        proxy.set_mode(mode);
     }
 }
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod faults;
 mod promises;
+mod proxy;
 mod site;
 
 use rand::SeedableRng;
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -12,6 +12,8 @@
 use platform_emulator::{loopback, runner_host, store_host};
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::proxy;
+
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/orders/";
 /// Processes, by failure domain.
@@ -31,6 +33,8 @@
 pub struct SoakNode {
     pub name: &'static str,
     pub callers: Arc<str>,
+    /// In front of its links.
+    pub links: proxy::Proxy,
     settings: PathBuf,
     log: PathBuf,
     child: Option<process::Child>,
@@ -47,6 +51,8 @@
             .arg("serve")
             .arg("--settings")
             .arg(&self.settings)
+            .arg("--advertise")
+            .arg(&*self.links.address)
             .stdout(log)
             .stderr(process::Stdio::inherit())
             .spawn()
@@ -93,7 +99,11 @@
 
 pub struct SoakSite {
     pub store: store_host::StoreHost,
+    /// In front of the store.
+    pub store_proxy: proxy::Proxy,
     pub servers: Vec<runner_host::RunnerHost>,
+    /// In front of each server.
+    pub server_proxies: Vec<proxy::Proxy>,
     pub nodes: Vec<SoakNode>,
     folder: PathBuf,
 }
@@ -101,15 +111,20 @@
 impl SoakSite {
     pub async fn start() -> Self {
         let store = store_host::StoreHost::start().await.expect("a store");
+        let store_proxy = proxy::Proxy::start(&store.address()).await;
         let mut servers = Vec::new();
+        let mut server_proxies = Vec::new();
         for domain in ["north", "south"] {
             for number in 0..SERVERS {
                 let name = format!("{domain}-server-{number}");
                 let server = runner_host::RunnerHost::start(&name, domain, 16_000)
                     .await
                     .expect("a server");
+                let server_proxy = proxy::Proxy::start(&server.address()).await;
+                server.set_address(&server_proxy.address);
                 server.register(&store);
                 servers.push(server);
+                server_proxies.push(server_proxy);
             }
         }
         let folder = std::env::temp_dir().join(format!(
@@ -121,12 +136,14 @@
         let mut site = Self {
             nodes: Vec::new(),
             store,
+            store_proxy,
             servers,
+            server_proxies,
             folder,
         };
         site.configure(1);
         for (name, domain) in NODES {
-            let mut node = site.node(name, domain);
+            let mut node = site.node(name, domain).await;
             node.start();
             site.nodes.push(node);
         }
@@ -146,7 +163,7 @@
         self.store.put("keyed.op", "config", config.to_string());
     }
 
-    fn node(&self, name: &'static str, domain: &str) -> SoakNode {
+    async fn node(&self, name: &'static str, domain: &str) -> SoakNode {
         let ip = loopback::own_ip();
         let [callers, ready, links]: [Arc<str>; 3] =
             loopback::free_ports(ip).map(|port| Arc::from(format!("{ip}:{port}")));
@@ -155,22 +172,35 @@
             "bind_addrs": {"frontend": callers, "ready": ready, "control_plane": links},
             "seed_nodes": [], "limits": {"cpu_share": 0.5},
             "bounds": {"max_hold_ms": 1000, "stop_timeout_ms": 50, "grace_s": 3, "config_apply_ms": 2000},
-            "platform": {"address": self.store.address()},
+            "platform": {"address": self.store_proxy.address},
         });
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("a settings file");
         SoakNode {
             name,
             callers,
+            links: proxy::Proxy::start(&links).await,
             settings: path,
             log: self.folder.join(format!("{name}.log")),
             child: None,
         }
     }
 
+    /// All proxies: of the store, the servers and the links.
+    pub fn proxies(&self) -> impl Iterator<Item = &proxy::Proxy> {
+        let links = self.nodes.iter().map(|node| &node.links);
+        [&self.store_proxy]
+            .into_iter()
+            .chain(&self.server_proxies)
+            .chain(links)
+    }
+
     /// Ends all faults and starts what is down.
     pub fn heal(&mut self) {
         self.store.set_mode(store_host::StoreMode::Up);
+        for proxy in self.proxies() {
+            proxy.set_mode(proxy::ProxyMode::Pass);
+        }
         for server in &self.servers {
             server.set_mode(fake_server::ServerMode::Sound);
             server.register(&self.store);
