Take over the jobs of one of several leaders

Cause: when one of several leaders was lost, each of its jobs was answered as lost at once, though a process that becomes a leader for it usually gets exactly its shards.

Change: a job is offered again where the next leader of its shard has all the shards of the lost pool; that pool counts as settled once it knows the runs of these shards. Where the shards went to several, the job is answered at once as before.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -34,8 +34,19 @@
     peer: Arc<str>,
     /// None for the pool of this process.
     link: Option<peer_link::PeerLink>,
-    /// Whether it has all servers of the own failure domain.
-    whole_domain: bool,
+    /// Shards of its failure domain that it has; none while it hasn't said.
+    shards: leadership::ShardSet,
+}
+
+impl PoolTarget {
+    /// A process that hasn't said what it leads is the next leader of a domain that has one.
+    fn assumed_shards(&self) -> leadership::ShardSet {
+        if self.shards.is_empty() {
+            leadership::ShardSet::ALL
+        } else {
+            self.shards
+        }
+    }
 }
 
 /// Runs `spec` for a caller that waits for `patience`.
@@ -50,6 +61,7 @@
         deadline: node.now() + patience.saturating_sub(ANSWER_MARGIN),
         spec,
         maybe_started: false,
+        lost_shards: leadership::ShardSet::default(),
     };
     let patience = patience.saturating_sub(ANSWER_MARGIN);
     match tokio::time::timeout(patience, job.run()).await {
@@ -65,6 +77,8 @@
     arrived: time::Duration,
     deadline: time::Duration,
     maybe_started: bool,
+    /// Shards of the pools of the own failure domain that were lost with it.
+    lost_shards: leadership::ShardSet,
 }
 
 impl CallerJob<'_> {
@@ -116,14 +130,17 @@
         let mut leaderless_since = None;
         loop {
             let target = self.near_pool();
-            let whole_domain = target.as_ref().is_none_or(|target| target.whole_domain);
+            let shards = target
+                .as_ref()
+                .map_or(leadership::ShardSet::ALL, PoolTarget::assumed_shards);
             let end = match target {
-                // Runs of it may go on in a pool that another part of the domain now has.
-                Some(target) if self.maybe_started && !target.whole_domain => {
+                Some(target) if shards.covers(self.lost_shards) => self.offer(target, terms).await,
+                // Runs of it may be on servers of shards that went to different leaders.
+                Some(target) if target.shards.contains_id(&self.spec.id) => {
                     return Ok(JobAnswer::Failed(job_model::FailureReason::PoolLost));
                 }
-                Some(target) => self.offer(target, terms).await,
-                None => Some(job_model::JobEnd::NotLeader),
+                // The next leader of the job's shard hasn't said so yet.
+                Some(_) | None => Some(job_model::JobEnd::NotLeader),
             };
             match end {
                 Some(job_model::JobEnd::Completed) => return Ok(JobAnswer::Completed),
@@ -137,10 +154,10 @@
                         retry_after,
                     });
                 }
-                Some(job_model::JobEnd::PoolLost) | None if !whole_domain => {
-                    return Ok(JobAnswer::Failed(job_model::FailureReason::PoolLost));
+                Some(job_model::JobEnd::PoolLost) | None => {
+                    self.maybe_started = true;
+                    self.lost_shards = self.lost_shards.union(shards);
                 }
-                Some(job_model::JobEnd::PoolLost) | None => self.maybe_started = true,
                 Some(job_model::JobEnd::NotLeader) => {}
             }
             let now = self.node.now();
@@ -204,7 +221,7 @@
         Some(PoolTarget {
             peer: Arc::clone(leader),
             link,
-            whole_domain: member.shards.is_empty() || member.shards == leadership::ShardSet::ALL,
+            shards: member.shards,
         })
     }
 
@@ -238,7 +255,7 @@
                 Some(PoolTarget {
                     peer: Arc::clone(&peer.hello.name),
                     link: Some(peer.link.clone()?),
-                    whole_domain: false,
+                    shards: peer.status.shards,
                 })
             })
             .collect()
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -288,7 +288,7 @@
             let wanted: BTreeSet<Arc<str>> =
                 self.view
                     .wanted_servers(&members, shards, listed.iter(), now);
-            self.pool.own_servers(&wanted, now);
+            self.pool.own_servers(&wanted, shards, now);
         }
         let load = self.pool.load(now);
         self.node.set_pool_status(link_frame::PeerStatus {
--- a/crates/cuminkeel_node/tests/node/fleet.rs
+++ b/crates/cuminkeel_node/tests/node/fleet.rs
@@ -113,6 +113,17 @@
     }
 }
 
+/// Submits jobs of `tasks` tasks at once, and returns the statuses of their answers.
+pub async fn submit_all(node: &TestNode, ids: &[String], payload: &str, tasks: u32) -> Vec<u16> {
+    let mut calls = tokio::task::JoinSet::new();
+    for id in ids {
+        let peer = http_peer::HttpPeer::new(&node.settings.caller_address);
+        let (path, body) = (format!("{PREFIX}{id}"), job_body(payload, tasks));
+        calls.spawn(async move { call(&peer, "POST", &path, &body).await.0 });
+    }
+    calls.join_all().await
+}
+
 async fn call(peer: &http_peer::HttpPeer, method: &str, path: &str, body: &str) -> (u16, Bytes) {
     // The adapter's client names its peer as host; callers name the route's.
     let address = peer.address().to_owned();
--- a/crates/cuminkeel_node/tests/node/shards.rs
+++ b/crates/cuminkeel_node/tests/node/shards.rs
@@ -1,6 +1,6 @@
 //! Several leaders in a large failure domain.
 
-use std::{collections::BTreeSet, time};
+use std::time;
 
 use crate::fleet;
 
@@ -58,15 +58,32 @@
     assert_eq!(started.len(), 48, "each task once");
     let held = held_servers(&nodes).await;
     let lost = held.iter().position(|count| *count > 0).expect("a leader");
-    nodes.remove(lost).kill();
+    let survivor = (0..6)
+        .find(|number| held[*number] == 0)
+        .expect("a follower");
+    let mut leader = nodes.remove(lost);
+    let caller = &nodes[if survivor > lost {
+        survivor - 1
+    } else {
+        survivor
+    }];
+    // Jobs of both leaders; those of the lost one go on at its successor.
+    let ids: Vec<String> = (24..40_u64)
+        .map(|number| format!("{number:016x}"))
+        .collect();
+    let jobs = fleet::submit_all(caller, &ids, "700", 2);
+    let kill = async {
+        fleet::eventually("all starts", async || site.started_tasks().len() == 48 + 32).await;
+        leader.kill();
+    };
+    let (statuses, ()) = tokio::join!(jobs, kill);
+    assert_eq!(statuses, vec![200; 16]);
+    let mut started = site.started_tasks();
+    assert_eq!(started.len(), 48 + 32, "runs were taken over");
+    started.dedup();
+    assert_eq!(started.len(), 48 + 32, "each task once");
     fleet::eventually("another leader", async || {
         held_servers(&nodes).await.iter().sum::<u32>() == u32::try_from(SERVERS).expect("few")
     })
     .await;
-    let ids: BTreeSet<String> = (24..48_u64)
-        .map(|number| format!("{number:016x}"))
-        .collect();
-    for id in &ids {
-        assert_eq!(nodes[0].submit(id, "20", 1).await.0, 200);
-    }
 }
--- a/crates/cuminkeel_pool/src/leadership.rs
+++ b/crates/cuminkeel_pool/src/leadership.rs
@@ -44,6 +44,17 @@
         self == Self::ALL || self.contains(shard_of(id))
     }
 
+    /// Whether all of `others` are among them.
+    pub fn covers(self, others: Self) -> bool {
+        others.0 & !self.0 == 0
+    }
+
+    /// These and `others`.
+    #[must_use]
+    pub fn union(self, others: Self) -> Self {
+        Self(self.0 | others.0)
+    }
+
     /// Whether `shard` is one of them.
     pub fn contains(self, shard: u8) -> bool {
         self.0 & (1 << (shard % SHARD_COUNT)) != 0
--- a/crates/cuminkeel_pool/src/pool.rs
+++ b/crates/cuminkeel_pool/src/pool.rs
@@ -17,7 +17,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    health, job_model, job_order, pool_action, run_estimate, server_model, server_slot, settings,
+    health, job_model, job_order, leadership, pool_action, run_estimate, server_model, server_slot,
+    settings,
 };
 
 /// Bits of a token that tell processes apart; the rest is the epoch.
@@ -98,6 +99,8 @@
     queue: BTreeSet<job_order::QueuePosition>,
     run_places: HashMap<job_model::TaskName, Arc<str>>,
     arrivals: u64,
+    /// Shards of the domain that this pool leads.
+    shards: leadership::ShardSet,
     /// Until when runs of another pool may be unknown here.
     unsettled_until: time::Duration,
     /// Until when servers may be missing in the registry that run something.
@@ -123,6 +126,7 @@
             queue: BTreeSet::new(),
             run_places: HashMap::new(),
             arrivals: 0,
+            shards: leadership::ShardSet::ALL,
             unsettled_until: time::Duration::ZERO,
             registry_sure_at: time::Duration::ZERO,
             foreign_ends: HashMap::new(),
--- a/crates/cuminkeel_pool/src/pool/claims.rs
+++ b/crates/cuminkeel_pool/src/pool/claims.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time};
 
 use super::{FOREIGN_GRACE, MAX_EPOCH, NO_INPUTS, Pool, TOKEN_NONCE_BITS};
-use crate::{job_model, pool_action, server_model, server_slot};
+use crate::{job_model, leadership, pool_action, server_model, server_slot};
 
 /// Pause before the first repeated claim; doubled each time.
 const MIN_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -72,8 +72,15 @@
         );
     }
 
-    /// Claims and releases servers so that the pool holds those in `wanted`.
-    pub fn own_servers(&mut self, wanted: &BTreeSet<Arc<str>>, now: time::Duration) {
+    /// Claims and releases servers so that the pool, which leads `shards`, holds those in
+    /// `wanted`.
+    pub fn own_servers(
+        &mut self,
+        wanted: &BTreeSet<Arc<str>>,
+        shards: leadership::ShardSet,
+        now: time::Duration,
+    ) {
+        self.shards = shards;
         let released: Vec<Arc<str>> = self
             .servers
             .iter()
--- a/crates/cuminkeel_pool/src/pool/schedule.rs
+++ b/crates/cuminkeel_pool/src/pool/schedule.rs
@@ -75,12 +75,11 @@
         placed
     }
 
-    /// Whether runs of a former owner can't be unknown any more.
+    /// Whether runs of a former owner of its shards can't be unknown any more.
     fn is_settled(&self, now: time::Duration) -> bool {
-        let all_known = self
-            .servers
-            .values()
-            .all(|slot| !slot.listed || slot.standing.knows_runs());
+        let all_known = self.servers.iter().all(|(id, slot)| {
+            !slot.listed || slot.standing.knows_runs() || !self.shards.contains_id(id)
+        });
         now >= self.unsettled_until || (all_known && now >= self.registry_sure_at)
     }
 
--- a/crates/cuminkeel_replay/src/replay_world.rs
+++ b/crates/cuminkeel_replay/src/replay_world.rs
@@ -7,7 +7,7 @@
     time,
 };
 
-use cuminkeel_pool::{job_model, pool, pool_action, server_model, settings};
+use cuminkeel_pool::{job_model, leadership, pool, pool_action, server_model, settings};
 
 use crate::fake_server;
 
@@ -155,7 +155,7 @@
     /// Lets pool `number` claim all servers.
     pub fn lead(&mut self, number: usize) {
         let all: BTreeSet<Arc<str>> = self.servers.keys().cloned().collect();
-        self.pools[number].own_servers(&all, self.now);
+        self.pools[number].own_servers(&all, leadership::ShardSet::ALL, self.now);
         self.carry_out(number);
     }
 
