Name the crate of decisions after them; links, peers and cadence in files of their own

cuminkeel_pool is cuminkeel_dispatch: it holds all that decides, of which pools are a part. peer_link.rs (544 lines), store_feed.rs (403) and node_state.rs had several jobs each: how often states are sent (link_cadence), which links there are (link_keeper), what peers say (peer_news) and the list of processes in the store (peer_feed) have files now. No change of behaviour; all tests pass.

--- a/crates/cuminkeel_pool/tests/decisions.rs
+++ b/crates/cuminkeel_dispatch/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use cuminkeel_pool::{
+use cuminkeel_dispatch::{
     admission, health, job_model, job_order, leadership, link_plan, overdue_run, retry_advice,
     run_estimate, task_placement,
 };
--- a/crates/cuminkeel_node/benches/telemetry_cost.rs
+++ b/crates/cuminkeel_node/benches/telemetry_cost.rs
@@ -3,8 +3,8 @@
 use std::{hint, sync::Arc, time};
 
 use criterion::{Criterion, criterion_group, criterion_main};
+use cuminkeel_dispatch::pool_action;
 use cuminkeel_node::{coordinator, decision_log, node_metrics};
-use cuminkeel_pool::pool_action;
 
 /// Lines between two takings of the buffer, so that it never fills.
 const LINES_A_BATCH: usize = 1_000;
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use cuminkeel_pool::{job_model, leadership};
+use cuminkeel_dispatch::{job_model, leadership};
 
 use crate::{node_state, peer_link, peer_table};
 
--- a/crates/cuminkeel_node/src/decision_log.rs
+++ b/crates/cuminkeel_node/src/decision_log.rs
@@ -10,7 +10,7 @@
     thread, time,
 };
 
-use cuminkeel_pool::pool_action;
+use cuminkeel_dispatch::pool_action;
 use slog::Drain;
 
 use crate::node_tuning;
--- a/crates/cuminkeel_node/src/domain_view.rs
+++ b/crates/cuminkeel_node/src/domain_view.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_pool::leadership;
+use cuminkeel_dispatch::leadership;
 
 /// Pause before a server is claimed back from a peer that can be reached: its
 /// view of the leader is about to become the same.
--- a/crates/cuminkeel_node/src/front.rs
+++ b/crates/cuminkeel_node/src/front.rs
@@ -3,7 +3,7 @@
 use std::{convert, sync::Arc, time};
 
 use bytes::Bytes;
-use cuminkeel_pool::job_model;
+use cuminkeel_dispatch::job_model;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -6,7 +6,7 @@
 
 use std::{io, sync::Arc};
 
-use cuminkeel_pool::{job_model, leadership};
+use cuminkeel_dispatch::{job_model, leadership};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 use tokio::{net, sync::mpsc, task};
 
-use crate::{link_frame, link_news, node_state, peer_link, pool_driver};
+use crate::{link_frame, link_news, node_state, peer_news, pool_driver};
 
 /// How long jobs of a broken link are kept for the peer to ask again, over a new link
 /// or through another process: a dial and a half.
@@ -80,7 +80,7 @@
     let result = loop {
         match link_frame::read_frame(&mut reader).await {
             Ok(link_frame::LinkFrame::Status(status)) => {
-                peer_link::note_status(node, &name, status);
+                peer_news::note_status(node, &name, status);
                 let answers = [
                     Some(link_frame::LinkFrame::Status(node.own_status())),
                     news.config(node, &status),
@@ -107,7 +107,7 @@
     waiting: &mut HashMap<u64, task::JoinHandle<()>>,
 ) {
     match frame {
-        link_frame::LinkFrame::Leaders(change) => peer_link::note_leaders(node, name, change),
+        link_frame::LinkFrame::Leaders(change) => peer_news::note_leaders(node, name, change),
         link_frame::LinkFrame::Submit { request, ticket } => {
             waiting.retain(|_, job| !job.is_finished());
             let job = node.pool.submit(ticket);
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use cuminkeel_pool::pool_action;
+use cuminkeel_dispatch::pool_action;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter, family, gauge, histogram},
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -6,16 +6,11 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_pool::{leadership, link_plan};
+use cuminkeel_dispatch::leadership;
 use platform_adapter::{routing, settings};
 use tokio::sync::watch;
 
-use crate::{link_frame, node_metrics, node_tuning, peer_link, peer_table, pool_driver};
-
-/// Longest time between reviews of the links, for those that are not wanted any more.
-const LINK_REVIEW: time::Duration = time::Duration::from_secs(1);
-/// Shortest time between two of them: a dial inside a failure domain takes as long.
-const LINK_REVIEW_PAUSE: time::Duration = time::Duration::from_millis(10);
+use crate::{link_frame, node_metrics, node_tuning, peer_table, pool_driver};
 
 /// The configuration in force, with the bytes that it was decoded from.
 #[derive(Clone, Debug)]
@@ -246,67 +241,3 @@
     drop(peers);
     node.note_peer_change();
 }
-
-/// Dials the peers that this process should be linked to, and gives up other links.
-pub fn plan_links(node: &Arc<Node>) {
-    let now = node.now();
-    let own = node.own_status();
-    let mut peers = node.peers();
-    let wanted = link_plan::wanted_links(&own_place(node, own, &peers, now), &peers.places(now));
-    for hello in peers.plan_links(&wanted, now) {
-        let link = peer_link::start_link(node, &hello);
-        if let Some(peer) = peers.get_mut(&hello.name) {
-            peer.link = Some(link);
-        }
-    }
-    let linked = peers.iter().filter(|peer| peer.connected).count();
-    node.metrics.show_peers(peers.iter().count(), linked);
-}
-
-/// Whether this process has to know the servers of its failure domain.
-pub fn reads_registry(node: &Node) -> bool {
-    let now = node.now();
-    let own = node.own_status();
-    let peers = node.peers();
-    let place = own_place(node, own, &peers, now);
-    place.leads || (node.knows_peers() && link_plan::reads_registry(&place, &peers.places(now)))
-}
-
-fn own_place<'a>(
-    node: &'a Node,
-    own: link_frame::PeerStatus,
-    peers: &peer_table::PeerTable,
-    now: time::Duration,
-) -> link_plan::OwnPlace<'a> {
-    let listed = peers
-        .listed_servers(&node.hello.failure_domain, now)
-        .max(own.listed_servers);
-    let in_office = peers
-        .domain_members(&node.hello.failure_domain, now)
-        .iter()
-        .filter(|member| member.reachable && !member.shards.is_empty())
-        .count()
-        + usize::from(!own.shards.is_empty());
-    link_plan::OwnPlace {
-        name: &node.hello.name,
-        failure_domain: &node.hello.failure_domain,
-        cpu_millis: node.hello.cpu_millis,
-        leads: own.held_servers > 0,
-        leader_count: leadership::leader_count(
-            usize::try_from(listed).unwrap_or(usize::MAX),
-            in_office,
-        ),
-    }
-}
-
-/// Keeps the links in step with what is known of the peers.
-pub async fn keep_links(node: Arc<Node>) {
-    let mut changes = node.peer_changes();
-    loop {
-        plan_links(&node);
-        // An error means that the process ends.
-        let _elapsed = tokio::time::timeout(LINK_REVIEW, changes.changed()).await;
-        // Changes come in bursts.
-        tokio::time::sleep(LINK_REVIEW_PAUSE).await;
-    }
-}
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -6,13 +6,13 @@
     time,
 };
 
-use cuminkeel_pool::{job_model, leadership};
+use cuminkeel_dispatch::{job_model, leadership};
 use tokio::{
     net,
     sync::{mpsc, oneshot},
 };
 
-use crate::{link_frame, link_news, node_state, peer_table};
+use crate::{link_cadence, link_frame, link_news, node_state, peer_news, peer_table};
 
 /// Time for a dial: a round trip between failure domains takes a few ms.
 const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -24,22 +24,8 @@
 const PATIENT_DIALS: u32 = 20;
 /// Pause between dials from then on; a VM that is back dials by itself.
 const RARE_DIAL_PAUSE: time::Duration = time::Duration::from_secs(5);
-/// Time between states to a leader of the own failure domain, or among its processes
-/// without one: a leader's loss is noticed in four of these.
-const LEADER_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Time between states to one of several leaders of the own failure domain: others serve
-/// meanwhile, and a process has a link to each.
-const SHARD_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(300);
-/// Time between other states inside a failure domain that has a leader.
-const FOLLOWER_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Time between states to a leader of another failure domain, whose room is asked for.
-const FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// The same while no job was sent to it for some time.
-const IDLE_FAR_LEADER_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time after the last job over a link in which more are expected.
 const BUSY_TIME: time::Duration = time::Duration::from_secs(2);
-/// Time between states to other processes of other failure domains.
-const FAR_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Intervals without a frame after which a link counts as broken.
 const SILENT_INTERVALS: u32 = 4;
 
@@ -168,31 +154,6 @@
         .unwrap_or(Err(link_frame::LinkError::Silent))
 }
 
-/// What depends on the states that a link carries.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkUse {
-    /// The choice of a leader, or its jobs.
-    Leader,
-    /// Jobs of some shards.
-    ShardLeader,
-    /// Jobs that the own failure domain has no room for.
-    Spill,
-    /// Nothing for now.
-    Standby,
-}
-
-/// Time between states on a link.
-pub fn status_interval(near: bool, usage: LinkUse, busy: bool) -> time::Duration {
-    match (near, usage) {
-        (true, LinkUse::Leader) => LEADER_INTERVAL,
-        (true, LinkUse::ShardLeader) => SHARD_LEADER_INTERVAL,
-        (true, LinkUse::Spill | LinkUse::Standby) => FOLLOWER_INTERVAL,
-        (false, LinkUse::Standby) => FAR_INTERVAL,
-        (false, _) if busy => FAR_LEADER_INTERVAL,
-        (false, _) => IDLE_FAR_LEADER_INTERVAL,
-    }
-}
-
 struct LinkTask {
     node: Weak<node_state::Node>,
     number: u64,
@@ -398,12 +359,12 @@
         let leads = status.held_servers > 0;
         let leads_all = status.shards.is_empty() || status.shards == leadership::ShardSet::ALL;
         let usage = match (self.near, leads) {
-            (true, true) if !leads_all => LinkUse::ShardLeader,
-            (true, leads) if leads || !has_leader() => LinkUse::Leader,
-            (false, true) => LinkUse::Spill,
-            (true | false, _) => LinkUse::Standby,
+            (true, true) if !leads_all => link_cadence::LinkUse::ShardLeader,
+            (true, leads) if leads || !has_leader() => link_cadence::LinkUse::Leader,
+            (false, true) => link_cadence::LinkUse::Spill,
+            (true | false, _) => link_cadence::LinkUse::Standby,
         };
-        status_interval(self.near, usage, busy)
+        link_cadence::status_interval(self.near, usage, busy)
     }
 
     fn take_frame(
@@ -416,13 +377,15 @@
         session.heard_at = node.now();
         match frame {
             link_frame::LinkFrame::Status(status) => {
-                note_status(node, &self.name, status);
+                peer_news::note_status(node, &self.name, status);
                 if let Some(peer) = self.entry(&mut node.peers()) {
                     peer.tried = true;
                 }
                 out.extend(session.news.config(node, &status));
             }
-            link_frame::LinkFrame::Leaders(change) => note_leaders(node, &self.name, change),
+            link_frame::LinkFrame::Leaders(change) => {
+                peer_news::note_leaders(node, &self.name, change);
+            }
             link_frame::LinkFrame::End { request, end } => {
                 if let Some(reply) = session.waiting.remove(&request) {
                     // A waiter that is gone needs no end.
@@ -486,48 +449,6 @@
     }
 }
 
-/// Takes in what a peer said of itself.
-pub fn note_status(node: &node_state::Node, name: &str, status: link_frame::PeerStatus) {
-    node.pool.note_epoch(status.epoch);
-    let mut peers = node.peers();
-    let Some(peer) = peers.get_mut(name) else {
-        return;
-    };
-    let changed = peer.status.leaving != status.leaving
-        || (peer.status.held_servers == 0) != (status.held_servers == 0)
-        || peer.status.shards != status.shards;
-    peer.status = status;
-    peer.heard_at = node.now();
-    drop(peers);
-    if changed {
-        node.note_peer_change();
-    }
-}
-
-/// Takes in who leads by what a peer said, and dials those that are new.
-pub fn note_leaders(node: &Arc<node_state::Node>, name: &str, change: link_frame::LeaderChange) {
-    if let Some(peer) = node.peers().get_mut(name) {
-        peer.leaders
-            .retain(|leader| !change.removed.contains(leader));
-        for leader in &change.added {
-            if !peer.leaders.contains(&leader.name) {
-                peer.leaders.push(Arc::clone(&leader.name));
-            }
-        }
-    }
-    for leader in change.added {
-        let known = node
-            .peers()
-            .get(&leader.name)
-            .is_some_and(|peer| peer.hello.boot == leader.boot);
-        if !known {
-            node_state::learn_peer(node, leader);
-        }
-    }
-    node_state::plan_links(node);
-    node.note_peer_change();
-}
-
 async fn read_frames(
     reader: net::tcp::OwnedReadHalf,
     frames: mpsc::Sender<Result<link_frame::LinkFrame, link_frame::LinkError>>,
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_pool::{leadership, link_plan};
+use cuminkeel_dispatch::{leadership, link_plan};
 use smallvec::SmallVec;
 
 use crate::{link_frame, peer_link};
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_pool::{job_model, leadership, pool, pool_action, server_model, settings};
+use cuminkeel_dispatch::{job_model, leadership, pool, pool_action, server_model, settings};
 use platform_adapter::runner;
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/cuminkeel_node/src/process.rs
+++ b/crates/cuminkeel_node/src/process.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    decision_log, front, link_frame, link_listener, node_state, node_tuning, pool_driver,
-    store_feed,
+    decision_log, front, link_frame, link_keeper, link_listener, node_state, node_tuning,
+    peer_feed, pool_driver, store_feed,
 };
 
 /// Tries to bind an address that a former process may still hold.
@@ -150,8 +150,8 @@
     tokio::spawn(pool_driver::run_pool(Arc::clone(&node), inbox));
     tokio::spawn(store_feed::follow_config(Arc::clone(&node)));
     tokio::spawn(store_feed::follow_registry(Arc::clone(&node)));
-    tokio::spawn(store_feed::find_peers(Arc::clone(&node)));
-    tokio::spawn(node_state::keep_links(Arc::clone(&node)));
+    tokio::spawn(peer_feed::find_peers(Arc::clone(&node)));
+    tokio::spawn(link_keeper::keep_links(Arc::clone(&node)));
     tokio::spawn(link_listener::accept_links(Arc::clone(&node), links));
     tokio::spawn(front::serve_readiness(Arc::clone(&node), ready));
     let taking = tokio::spawn(front::serve_callers(Arc::clone(&node), callers, stopping));
@@ -226,7 +226,7 @@
     let grace = node.settings.stop_grace;
     slog::info!(node.logger, "stopping"; "grace_ms" => u64::try_from(grace.as_millis()).unwrap_or(0));
     node.leave();
-    tokio::spawn(store_feed::retire_peer(Arc::clone(node)));
+    tokio::spawn(peer_feed::retire_peer(Arc::clone(node)));
     let begun = tokio::time::Instant::now();
     tokio::time::sleep(grace * SERVE_PERCENT / 100).await;
     taking.abort();
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -1,4 +1,4 @@
-//! What the store says: configuration, registry of backend servers, peers.
+//! What the store says: configuration, registry of backend servers.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -8,7 +8,7 @@
 
 use platform_adapter::{registry, store};
 
-use crate::{link_frame, node_state, peer_link, pool_driver};
+use crate::{link_keeper, node_state, pool_driver};
 
 /// Time for the store's answer beyond what was asked to wait: it may be slow by a factor of 60.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
@@ -16,7 +16,7 @@
 /// A silent connection is given up `STORE_TIMEOUT` later, and there is time for another read.
 const CONFIG_WAIT_PERCENT: u32 = 35;
 /// Pause after a failed call.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
+pub(crate) const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Time between reads of the registry by the process that leads: a draining server gets
 /// no work after two seconds.
 const LEADER_POLL: time::Duration = time::Duration::from_millis(600);
@@ -25,14 +25,14 @@
 /// Time after an outage of the store in which lapsed entries may come back; a platform bound
 /// of two seconds, and a poll.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_600);
-/// Time between looks for processes that nobody has introduced.
-const PEER_POLL: time::Duration = time::Duration::from_secs(10);
 
-fn client(node: &node_state::Node) -> store::StoreClient {
+/// The store of this deployment.
+pub(crate) fn client(node: &node_state::Node) -> store::StoreClient {
     store::StoreClient::new(&node.settings.store_address, STORE_TIMEOUT)
 }
 
-fn note_failure(
+/// Notes a call without an answer.
+pub(crate) fn note_failure(
     node: &node_state::Node,
     what: &'static str,
     failures: &mut u32,
@@ -46,7 +46,7 @@
 }
 
 /// Notes an answer, and what of it can't be read.
-fn note_success(
+pub(crate) fn note_success(
     node: &node_state::Node,
     what: &'static str,
     failures: &mut u32,
@@ -199,7 +199,7 @@
     async fn wait_for_office(&self) {
         let node = &self.node;
         let mut changes = node.peer_changes();
-        while !node_state::reads_registry(node) {
+        while !link_keeper::reads_registry(node) {
             // An error means that the process ends.
             let _changed = changes.changed().await;
         }
@@ -268,136 +268,3 @@
             .change_registry(pool_driver::RegistryChange::Unlisted(Arc::clone(server)));
     }
 }
-
-/// Announces this process to its peers and finds those that it hasn't met.
-pub async fn find_peers(node: Arc<node_state::Node>) {
-    tokio::spawn(ask_seeds(Arc::clone(&node)));
-    let store = client(&node);
-    let mut failures = 0;
-    let mut announced = false;
-    let mut offset = None;
-    let hello = match serde_json::to_vec(&node.hello) {
-        Ok(hello) => hello,
-        Err(failure) => {
-            slog::error!(node.logger, "peer_entry_unwritable"; "error" => %failure);
-            return;
-        }
-    };
-    while !node.is_leaving() {
-        if !announced {
-            let appended = store
-                .append_keyed(store::PEERS_TOPIC, &node.hello.name, Some(&hello))
-                .await;
-            match appended {
-                Ok(()) => announced = true,
-                Err(failure) => note_failure(&node, "peers", &mut failures, &failure),
-            }
-        }
-        let batch = match offset {
-            None => store.newest(store::PEERS_TOPIC).await,
-            Some(offset) => {
-                store
-                    .read(store::PEERS_TOPIC, offset, time::Duration::ZERO)
-                    .await
-            }
-        };
-        match batch {
-            Ok(batch) => {
-                note_success(&node, "peers", &mut failures, &batch);
-                offset = Some(batch.next_offset);
-                // An entry that was taken for abandoned is written anew.
-                announced &= !is_dropped(&node.hello.name, &batch.records);
-                for record in batch.records {
-                    learn_record(&node, &record);
-                }
-                node_state::plan_links(&node);
-                node.note_peers_listed();
-            }
-            Err(store::StoreError::Deleted) => {
-                offset = None;
-                continue;
-            }
-            Err(failure) => note_failure(&node, "peers", &mut failures, &failure),
-        }
-        drop_abandoned(&node, &store).await;
-        let pause = if announced && failures == 0 {
-            PEER_POLL
-        } else {
-            RETRY_PAUSE
-        };
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// Takes the entry of this process out of the list of peers.
-pub async fn retire_peer(node: Arc<node_state::Node>) {
-    let retired = client(&node)
-        .append_keyed(store::PEERS_TOPIC, &node.hello.name, None)
-        .await;
-    if let Err(failure) = retired {
-        slog::warn!(node.logger, "peer_entry_left"; "error" => %failure);
-    }
-}
-
-/// Whether the newest of `records` with key `name` drops it.
-fn is_dropped(name: &str, records: &[store::KeyedRecord]) -> bool {
-    records
-        .iter()
-        .rfind(|record| &*record.key == name)
-        .is_some_and(|record| record.value.is_none())
-}
-
-/// Takes the entries of VMs that are gone for good out of the list, so that it stays as
-/// long as the deployment is large.
-async fn drop_abandoned(node: &Arc<node_state::Node>, store: &store::StoreClient) {
-    if node.own_status().held_servers == 0 {
-        return;
-    }
-    let abandoned = node
-        .peers()
-        .abandoned(&node.hello.failure_domain, node.now());
-    for name in abandoned {
-        match store.append_keyed(store::PEERS_TOPIC, &name, None).await {
-            Ok(()) => slog::info!(node.logger, "peer_abandoned"; "peer" => &*name),
-            Err(failure) => {
-                slog::warn!(node.logger, "peer_entry_left"; "peer" => &*name, "error" => %failure);
-            }
-        }
-    }
-}
-
-fn learn_record(node: &Arc<node_state::Node>, record: &store::KeyedRecord) {
-    let Some(value) = &record.value else {
-        node.peers().forget_silent(&record.key);
-        return;
-    };
-    match serde_json::from_slice::<link_frame::PeerHello>(value) {
-        Ok(hello) => {
-            let known = node
-                .peers()
-                .get(&hello.name)
-                .is_some_and(|peer| peer.hello.boot == hello.boot);
-            if !known {
-                node_state::learn_peer(node, hello);
-            }
-        }
-        Err(failure) => {
-            slog::info!(node.logger, "peer_entry_ignored"; "peer" => &*record.key, "error" => %failure);
-        }
-    }
-}
-
-/// Seeds help while the store is away; they may be stale.
-async fn ask_seeds(node: Arc<node_state::Node>) {
-    for seed in &node.settings.seeds {
-        if *seed == node.settings.link_address {
-            continue;
-        }
-        match peer_link::ask_hello(&node, seed).await {
-            Ok(hello) => node_state::learn_peer(&node, hello),
-            Err(failure) => {
-                slog::info!(node.logger, "seed_silent"; "address" => &**seed, "error" => %failure);
-            }
-        }
-    }
-}
--- a/crates/cuminkeel_node/tests/node/parts.rs
+++ b/crates/cuminkeel_node/tests/node/parts.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use cuminkeel_node::{domain_view, link_frame, node_tuning, peer_link, store_feed};
-use cuminkeel_pool::{job_model, leadership};
+use cuminkeel_dispatch::{job_model, leadership};
+use cuminkeel_node::{domain_view, link_cadence, link_frame, node_tuning, store_feed};
 
 fn ms(value: u64) -> time::Duration {
     time::Duration::from_millis(value)
@@ -37,7 +37,7 @@
 
 #[test]
 fn states_are_sent_as_often_as_something_depends_on_them() {
-    use peer_link::LinkUse::{Leader, ShardLeader, Spill, Standby};
+    use link_cadence::LinkUse::{Leader, ShardLeader, Spill, Standby};
 
     let cases = [
         ("to a leader of the domain", true, Leader, false, 150),
@@ -56,7 +56,7 @@
     ];
     for (name, near, usage, busy, expected) in cases {
         assert_eq!(
-            peer_link::status_interval(near, usage, busy),
+            link_cadence::status_interval(near, usage, busy),
             ms(expected),
             "{name}"
         );
--- a/crates/cuminkeel_replay/benches/pool_cost.rs
+++ b/crates/cuminkeel_replay/benches/pool_cost.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
-use cuminkeel_pool::settings;
+use cuminkeel_dispatch::settings;
 use cuminkeel_replay::{fake_server, load_pattern, replay_world};
 
 /// Servers of a domain today, on the grown site, and at the users' target.
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time};
 
-use cuminkeel_pool::{job_model, server_model};
+use cuminkeel_dispatch::{job_model, server_model};
 use smallvec::{SmallVec, smallvec};
 
 /// How a server behaves.
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use cuminkeel_pool::job_model;
+use cuminkeel_dispatch::job_model;
 use rand::{RngExt, SeedableRng, rngs};
 use smallvec::SmallVec;
 
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time};
 
-use cuminkeel_pool::{job_model, settings};
+use cuminkeel_dispatch::{job_model, settings};
 
 use crate::{load_bound, load_pattern, replay_world};
 
--- a/crates/cuminkeel_replay/src/replay_world.rs
+++ b/crates/cuminkeel_replay/src/replay_world.rs
@@ -7,7 +7,7 @@
     time,
 };
 
-use cuminkeel_pool::{job_model, leadership, pool, pool_action, server_model, settings};
+use cuminkeel_dispatch::{job_model, leadership, pool, pool_action, server_model, settings};
 
 use crate::fake_server;
 
--- a/crates/cuminkeel_replay/src/run_audit.rs
+++ b/crates/cuminkeel_replay/src/run_audit.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cuminkeel_pool::{job_model, server_model};
+use cuminkeel_dispatch::{job_model, server_model};
 
 use crate::fake_server;
 
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use cuminkeel_pool::{job_model, pool_action, server_slot, settings};
+use cuminkeel_dispatch::{job_model, pool_action, server_slot, settings};
 use cuminkeel_replay::{fake_server, load_pattern, replay_world};
 use smallvec::SmallVec;
 
