Link to two leaders of each other domain

Each process had links to all leaders of the other domains (14).

Change: two of each other domain, by a hash with the process's own name, so that processes share them. With one leader for a domain nothing changes.

--- a/crates/cuminkeel_dispatch/src/leadership.rs
+++ b/crates/cuminkeel_dispatch/src/leadership.rs
@@ -188,13 +188,18 @@
     server: &str,
     members: impl IntoIterator<Item = &'a Arc<str>>,
 ) -> Option<&'a Arc<str>> {
-    members.into_iter().max_by_key(|member| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(server.as_bytes());
-        hasher.update(&[0]);
-        hasher.update(member.as_bytes());
-        *hasher.finalize().as_bytes()
-    })
+    members
+        .into_iter()
+        .max_by_key(|member| member_weight(server, member))
+}
+
+/// Weight of `member` for `key`; independent for each pair.
+pub(crate) fn member_weight(key: &str, member: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(member.as_bytes());
+    *hasher.finalize().as_bytes()
 }
 
 /// Members that can't be reached but have claimed their servers back.
--- a/crates/cuminkeel_dispatch/src/link_plan.rs
+++ b/crates/cuminkeel_dispatch/src/link_plan.rs
@@ -7,6 +7,8 @@
 
 use smallvec::SmallVec;
 
+use crate::leadership;
+
 /// Members of the own failure domain that each of its processes is linked to beyond its
 /// leaders, as a rack can take neighbours with it.
 const NEAR_CANDIDATES: usize = 2;
@@ -16,6 +18,9 @@
 /// Members of each other failure domain that a leader introduces itself to.
 const FAR_CANDIDATES: usize = 2;
 
+/// Leaders of each other failure domain that a process is linked to, for jobs that its own
+/// domain has no room for; bytes between domains are dear.
+const FAR_LEADERS: usize = 2;
 /// Members of a failure domain that follow the registry of its servers beyond its leaders:
 /// enough for the loss of a rack, while the reads of a large domain stay within what the
 /// store gives.
@@ -65,16 +70,19 @@
 /// Names of the `peers` to be linked to.
 ///
 /// A leader is linked to all of its domain, to learn of a member that can't reach it, and
-/// introduces itself to the other domains; everyone is linked to all leaders and to those
-/// that would be chosen next.
+/// introduces itself to the other domains; everyone is linked to the leaders of the own domain,
+/// to those that would be chosen next, and to some leaders of the others.
 pub fn wanted_links(own: &OwnPlace<'_>, peers: &[PeerPlace]) -> BTreeSet<Arc<str>> {
     let mut wanted: BTreeSet<Arc<str>> = peers
         .iter()
-        .filter(|peer| peer.leads || (own.leads && *peer.failure_domain == *own.failure_domain))
+        .filter(|peer| *peer.failure_domain == *own.failure_domain && (peer.leads || own.leads))
         .map(|peer| Arc::clone(&peer.name))
         .collect();
     let domains: BTreeSet<&Arc<str>> = peers.iter().map(|peer| &peer.failure_domain).collect();
     for domain in domains {
+        if **domain != *own.failure_domain {
+            wanted.extend(far_leaders(own.name, domain, peers));
+        }
         let (count, first_tries) = match (&**domain == own.failure_domain, own.leads) {
             (true, _) => (own.leader_count + NEAR_CANDIDATES, FIRST_TRIES),
             (false, true) => (FAR_CANDIDATES, FAR_CANDIDATES),
@@ -85,6 +93,23 @@
     wanted
 }
 
+/// Leaders of `domain` that the process `own_name` is linked to; others get other ones.
+fn far_leaders(own_name: &str, domain: &str, peers: &[PeerPlace]) -> Vec<Arc<str>> {
+    let mut leaders: Vec<&PeerPlace> = peers
+        .iter()
+        .filter(|peer| peer.leads && *peer.failure_domain == *domain)
+        .collect();
+    if leaders.len() > FAR_LEADERS {
+        leaders.sort_by_key(|leader| leadership::member_weight(own_name, &leader.name));
+    }
+    leaders
+        .into_iter()
+        .rev()
+        .take(FAR_LEADERS)
+        .map(|leader| Arc::clone(&leader.name))
+        .collect()
+}
+
 /// Whether a process may soon lead, so that it has to know its domain's servers.
 pub fn reads_registry(own: &OwnPlace<'_>, peers: &[PeerPlace]) -> bool {
     let before = peers
--- a/crates/cuminkeel_dispatch/tests/decisions.rs
+++ b/crates/cuminkeel_dispatch/tests/decisions.rs
@@ -560,3 +560,27 @@
     let leader = leadership::shard_leader(&members, vacant).map(|leader| &**leader);
     assert_eq!(leader, Some("a"));
 }
+
+#[test]
+fn processes_share_the_leaders_of_another_domain() {
+    let peers = peer_places("far", "llllllLL");
+    let mut linked = std::collections::BTreeMap::new();
+    for number in 0..300 {
+        let name = format!("n{number}");
+        let own = link_plan::OwnPlace {
+            name: &name,
+            ..own_place("a", 500, false)
+        };
+        let wanted = link_plan::wanted_links(&own, &peers);
+        assert_eq!(wanted.len(), 2, "{name}");
+        assert_eq!(wanted, link_plan::wanted_links(&own, &peers), "{name}");
+        for leader in wanted {
+            *linked.entry(leader).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(linked.len(), 6, "the leaders and nobody else");
+    assert!(
+        linked.values().all(|count| (60..=140).contains(count)),
+        "{linked:?}"
+    );
+}
