--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -124,7 +124,7 @@
         .collect()
 }
 
-/// Upper bound on the worth that any rules can earn under `pattern`; see [`load_bound`].
+/// Upper bound on the worth that any rules can earn under `pattern`; how it is computed is said in `load_bound.rs`.
 pub fn worth_bound(pattern: &load_pattern::LoadPattern) -> f64 {
     let terms = load_bound::LateTerms {
         late_share: LATE_SHARE,
