Replay several domains, of which one has a burst

The spill of jobs to other domains had no replay. Three pools of three domains go on in step; jobs are offered as a coordinator offers them, or to their own domain only.

--- a/crates/cuminkeel_replay/src/lib.rs
+++ b/crates/cuminkeel_replay/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's servers (fencing tokens, leases, lists of runs). Time is virtual
 //! and randomness seeded, so a replay gives the same result each time.
 
+pub mod domain_replay;
 pub mod fake_server;
 mod load_bound;
 pub mod load_pattern;
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -146,6 +146,27 @@
     pub broken: Vec<replay_world::BrokenPromise>,
 }
 
+/// Worth that a job has earned; its arrival is counted from `lead_time`.
+pub(crate) fn earned_worth(
+    arrival: &load_pattern::JobArrival,
+    outcome: &replay_world::JobOutcome,
+    lead_time: time::Duration,
+) -> f64 {
+    let objective = arrival.ticket.spec.objective(arrival.truth.work);
+    let took = outcome.at.saturating_sub(lead_time + arrival.at);
+    let expected_end = if arrival.truth.poisoned {
+        job_model::JobEnd::Failed(job_model::FailureReason::AttemptsExhausted)
+    } else {
+        job_model::JobEnd::Completed
+    };
+    match () {
+        () if outcome.end != expected_end => 0.0,
+        () if took <= objective => arrival.worth,
+        () if took <= objective * LATE_OBJECTIVES => arrival.worth * LATE_SHARE,
+        () => 0.0,
+    }
+}
+
 /// Replays `pattern` through one pool by `rules`.
 pub fn replay(pattern: &load_pattern::LoadPattern, rules: settings::PoolRules) -> ReplayReport {
     let servers = load_pattern::site_servers();
@@ -187,20 +208,8 @@
         let Some(outcome) = ends.get(&*arrival.ticket.spec.id) else {
             continue;
         };
-        let objective = arrival.ticket.spec.objective(arrival.truth.work);
-        let took = outcome.at.saturating_sub(lead_time + arrival.at);
-        let expected_end = if arrival.truth.poisoned {
-            job_model::JobEnd::Failed(job_model::FailureReason::AttemptsExhausted)
-        } else {
-            job_model::JobEnd::Completed
-        };
         owed[arrival.class] += arrival.worth;
-        earned[arrival.class] += match () {
-            () if outcome.end != expected_end => 0.0,
-            () if took <= objective => arrival.worth,
-            () if took <= objective * LATE_OBJECTIVES => arrival.worth * LATE_SHARE,
-            () => 0.0,
-        };
+        earned[arrival.class] += earned_worth(arrival, outcome, lead_time);
         if matches!(outcome.end, job_model::JobEnd::Refused { .. }) {
             refused += 1;
         }
--- a/crates/cuminkeel_replay/src/replay_world.rs
+++ b/crates/cuminkeel_replay/src/replay_world.rs
@@ -213,6 +213,11 @@
         self.carry_out(number);
     }
 
+    /// Load of pool `number`.
+    pub fn load(&self, number: usize) -> pool::PoolLoad {
+        self.pools[number].load(self.now)
+    }
+
     /// The server `name`.
     ///
     /// # Panics
--- a/crates/cuminkeel_replay/tests/worst_load.rs
+++ b/crates/cuminkeel_replay/tests/worst_load.rs
@@ -1,6 +1,6 @@
 //! The worst load, replayed through the product's rules and the baselines.
 
-use cuminkeel_replay::{load_pattern, replay_report};
+use cuminkeel_replay::{domain_replay, load_pattern, replay_report};
 
 /// Share of the offered worth that the users ask for on a day with trouble.
 const TARGET_WORTH: f64 = 0.66;
@@ -103,3 +103,41 @@
         }
     }
 }
+
+#[test]
+fn a_burst_in_one_domain_is_served_where_room_is() {
+    let mut totals = [0.0; 2];
+    for seed in SEEDS {
+        // The first domain has the burst; the others are as on any second.
+        let patterns: Vec<load_pattern::LoadPattern> = [(1, 0), (0, 100), (0, 200)]
+            .into_iter()
+            .map(|(pattern, offset)| {
+                load_pattern::draw(&replay_report::worst_patterns(seed + offset)[pattern])
+            })
+            .collect();
+        for (position, rule) in [
+            domain_replay::SpillRule::WhereRoomIs,
+            domain_replay::SpillRule::OwnDomain,
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let report = domain_replay::replay(&patterns, rule);
+            assert_eq!(report.broken, [], "seed {seed} rule {rule:?}");
+            println!(
+                "seed {seed} {rule:?}: {:.3} {:.3} {:.3}, {} spilled",
+                report.worth[0], report.worth[1], report.worth[2], report.spilled
+            );
+            totals[position] += report.worth[0];
+            if rule == domain_replay::SpillRule::WhereRoomIs {
+                assert!(report.spilled > 0, "seed {seed}");
+                assert!(
+                    report.worth.iter().all(|worth| *worth >= TARGET_WORTH),
+                    "seed {seed}: {:?}",
+                    report.worth
+                );
+            }
+        }
+    }
+    assert!(totals[0] > totals[1], "{totals:?}");
+}
