Step down after a pause, and don't take an unsent job for a lost one

A peer that had never answered counted as reachable in the first 250 ms of a process, so that jobs went to a link that was down; that counted as a lost pool, and they waited until no run of a former pool could be unknown. A peer is reachable for a moment after its link broke only, and a job that a link never sent is answered as not taken. Tests failed first.

A pool that finds a pause of over 400 ms steps down and is chosen anew; a takeover claims 64 epochs ahead, so that a former owner is turned away.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -109,6 +109,8 @@
     foreign_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
     /// Mean processor of recent tasks, in thousandths of a core.
     typical_cpu: u32,
+    /// When this pool last looked at the time.
+    looked_at: time::Duration,
     actions: Vec<pool_action::PoolAction>,
 }
 
@@ -131,6 +133,7 @@
             registry_sure_at: time::Duration::ZERO,
             foreign_ends: HashMap::new(),
             typical_cpu: 0,
+            looked_at: time::Duration::ZERO,
             actions: Vec::new(),
         }
     }
@@ -207,6 +210,7 @@
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: time::Duration) {
+        self.look_at(now);
         self.retry_claims(now);
         self.expire_leases(now);
         self.stop_foreign_runs(now);
@@ -215,6 +219,20 @@
         self.schedule(now);
     }
 
+    /// Steps down after a pause in which another process may have led: what waits here may
+    /// run there. The next look at the peers decides who leads.
+    fn look_at(&mut self, now: time::Duration) {
+        let paused = now.saturating_sub(self.looked_at);
+        self.looked_at = now;
+        let leads = self
+            .servers
+            .values()
+            .any(|slot| slot.standing != server_slot::ServerStanding::Released);
+        if paused > LONGEST_PAUSE && leads {
+            self.release_all(now, "was_paused");
+        }
+    }
+
     fn note(
         &mut self,
         kind: pool_action::DecisionKind,
@@ -234,5 +252,8 @@
     }
 }
 
+/// Longest time between two looks at the time after which this pool still leads for certain:
+/// peers take over from a silent leader after 600 ms at the earliest.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Inputs of a note that has none.
 const NO_INPUTS: [(&str, i64); 3] = [("", 0), ("", 0), ("", 0)];
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -11,6 +11,11 @@
 const MAX_CLAIM_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Claims of a silent server that renew its leases: one lost answer or two lose no run.
 const RENEWING_CLAIMS: u32 = 2;
+/// Step of the epoch by which a server is taken over: beyond the single steps of a former owner
+/// that lost touch for some seconds, so that it is turned away and learns of it.
+const TAKEOVER_STEP: u64 = 64;
+/// Doublings of that step: a billion at most, an eighth of all epochs.
+const MAX_DOUBLINGS: u32 = 24;
 /// Claims that may wait for their answers: on a small share of a core more would time out
 /// in the process itself.
 const MAX_CLAIMS_IN_FLIGHT: usize = 64;
@@ -144,7 +149,9 @@
         };
         // A server that turns claims away has seen a higher epoch: the step doubles.
         let step = match slot.standing {
-            server_slot::ServerStanding::Claiming => 1_u64 << slot.claim_tries.min(30),
+            server_slot::ServerStanding::Claiming => {
+                TAKEOVER_STEP << slot.claim_tries.min(MAX_DOUBLINGS)
+            }
             _ => 1,
         };
         let seen = (slot.token >> TOKEN_NONCE_BITS).max(self.epoch);
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -16,6 +16,7 @@
 impl Pool {
     /// Starts waiting tasks where there is room, in the order of the queue.
     pub(super) fn schedule(&mut self, now: time::Duration) {
+        self.look_at(now);
         let mut most_free = self.most_free(now);
         if most_free == 0 || self.queue.is_empty() {
             return;
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -231,7 +231,7 @@
         if let Some(peer) = self.entry(&mut peers) {
             if peer.connected {
                 slog::warn!(node.logger, "peer_lost"; "peer" => &*self.name, "cause" => %failure);
-                peer.broken_at = now;
+                peer.broken_at = Some(now);
             }
             peer.connected = false;
             peer.tried = true;
@@ -260,8 +260,11 @@
             match tokio::time::timeout_at(until, self.inbox.recv()).await {
                 Err(_) | Ok(Some(LinkOrder::Redial)) => return true,
                 Ok(None) => return false,
-                // Dropping the order tells its sender that the link is lost.
-                Ok(Some(_)) => {}
+                Ok(Some(LinkOrder::Submit { reply, .. })) => {
+                    // The job was not sent. A sender that is gone needs no end.
+                    let _gone = reply.send(job_model::JobEnd::NotLeader);
+                }
+                Ok(Some(LinkOrder::Withdraw { .. })) => {}
             }
         }
     }
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -41,8 +41,8 @@
     pub connected: bool,
     /// Whether it was up or failed since it was first wanted.
     pub tried: bool,
-    /// When that link broke.
-    pub broken_at: time::Duration,
+    /// When that link broke last.
+    pub broken_at: Option<time::Duration>,
     /// Whether its address turned a dial away.
     pub refused: bool,
 }
@@ -59,7 +59,7 @@
             unwanted_since: None,
             connected: false,
             tried: false,
-            broken_at: time::Duration::ZERO,
+            broken_at: None,
             refused: false,
         }
     }
@@ -92,7 +92,8 @@
 
     /// Whether the peer can be expected to answer.
     pub fn is_reachable(&self, now: time::Duration) -> bool {
-        self.connected || (!self.refused && now < self.broken_at + REDIAL_GRACE)
+        let broke_just_now = self.broken_at.is_some_and(|at| now < at + REDIAL_GRACE);
+        self.connected || (!self.refused && broke_just_now)
     }
 }
 
@@ -141,7 +142,7 @@
             .values()
             .filter(|peer| &*peer.hello.failure_domain == failure_domain)
             .filter(|peer| peer.reach() == link_plan::PeerReach::Failed)
-            .filter(|peer| now >= peer.broken_at + ABANDON_TIME)
+            .filter(|peer| now >= peer.broken_at.unwrap_or_default() + ABANDON_TIME)
             .map(|peer| Arc::clone(&peer.hello.name))
             .collect()
     }
--- a/crates/cuminkeel_node/tests/node/links.rs
+++ b/crates/cuminkeel_node/tests/node/links.rs
@@ -1,5 +1,10 @@
 //! What processes do together.
 
+use std::sync::Arc;
+
+use cuminkeel_dispatch::{job_model, leadership};
+use cuminkeel_node::{link_frame, node_state, node_tuning, peer_link, peer_table, pool_driver};
+
 use crate::fleet;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -99,3 +104,55 @@
         .await;
     }
 }
+
+fn hello(name: &str, address: &str) -> link_frame::PeerHello {
+    link_frame::PeerHello {
+        name: Arc::from(name),
+        failure_domain: Arc::from("north"),
+        link_address: Arc::from(address),
+        cpu_millis: 900,
+        boot: 1,
+    }
+}
+
+#[test]
+fn a_peer_that_never_answered_is_not_taken_for_reachable() {
+    let mut peers = peer_table::PeerTable::default();
+    peers.insert(peer_table::PeerEntry::new(hello("n1", "127.0.0.1:1")));
+    let members = peers.domain_members("north", std::time::Duration::from_millis(10));
+    assert_eq!(leadership::choose_leader(&members), None);
+}
+
+#[tokio::test]
+async fn a_job_for_a_link_that_is_down_was_not_sent() {
+    let site = fleet::TestSite::unconfigured(&["north"]).await;
+    let (pool, _inbox) = pool_driver::PoolHandle::new();
+    let node = Arc::new(node_state::Node::new(
+        site.settings("n0", "north"),
+        node_tuning::NodeTuning::default(),
+        hello("n0", "127.0.0.1:2"),
+        slog::Logger::root(slog::Discard, slog::o!()),
+        pool,
+    ));
+    let link = peer_link::start_link(&node, &hello("n1", "127.0.0.1:1"));
+    let spec = job_model::JobSpec {
+        id: Arc::from("00000000000000d1"),
+        route: Arc::from("orders"),
+        service: Arc::from("order-desk"),
+        payload: Arc::from(""),
+        steps: Vec::new(),
+        priority: 0,
+        max_attempts: 1,
+        stretch_factor: 1.0,
+        target_latency_ms: 0,
+    };
+    let mut job = link.submit(job_model::JobTicket {
+        spec: Arc::new(spec),
+        age: std::time::Duration::ZERO,
+        patience: fleet::PATIENCE,
+        resubmitted: false,
+        terms: job_model::OfferTerms::Useful,
+    });
+    let end = job.end().await.expect("an end, as nothing was lost");
+    assert_eq!(end, job_model::JobEnd::NotLeader);
+}
