--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -27,6 +27,9 @@
 const MAX_EPOCH: u64 = (1 << (53 - TOKEN_NONCE_BITS)) - 1;
 /// Time for coordinators to ask for runs that a new leader found: two retries of a link.
 const FOREIGN_GRACE: time::Duration = time::Duration::from_millis(400);
+/// Longest time between two looks at the time after which this pool still leads for certain:
+/// peers take over from a silent leader after 600 ms at the earliest.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 
 /// Where a task stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -252,8 +255,5 @@
     }
 }
 
-/// Longest time between two looks at the time after which this pool still leads for certain:
-/// peers take over from a silent leader after 600 ms at the earliest.
-const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Inputs of a note that has none.
 const NO_INPUTS: [(&str, i64); 3] = [("", 0), ("", 0), ("", 0)];
