Abandon a VM after ten minutes of failed dials, not of uptime

Cause, found in reading the change: the entry of a VM whose link was never up was dropped from the list by a leader that had run for ten minutes itself, after the first dial that failed. The VM announced itself again at its next poll, so the list flapped. Ruled out: dials in a row as the measure, as their pauses differ.

Change: a peer holds since when all dials have failed. Test: dialled in vain from minute 60, abandoned at 70 and not before (on the old code at once).

--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -233,8 +233,7 @@
                 slog::warn!(node.logger, "peer_lost"; "peer" => &*self.name, "cause" => %failure);
                 peer.broken_at = Some(now);
             }
-            peer.connected = false;
-            peer.tried = true;
+            peer.note_failed_dial(now);
             peer.refused = refused;
         }
         drop(peers);
@@ -285,8 +284,7 @@
             news: link_news::LinkNews::default(),
         };
         if let Some(peer) = self.entry(&mut node.peers()) {
-            peer.connected = true;
-            peer.refused = false;
+            peer.note_connected();
         }
         slog::info!(node.logger, "peer_connected"; "peer" => &*self.name);
         node.note_peer_change();
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -41,6 +41,8 @@
     pub connected: bool,
     /// Whether it was up or failed since it was first wanted.
     pub tried: bool,
+    /// Since when all dials have failed.
+    pub failing_since: Option<time::Duration>,
     /// When that link broke last.
     pub broken_at: Option<time::Duration>,
     /// Whether its address turned a dial away.
@@ -59,6 +61,7 @@
             unwanted_since: None,
             connected: false,
             tried: false,
+            failing_since: None,
             broken_at: None,
             refused: false,
         }
@@ -81,6 +84,20 @@
         }
     }
 
+    /// A dial failed, or the link broke, at `now`.
+    pub fn note_failed_dial(&mut self, now: time::Duration) {
+        self.connected = false;
+        self.tried = true;
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Its link is up.
+    pub fn note_connected(&mut self) {
+        self.connected = true;
+        self.refused = false;
+        self.failing_since = None;
+    }
+
     /// Gives up its link; jobs that were sent over it go on.
     pub fn drop_link(&mut self) {
         self.link = None;
@@ -88,6 +105,7 @@
         self.connected = false;
         self.tried = false;
         self.refused = false;
+        self.failing_since = None;
     }
 
     /// Whether the peer can be expected to answer.
@@ -142,7 +160,10 @@
             .values()
             .filter(|peer| &*peer.hello.failure_domain == failure_domain)
             .filter(|peer| peer.reach() == link_plan::PeerReach::Failed)
-            .filter(|peer| now >= peer.broken_at.unwrap_or_default() + ABANDON_TIME)
+            .filter(|peer| {
+                peer.failing_since
+                    .is_some_and(|since| now >= since + ABANDON_TIME)
+            })
             .map(|peer| Arc::clone(&peer.hello.name))
             .collect()
     }
--- a/crates/cuminkeel_node/tests/node/links.rs
+++ b/crates/cuminkeel_node/tests/node/links.rs
@@ -123,6 +123,23 @@
     assert_eq!(leadership::choose_leader(&members), None);
 }
 
+#[test]
+fn a_peer_is_abandoned_after_ten_minutes_of_dials_in_vain() {
+    let minutes = |count: u64| std::time::Duration::from_secs(60 * count);
+    let mut peers = peer_table::PeerTable::default();
+    peers.insert(peer_table::PeerEntry::new(hello("n1", "127.0.0.1:1")));
+    // The process has run for an hour when it first dials the peer.
+    let peer = peers.get_mut("n1").expect("a peer");
+    peer.note_failed_dial(minutes(60));
+    assert!(peers.abandoned("north", minutes(69)).is_empty());
+    assert_eq!(peers.abandoned("north", minutes(70)), [Arc::from("n1")]);
+    let peer = peers.get_mut("n1").expect("a peer");
+    peer.note_connected();
+    peer.connected = false;
+    peer.note_failed_dial(minutes(80));
+    assert!(peers.abandoned("north", minutes(85)).is_empty(), "anew");
+}
+
 #[tokio::test]
 async fn a_job_for_a_link_that_is_down_was_not_sent() {
     let site = fleet::TestSite::unconfigured(&["north"]).await;
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -604,3 +604,20 @@
         ended("fresh")
     );
 }
+
+#[test]
+fn an_owner_that_lost_touch_is_turned_away_by_its_successors_claim() {
+    let mut world = led_world(2, &["s1"]);
+    world.server("s1").mode = fake_server::ServerMode::Cut;
+    // It claims again and again meanwhile, by single steps.
+    world.run_until(ms(2_000));
+    let epoch = world.pools[0].epoch();
+    world.pools[1].note_epoch(epoch);
+    world.server("s1").mode = fake_server::ServerMode::Sound;
+    world.lead(1);
+    world.run_until(ms(3_500));
+    let standing = |pool: usize| world.pools[pool].standing("s1");
+    assert_eq!(standing(0), Some(server_slot::ServerStanding::Released));
+    assert_eq!(standing(1), Some(server_slot::ServerStanding::Held));
+    assert!(world.lost.iter().any(|(pool, _)| *pool == 0));
+}
