Judge offers and statuses by when they were sent, not by when they are read

Ruled out: a wall-clock stamp (clocks step and differ); a term of the leader alone (an offer can also be held up in a partitioned network while nothing of the leader changes); treating a late offer as possibly started (the job may run in a domain that this pool can't see). Change: each process sends its clock reading with its frames and returns its estimate of the receiver's clock (frame SendTime, a format of its own that earlier releases skip). A late status does not replace a newer one, and silence counts from the time at which the last status was sent. Each call into the pool first checks for a pause. The process clock counts the time for which the VM is suspended. Tests that failed first: offer_that_is_read_after_a_pause_starts_nothing (OverlappingRuns in the replay, at the first schedule) and offer_that_was_sent_long_ago_is_not_admitted (completed instead of turned away).

--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -158,6 +158,10 @@
     pub may_have_started: bool,
     /// Terms on which the job is offered.
     pub terms: OfferTerms,
+    /// Time at which the offer was sent, on the clock of the process whose pool receives it. It is
+    /// not part of the frame: the receiving process sets it.
+    #[serde(skip)]
+    pub sent_at: time::Duration,
 }
 
 /// Condition under which a pool should admit an offered job.
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod job_order;
 pub mod leadership;
 pub mod link_plan;
+pub mod message_delay;
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -246,16 +246,22 @@
     /// Steps down after a pause of the process in which another process may have become leader:
     /// jobs queued here may run there. The process decides whether it leads when it next reconciles
     /// leadership with its peers.
-    fn step_down_after_pause(&mut self, now: time::Duration) {
+    ///
+    /// Each call that can change claims, runs or jobs begins with this one, so that nothing that
+    /// waited in a socket during the pause is applied to claims from before it. Returns whether the
+    /// pool stepped down.
+    pub fn step_down_after_pause(&mut self, now: time::Duration) -> bool {
         let pause = now.saturating_sub(self.last_active_at);
         self.last_active_at = now;
         let has_claims = self
             .servers
             .values()
             .any(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed);
-        if pause > MAX_PAUSE && has_claims {
+        let steps_down = pause > MAX_PAUSE && has_claims;
+        if steps_down {
             self.step_down(now, "was_paused");
         }
+        steps_down
     }
 
     fn record_decision(
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -31,6 +31,7 @@
 impl ServerPool {
     /// Applies a new or changed registry entry.
     pub fn apply_registry_entry(&mut self, entry: server_model::ServerEntry, now: time::Duration) {
+        self.step_down_after_pause(now);
         let id = Arc::clone(&entry.id);
         let is_draining = entry.draining;
         let is_new = !self.servers.contains_key(&id);
@@ -92,6 +93,7 @@
         shards: leadership::ShardSet,
         now: time::Duration,
     ) {
+        self.step_down_after_pause(now);
         self.shards = shards;
         // An unregistered server stays claimed until its runs have ended.
         let released: Vec<Arc<str>> = self
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -17,7 +17,8 @@
 
 impl ServerPool {
     /// Admits the job of `offer` or refuses it; `waiter` is told how the job ends. If the job is
-    /// already in the pool, only adds `waiter`.
+    /// already in the pool, only adds `waiter`. An outdated offer, and one that shows that the process
+    /// was paused, gets the end `NotLeader`, after which its sender may offer the job again.
     pub fn submit(
         &mut self,
         offer: &job_model::JobOffer,
@@ -25,6 +26,7 @@
         now: time::Duration,
     ) {
         let id = Arc::clone(&offer.spec.id);
+        let was_paused = self.step_down_after_pause(now);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiters.push(waiter);
             job.may_run_elsewhere |= offer.may_have_started;
@@ -37,7 +39,11 @@
             );
             return;
         }
-        let job = self.new_job(offer, waiter, now);
+        if was_paused || offer.is_outdated(now) {
+            self.turn_away_outdated(offer, waiter, now);
+            return;
+        }
+        let job = self.new_job(offer, waiter);
         let has_adopted_tasks = job
             .tasks
             .iter()
@@ -102,6 +108,31 @@
             .push(pool_action::PoolAction::AnswerWaiter { waiter, end });
     }
 
+    fn turn_away_outdated(
+        &mut self,
+        offer: &job_model::JobOffer,
+        waiter: pool_action::WaiterId,
+        now: time::Duration,
+    ) {
+        let delay = now.saturating_sub(offer.sent_at);
+        let inputs = [
+            ("delay_ms", pool_action::whole_ms(delay)),
+            ("age_ms", pool_action::whole_ms(offer.age)),
+            ("", 0),
+        ];
+        self.record_decision(
+            pool_action::DecisionKind::OfferOutdated,
+            Some(Arc::clone(&offer.spec.id)),
+            None,
+            "not_admitted",
+            inputs,
+        );
+        self.actions.push(pool_action::PoolAction::AnswerWaiter {
+            waiter,
+            end: job_model::JobEnd::NotLeader,
+        });
+    }
+
     /// Updates `typical_cpu_millis` with the steps of a job; each counts once, whatever its number of
     /// tasks.
     fn record_cpu_demand(&mut self, spec: &job_model::JobSpec) {
@@ -114,14 +145,9 @@
         }
     }
 
-    fn new_job(
-        &mut self,
-        offer: &job_model::JobOffer,
-        waiter: pool_action::WaiterId,
-        now: time::Duration,
-    ) -> JobEntry {
+    fn new_job(&mut self, offer: &job_model::JobOffer, waiter: pool_action::WaiterId) -> JobEntry {
         let spec = &offer.spec;
-        let arrived_at = now.saturating_sub(offer.age);
+        let arrived_at = offer.sent_at.saturating_sub(offer.age);
         let run_time_model = self
             .run_time_models
             .get(&spec.route)
@@ -135,7 +161,7 @@
         let critical_path = spec.critical_path(&nominal_run_times);
         let objective_time = spec.objective(critical_path);
         let objective_at = arrived_at + objective_time;
-        let deadline_at = now + offer.time_to_deadline;
+        let deadline_at = offer.sent_at + offer.time_to_deadline;
         let expires_at = (arrived_at + objective_time * EXPIRY_OBJECTIVE_FACTOR).min(deadline_at);
         self.arrival_count += 1;
         let queue_position = job_order::QueuePosition {
@@ -253,6 +279,7 @@
 
     /// Removes `waiter` from a job; ends the job if no other waiter is left.
     pub fn withdraw(&mut self, job: &Arc<str>, waiter: pool_action::WaiterId, now: time::Duration) {
+        self.step_down_after_pause(now);
         let Some(entry) = self.jobs.get_mut(job) else {
             return;
         };
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -17,6 +17,7 @@
         outcome: server_model::HoldOutcome,
         now: time::Duration,
     ) {
+        self.step_down_after_pause(now);
         let id = &order.server;
         let Some(slot) = self.servers.get_mut(id) else {
             return;
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -16,7 +16,6 @@
 impl ServerPool {
     /// Places waiting tasks on servers with free capacity, in the order of the queue.
     pub(super) fn schedule(&mut self, now: time::Duration) {
-        self.step_down_after_pause(now);
         let mut max_free_cpu_millis = self.max_free_cpu_millis(now);
         if max_free_cpu_millis == 0 || self.queue.is_empty() {
             return;
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -16,6 +16,7 @@
         outcome: server_model::StartOutcome,
         now: time::Duration,
     ) {
+        self.step_down_after_pause(now);
         let Some(slot) = self.servers.get_mut(&order.server) else {
             return;
         };
@@ -114,6 +115,7 @@
         outcome: server_model::StopOutcome,
         now: time::Duration,
     ) {
+        self.step_down_after_pause(now);
         if outcome == server_model::StopOutcome::Unconfirmed {
             self.handle_failed_order(&order.server, now, "stop_unanswered");
         }
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -44,6 +44,8 @@
     Queued,
     /// A job was refused.
     Refused,
+    /// An offer was read so late after it was sent that the job was not admitted.
+    OfferOutdated,
     /// A waiter was added to a job that the pool already has.
     Attached,
     /// A task was ordered to start.
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -213,6 +213,7 @@
             time_to_deadline: self.answer_deadline.saturating_sub(now),
             may_have_started: self.may_have_started,
             terms,
+            sent_at: now,
         };
         let end = match target.link {
             None => {
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod process;
 pub mod process_log;
 pub mod request_cause;
+pub mod send_time;
 pub mod sent_state;
 pub mod store_feed;
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -5,15 +5,17 @@
 //! of an unknown format are skipped, so that two releases can communicate during a
 //! rolling update.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time};
 
 use cuminkeel_dispatch::{job_model, leadership};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-/// Format number of the frames that this release reads and writes.
+/// Format number of all frames but [`LinkFrame::SendTime`].
 const FRAME_FORMAT: u8 = 2;
+/// Format number of [`LinkFrame::SendTime`], which releases that don't know it skip.
+const SEND_TIME_FORMAT: u8 = 3;
 /// Maximum length of a frame, which has to fit a complete configuration and its header.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
@@ -102,6 +104,14 @@
     },
     /// Change of the leaders known to the sender.
     Leaders(LeaderChange),
+    /// Time at which the frames behind it were sent, up to the next frame of this kind.
+    SendTime {
+        /// Clock of the sender.
+        sender_clock: time::Duration,
+        /// Clock of the receiver, as the sender estimates it; `None` before the sender has received
+        /// a reading of it over the same connection.
+        receiver_clock: Option<time::Duration>,
+    },
 }
 
 /// Error that ends a connection of a link, or a dial.
@@ -158,7 +168,11 @@
 /// Returns an error if the frame can't be encoded or its length exceeds `u32`.
 pub fn encode_frame(frame: &LinkFrame, buffer: &mut Vec<u8>) -> Result<(), LinkError> {
     let start = buffer.len();
-    buffer.extend_from_slice(&[0, 0, 0, 0, FRAME_FORMAT]);
+    let format = match frame {
+        LinkFrame::SendTime { .. } => SEND_TIME_FORMAT,
+        _ => FRAME_FORMAT,
+    };
+    buffer.extend_from_slice(&[0, 0, 0, 0, format]);
     let body = postcard::to_allocvec(frame)?;
     buffer.extend_from_slice(&body);
     let length = buffer.len() - start - 4;
@@ -184,7 +198,7 @@
         }
         let mut body = vec![0; bytes];
         reader.read_exact(&mut body).await?;
-        if body[0] == FRAME_FORMAT {
+        if matches!(body[0], FRAME_FORMAT | SEND_TIME_FORMAT) {
             return Ok(postcard::from_bytes(&body[1..])?);
         }
     }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use tokio::{net, sync::mpsc, task};
 
-use crate::{link_frame, node_state, peer_update, pool_driver, sent_state};
+use crate::{link_frame, node_state, peer_update, pool_driver, send_time, sent_state};
 
 /// Time for which the jobs of a lost connection go on, so that the peer can submit them again over
 /// a new connection or through another process, and the pool attaches the submission to the
@@ -54,11 +54,13 @@
     };
     let peer_name = Arc::clone(&hello.name);
     let mut sent_state = sent_state::SentState::default();
+    let mut send_times = send_time::SendTimes::default();
     // The leaders precede the status because the peer counts this process as probed when the
     // status arrives.
-    let first_frames: SmallVec<[link_frame::LinkFrame; 3]> = [
+    let first_frames: SmallVec<[link_frame::LinkFrame; 4]> = [
         Some(link_frame::LinkFrame::Hello(node.hello.clone())),
         sent_state.leader_change(node),
+        Some(send_times.frame(node.now())),
         Some(link_frame::LinkFrame::Status(node.own_status())),
     ]
     .into_iter()
@@ -84,8 +86,10 @@
     let result = loop {
         match link_frame::read_frame(&mut reader).await {
             Ok(link_frame::LinkFrame::Status(status)) => {
-                peer_update::apply_status(node, &peer_name, status);
+                let now = node.now();
+                peer_update::apply_status(node, &peer_name, status, send_times.sent_at(now));
                 let responses = [
+                    Some(send_times.frame(now)),
                     Some(link_frame::LinkFrame::Status(node.own_status())),
                     sent_state.newer_config(node, &status),
                     sent_state.leader_change(node),
@@ -96,7 +100,24 @@
                     let _closed = frame_sender.send(response);
                 }
             }
-            Ok(frame) => apply_frame(node, &peer_name, frame, &frame_sender, job_tasks),
+            Ok(link_frame::LinkFrame::SendTime {
+                sender_clock,
+                receiver_clock,
+            }) => send_times.apply(sender_clock, receiver_clock, node.now()),
+            Ok(link_frame::LinkFrame::Submit {
+                submission_id,
+                mut offer,
+            }) => {
+                offer.sent_at = send_times.sent_at(node.now());
+                job_tasks.retain(|_, job_task| !job_task.is_finished());
+                let job = node.pool.submit(offer);
+                let frame_sender = frame_sender.clone();
+                job_tasks.insert(
+                    submission_id,
+                    tokio::spawn(send_job_end(job, submission_id, frame_sender)),
+                );
+            }
+            Ok(frame) => apply_frame(node, &peer_name, frame, job_tasks),
             Err(error) => break Err(error),
         }
     };
@@ -108,25 +129,12 @@
     node: &Arc<node_state::NodeState>,
     peer_name: &Arc<str>,
     frame: link_frame::LinkFrame,
-    frame_sender: &mpsc::UnboundedSender<link_frame::LinkFrame>,
     job_tasks: &mut HashMap<u64, task::JoinHandle<()>>,
 ) {
     match frame {
         link_frame::LinkFrame::Leaders(change) => {
             peer_update::apply_leader_change(node, peer_name, change);
         }
-        link_frame::LinkFrame::Submit {
-            submission_id,
-            offer,
-        } => {
-            job_tasks.retain(|_, job_task| !job_task.is_finished());
-            let job = node.pool.submit(offer);
-            let frame_sender = frame_sender.clone();
-            job_tasks.insert(
-                submission_id,
-                tokio::spawn(send_job_end(job, submission_id, frame_sender)),
-            );
-        }
         link_frame::LinkFrame::Withdraw { submission_id } => {
             if let Some(job_task) = job_tasks.remove(&submission_id) {
                 job_task.abort();
@@ -135,7 +143,9 @@
         link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
         link_frame::LinkFrame::End { .. }
         | link_frame::LinkFrame::Hello(_)
-        | link_frame::LinkFrame::Status(_) => {}
+        | link_frame::LinkFrame::SendTime { .. }
+        | link_frame::LinkFrame::Status(_)
+        | link_frame::LinkFrame::Submit { .. } => {}
     }
 }
 
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -37,7 +37,8 @@
     /// Handle to the server pool of this process, which admits jobs only while the process leads
     /// shards.
     pub pool: pool_driver::PoolHandle,
-    started_at: time::Instant,
+    /// Start of the process on the clock of [`boot_time`].
+    started_at: time::Duration,
     peers: Mutex<peer_table::PeerTable>,
     config: Mutex<Option<ActiveConfig>>,
     /// Status of the pool, of which `config_version` and `leaving` are unused.
@@ -67,7 +68,7 @@
             logger,
             metrics: node_metrics::NodeMetrics::default(),
             pool,
-            started_at: time::Instant::now(),
+            started_at: boot_time(),
             peers: Mutex::new(peer_table::PeerTable::default()),
             config: Mutex::new(None),
             pool_status: Mutex::new(link_frame::PeerStatus::default()),
@@ -79,9 +80,11 @@
         }
     }
 
-    /// Returns the time since the process started, on the monotonic clock.
+    /// Returns the time since the process started, on a clock that never steps and that also
+    /// advances while the VM is suspended. On a clock that stands still meanwhile, claims and
+    /// messages from before would seem fresh.
     pub fn now(&self) -> time::Duration {
-        self.started_at.elapsed()
+        boot_time().saturating_sub(self.started_at)
     }
 
     /// Locks the table of the peers.
@@ -229,6 +232,15 @@
     }
 }
 
+/// Returns the time since the VM was booted, including the time for which it was suspended.
+fn boot_time() -> time::Duration {
+    let reading = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time::Duration::new(
+        u64::try_from(reading.tv_sec).unwrap_or(0),
+        u32::try_from(reading.tv_nsec).unwrap_or(0),
+    )
+}
+
 /// Adds the peer `hello`, or updates its entry. At the same address, the status is cleared if the
 /// peer has restarted, and a waiting link dials at once. At another address, the entry is replaced
 /// without its link and status.
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -16,7 +16,9 @@
     sync::{mpsc, oneshot},
 };
 
-use crate::{link_frame, link_interval, node_state, peer_table, peer_update, sent_state};
+use crate::{
+    link_frame, link_interval, node_state, peer_table, peer_update, send_time, sent_state,
+};
 
 /// Timeout of a dial; a round trip between failure domains takes a few ms.
 const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -299,6 +301,8 @@
             interval: self.interval(node, false),
             last_job_at: None,
             sent_state: sent_state::SentState::default(),
+            send_times: send_time::SendTimes::default(),
+            has_status: false,
         };
         if let Some(peer) = self.current_entry(&mut node.peers()) {
             peer.record_connected();
@@ -338,6 +342,7 @@
                 }
             }
             if !outgoing.is_empty() {
+                outgoing.insert(0, session.send_times.frame(node.now()));
                 let write = link_frame::write_frames(&mut writer, &outgoing);
                 match tokio::time::timeout(session.interval * MAX_MISSED_INTERVALS, write).await {
                     Ok(Ok(())) => {}
@@ -395,10 +400,18 @@
         frame: link_frame::LinkFrame,
         outgoing: &mut Vec<link_frame::LinkFrame>,
     ) {
-        session.last_frame_at = node.now();
+        let now = node.now();
+        let sent_at = session.send_times.sent_at(now);
         match frame {
+            link_frame::LinkFrame::SendTime {
+                sender_clock,
+                receiver_clock,
+            } => session.send_times.apply(sender_clock, receiver_clock, now),
             link_frame::LinkFrame::Status(status) => {
-                peer_update::apply_status(node, &self.name, status);
+                // The peer has lived at least until it sent the frame, whenever the frame is read.
+                session.last_frame_at = session.last_frame_at.max(sent_at);
+                session.has_status = true;
+                peer_update::apply_status(node, &self.name, status, sent_at);
                 if let Some(peer) = self.current_entry(&mut node.peers()) {
                     peer.probed = true;
                 }
@@ -430,6 +443,9 @@
     /// Time at which a job was last sent.
     last_job_at: Option<time::Duration>,
     sent_state: sent_state::SentState,
+    send_times: send_time::SendTimes,
+    /// Whether the peer has sent a status, and with it a reading of its clock.
+    has_status: bool,
 }
 
 impl LinkSession {
@@ -452,6 +468,10 @@
         outgoing: &mut Vec<link_frame::LinkFrame>,
     ) {
         match command {
+            // The peer could not tell when the offer was sent.
+            LinkCommand::Submit { reply, .. } if !self.has_status => {
+                let _dropped = reply.send(job_model::JobEnd::NotLeader);
+            }
             LinkCommand::Submit {
                 offer,
                 reply,
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -35,8 +35,8 @@
     pub hello: link_frame::PeerHello,
     /// Status that the peer last sent.
     pub status: link_frame::PeerStatus,
-    /// Time at which this process received `status`.
-    pub status_received_at: time::Duration,
+    /// Time at which the peer sent `status`, on the clock of this process.
+    pub status_sent_at: time::Duration,
     /// Names of the leaders that the peer last reported.
     pub reported_leaders: SmallVec<[Arc<str>; 6]>,
     /// Link that this process has opened to the peer, if there is one, connected or not.
@@ -61,7 +61,7 @@
         Self {
             hello,
             status: link_frame::PeerStatus::default(),
-            status_received_at: time::Duration::ZERO,
+            status_sent_at: time::Duration::ZERO,
             reported_leaders: SmallVec::new(),
             link: None,
             unwanted_since: None,
@@ -79,7 +79,7 @@
     }
 
     fn has_current_status(&self, now: time::Duration) -> bool {
-        self.connected || now < self.status_received_at + MAX_STATUS_AGE
+        self.connected || now < self.status_sent_at + MAX_STATUS_AGE
     }
 
     fn link_state(&self) -> link_plan::LinkState {
--- a/crates/cuminkeel_node/src/peer_update.rs
+++ b/crates/cuminkeel_node/src/peer_update.rs
@@ -1,22 +1,33 @@
 //! Application of statuses and leader changes that peers send.
 
-use std::sync::Arc;
+use std::{sync::Arc, time};
+
+use cuminkeel_dispatch::message_delay;
 
 use crate::{link_frame, link_reconciler, node_state};
 
-/// Stores the status of the peer `name`, and notifies watchers if its leadership or its
-/// intention to stop has changed.
-pub fn apply_status(node: &node_state::NodeState, name: &str, status: link_frame::PeerStatus) {
+/// Stores the status that the peer `name` sent at `sent_at`, and notifies watchers if its leadership
+/// or its intention to stop has changed. A status that was read late does not replace a newer one
+/// from another connection.
+pub fn apply_status(
+    node: &node_state::NodeState,
+    name: &str,
+    status: link_frame::PeerStatus,
+    sent_at: time::Duration,
+) {
     node.pool.observe_epoch(status.epoch);
     let mut peers = node.peers();
     let Some(peer) = peers.get_mut(name) else {
         return;
     };
+    if peer.status_sent_at > sent_at + message_delay::MAX_OFFER_DELAY {
+        return;
+    }
     let should_notify = peer.status.leaving != status.leaving
         || (peer.status.held_servers == 0) != (status.held_servers == 0)
         || peer.status.shards != status.shards;
     peer.status = status;
-    peer.status_received_at = node.now();
+    peer.status_sent_at = sent_at;
     drop(peers);
     if should_notify {
         node.notify_peer_change();
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -225,6 +225,10 @@
 impl PoolDriver {
     fn handle_event(&mut self, event: PoolEvent) {
         let now = self.node.now();
+        if self.pool.step_down_after_pause(now) {
+            // Jobs are admitted again, and servers claimed, only if this process still leads.
+            self.reconcile_leadership();
+        }
         match event {
             PoolEvent::Submit {
                 offer,
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -192,6 +192,7 @@
         time_to_deadline: test_platform::TEST_TIMEOUT,
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
+        sent_at: std::time::Duration::ZERO,
     });
     let end = job
         .wait_for_end()
@@ -199,3 +200,119 @@
         .expect("job should have an end, as it was not sent");
     assert_eq!(end, job_model::JobEnd::NotLeader);
 }
+
+/// Connection to a process as one of its peers.
+struct RawPeer {
+    stream: tokio::net::TcpStream,
+    /// Clock of the process, and the time at which its reading arrived.
+    process_clock: (std::time::Duration, std::time::Instant),
+}
+
+impl RawPeer {
+    /// Connects to the process at `address` and reads its clock.
+    async fn connect(address: &str) -> Self {
+        let mut stream = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("process should accept the connection");
+        let frame = link_frame::LinkFrame::Hello(hello("n9", "127.0.0.1:1"));
+        link_frame::write_frames(&mut stream, &[frame])
+            .await
+            .expect("hello should be sent");
+        loop {
+            let frame = link_frame::read_frame(&mut stream)
+                .await
+                .expect("process should send its first frames");
+            if let link_frame::LinkFrame::SendTime { sender_clock, .. } = frame {
+                return Self {
+                    stream,
+                    process_clock: (sender_clock, std::time::Instant::now()),
+                };
+            }
+        }
+    }
+
+    /// Offers a job as if the offer had been sent `delay` ago, and returns its end.
+    async fn offer_sent_before(
+        &mut self,
+        delay: std::time::Duration,
+        offer: job_model::JobOffer,
+    ) -> job_model::JobEnd {
+        let (reading, received_at) = self.process_clock;
+        let frames = [
+            link_frame::LinkFrame::SendTime {
+                sender_clock: std::time::Duration::ZERO,
+                receiver_clock: Some((reading + received_at.elapsed()).saturating_sub(delay)),
+            },
+            link_frame::LinkFrame::Submit {
+                submission_id: 1,
+                offer,
+            },
+        ];
+        link_frame::write_frames(&mut self.stream, &frames)
+            .await
+            .expect("offer should be sent");
+        loop {
+            let frame = link_frame::read_frame(&mut self.stream)
+                .await
+                .expect("process should send the end of the job");
+            if let link_frame::LinkFrame::End { end, .. } = frame {
+                return end;
+            }
+        }
+    }
+}
+
+fn offer_of_one_task(id: &str) -> job_model::JobOffer {
+    let step = job_model::StepSpec {
+        task_count: 1,
+        cpu_millis: 1_000,
+        memory_mb: 1,
+        gpus: 0,
+        estimate_ms: 20,
+        depends_on: smallvec::SmallVec::new(),
+        required_label: None,
+        data_rack: None,
+        max_per_server: None,
+    };
+    job_model::JobOffer {
+        spec: Arc::new(job_model::JobSpec {
+            id: Arc::from(id),
+            route: Arc::from("orders"),
+            service: Arc::from("order-desk"),
+            payload: Arc::from("20"),
+            steps: vec![step],
+            priority: 0,
+            max_attempts: 1,
+            stretch_factor: 1.0,
+            target_latency_ms: 5_000,
+        }),
+        age: std::time::Duration::ZERO,
+        time_to_deadline: test_platform::TEST_TIMEOUT,
+        may_have_started: false,
+        terms: job_model::OfferTerms::Useful,
+        sent_at: std::time::Duration::ZERO,
+    }
+}
+
+/// An offer that stayed in the network or in a socket for a second: its sender has given it up.
+#[tokio::test(flavor = "multi_thread")]
+async fn offer_that_was_sent_long_ago_is_not_admitted() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let second = std::time::Duration::from_secs(1);
+    // The clock of a process starts at zero.
+    tokio::time::sleep(second).await;
+    let mut peer = RawPeer::connect(&node.settings.link_address).await;
+    let late_end = peer
+        .offer_sent_before(second, offer_of_one_task("00000000000000e1"))
+        .await;
+    assert_eq!(late_end, job_model::JobEnd::NotLeader);
+    assert!(platform.started_tasks().is_empty());
+    let fresh_end = peer
+        .offer_sent_before(
+            std::time::Duration::ZERO,
+            offer_of_one_task("00000000000000e2"),
+        )
+        .await;
+    assert_eq!(fresh_end, job_model::JobEnd::Completed);
+}
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -244,6 +244,7 @@
             time_to_deadline: time::Duration::from_millis(2_500),
             may_have_started: false,
             terms: job_model::OfferTerms::Useful,
+            sent_at: time::Duration::ZERO,
         },
         task_profile: fake_server::TaskProfile {
             cpu_millis: round_to_u32(cpu_millis),
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -194,12 +194,28 @@
         self.push(self.now, Event::Tick(pool_index));
     }
 
-    /// Offers a job to a pool. `profile` holds for each task of the job.
+    /// Offers a job to a pool, which reads the offer at once. `profile` holds for each task of the
+    /// job.
     pub fn submit(
         &mut self,
         pool_index: usize,
         offer: &job_model::JobOffer,
         profile: fake_server::TaskProfile,
+    ) {
+        let offer = job_model::JobOffer {
+            sent_at: self.now,
+            ..offer.clone()
+        };
+        self.deliver_offer(pool_index, &offer, profile);
+    }
+
+    /// Lets a pool read an offer that was sent at its `sent_at`, for example after a pause of the
+    /// process. `profile` holds for each task of the job.
+    pub fn deliver_offer(
+        &mut self,
+        pool_index: usize,
+        offer: &job_model::JobOffer,
+        profile: fake_server::TaskProfile,
     ) {
         self.task_profiles
             .insert(Arc::clone(&offer.spec.id), profile);
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -51,6 +51,7 @@
         time_to_deadline: ms(5_000),
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
+        sent_at: time::Duration::ZERO,
     }
 }
 
@@ -223,6 +224,45 @@
     }
 }
 
+/// An offer stays in the socket of a paused leader. Its sender gives it up, and the next leader runs
+/// the job. The first leader resumes, leads again and reads the offer, which says that no other pool
+/// has the job: placing it before the servers have reported their runs would start a second run.
+#[test]
+fn offer_that_is_read_after_a_pause_starts_nothing() {
+    for delay_steps in 0..20 {
+        let mut simulation = simulation_with_leader(2, &["s1", "s2", "s3"]);
+        let given_up = job_model::JobOffer {
+            sent_at: simulation.now(),
+            ..offer("job", 1, LONG_RUN)
+        };
+        simulation.pause(0);
+        simulation.run_until(ms(800));
+        simulation.lead(1);
+        let resubmitted = job_model::JobOffer {
+            may_have_started: true,
+            ..offer("job", 1, LONG_RUN)
+        };
+        // The blocker fills s1 for a while, so the job runs on another server than the one whose
+        // claim is granted first to the resumed leader.
+        simulation.submit(1, &offer("blocker", 2, LONG_RUN), task_profile(SHORT_RUN));
+        simulation.submit(1, &resubmitted, task_profile(LONG_RUN));
+        simulation.run_until(ms(1_100));
+        simulation.resume(0);
+        simulation.pools[0].tick(ms(1_100));
+        simulation.lead(0);
+        simulation.run_until(ms(1_100) + time::Duration::from_micros(delay_steps * 100));
+        simulation.deliver_offer(0, &given_up, task_profile(LONG_RUN));
+        simulation.run_until(ms(5_000));
+        assert_eq!(
+            simulation.violations,
+            [],
+            "offer read {delay_steps} steps of 100 us after the claims"
+        );
+        let first_end = job_ends(&simulation, "job").into_iter().next();
+        assert_eq!(first_end, Some(job_model::JobEnd::NotLeader));
+    }
+}
+
 /// The registry entry of the server that runs the job is missing when the leader changes, so the
 /// next leader does not know of the run. Starting the job at once on the other server would give
 /// overlapping runs.
