Apply the time limit of a route to callers that state no deadline

Cause: `JobRoute::timeout_ms` was decoded and not applied. So the caller's own deadline goes first, and the limit replaces the frontend's default of 2 s. Test: time_limit_of_the_route_holds_for_callers_without_a_deadline, seen to fail with the default (200 instead of 504).

--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -14,7 +14,8 @@
 
 /// Pause after a failed accept, for example with too many open file descriptors.
 const ACCEPT_RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
-/// Time to the deadline of a request without a readable deadline header.
+/// Time to the deadline of a request without a readable deadline header on a route without a time
+/// limit.
 const DEFAULT_TIME_TO_DEADLINE: time::Duration = time::Duration::from_secs(2);
 /// `Retry-After` of a job that needs an unsupported feature.
 const UNSUPPORTED_RETRY_AFTER: time::Duration = time::Duration::from_mins(1);
@@ -150,13 +151,15 @@
     request: http::Request<body::Incoming>,
 ) -> Response {
     let headers_read_at = node.now();
-    // Only the caller's header sets the deadline; the route's `timeout_ms` does not.
+    // A caller that waits longer than the route's time limit still wants its answer.
     let time_to_deadline = request
         .headers()
         .get(caller_api::DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.trim().parse().ok())
-        .map_or(DEFAULT_TIME_TO_DEADLINE, time::Duration::from_millis);
+        .map(time::Duration::from_millis)
+        .or(route.timeout)
+        .unwrap_or(DEFAULT_TIME_TO_DEADLINE);
     let job = match read_job(node, config, route, &id, request).await {
         Ok(job) => job,
         Err(response) => return response,
--- a/crates/cuminkeel_node/tests/node/frontend.rs
+++ b/crates/cuminkeel_node/tests/node/frontend.rs
@@ -127,6 +127,18 @@
     );
 }
 
+/// The route's time limit is 1.5 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn time_limit_of_the_route_holds_for_callers_without_a_deadline() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let (limited, unlimited) = tokio::join!(
+        node.submit_without_deadline("00000000000000f1", "1900", 1),
+        node.submit("00000000000000f2", "1900", 1),
+    );
+    assert_eq!((limited.0, unlimited.0), (504, 200));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unconfigured_process_is_not_ready_and_rejects_jobs() {
     let platform = test_platform::TestPlatform::start_unconfigured(&["north"]).await;
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -61,7 +61,20 @@
     /// the body of the response.
     pub async fn send(&self, method: &str, path: &str, body: &str) -> (u16, Bytes) {
         let client = http_client::HttpClient::new(&self.settings.caller_address);
-        send_from_caller(&client, method, path, body).await
+        send_from_caller(&client, method, path, body, Some("8000")).await
+    }
+
+    /// Submits the job of [`job_body`] under `id` for a caller that states no deadline. Returns the
+    /// same as [`Self::send`].
+    pub async fn submit_without_deadline(
+        &self,
+        id: &str,
+        payload: &str,
+        tasks: u32,
+    ) -> (u16, Bytes) {
+        let client = http_client::HttpClient::new(&self.settings.caller_address);
+        let path = format!("{PREFIX}{id}");
+        send_from_caller(&client, "POST", &path, &job_body(payload, tasks), None).await
     }
 
     /// Submits the job of [`job_body`] under `id`. Returns the same as [`Self::send`].
@@ -134,7 +147,11 @@
     for id in ids {
         let client = http_client::HttpClient::new(&node.settings.caller_address);
         let (path, body) = (format!("{PREFIX}{id}"), job_body(payload, tasks));
-        requests.spawn(async move { send_from_caller(&client, "POST", &path, &body).await.0 });
+        requests.spawn(async move {
+            send_from_caller(&client, "POST", &path, &body, Some("8000"))
+                .await
+                .0
+        });
     }
     requests.join_all().await
 }
@@ -144,6 +161,7 @@
     method: &str,
     path: &str,
     body: &str,
+    deadline_ms: Option<&str>,
 ) -> (u16, Bytes) {
     // `HttpClient::send` sets the address of the target as the Host header, but routes match only
     // `HOST`.
@@ -156,11 +174,14 @@
         hyper::client::conn::http1::handshake(hyper_util::rt::TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.expect("HTTP handshake should succeed");
     tokio::spawn(connection);
-    let request = http::Request::builder()
+    let mut builder = http::Request::builder()
         .method(method)
         .uri(path)
-        .header(http::header::HOST, HOST)
-        .header("X-Cuminkeel-Deadline-Ms", "8000")
+        .header(http::header::HOST, HOST);
+    if let Some(deadline_ms) = deadline_ms {
+        builder = builder.header("X-Cuminkeel-Deadline-Ms", deadline_ms);
+    }
+    let request = builder
         .body(http_body_util::Full::new(Bytes::from(body.to_owned())))
         .expect("request should be valid");
     match sender.send_request(request).await {
