Keep the runs of a restarted server until a report shows which it has

Cause: found by the new replay of servers that are replaced one after the other (122 runs for 120 tasks). The pool learnt of a restart from the next hold report only. Until then it started tasks on the new incarnation under its claim on the previous one; at the report it took them for lost, and a task that had ended as done in the meantime ran again. Ruled out: requeueing only unconfirmed runs, as the answer to a start does not say which incarnation gave it. Change: a new incarnation in the registry makes the server suspect and claims it again at once; on any restart the runs stay with the server until the report on a newer token shows which of them it has. Leases on a server without a clock reading count from the start of the claim, so that the wait is bounded. Failed first: servers_are_replaced_one_after_the_other_without_a_lost_run. The others passed on the first run.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -47,12 +47,25 @@
             return;
         }
         let address_changed = slot.entry.address != entry.address;
+        // Incarnation 0 stands for an entry without a start time.
+        let has_restarted = slot.incarnation != 0
+            && entry.incarnation != 0
+            && entry.incarnation != slot.incarnation;
+        if entry.incarnation != 0 {
+            slot.incarnation = entry.incarnation;
+        }
         slot.registered = true;
         slot.entry = entry;
-        if address_changed && slot.claim_state != server_slot::ClaimState::Unclaimed {
+        if slot.claim_state != server_slot::ClaimState::Unclaimed
+            && (address_changed || has_restarted)
+        {
             // During a first claim, the runs on the server stay unknown.
             if slot.claim_state == server_slot::ClaimState::Held {
                 slot.claim_state = server_slot::ClaimState::Suspect;
+                slot.claim_started_at = now;
+            }
+            if has_restarted {
+                self.record_restart(&id);
             }
             self.send_claim_attempt(&id, now);
         }
@@ -343,7 +356,7 @@
             .filter(|(_, slot)| {
                 slot.claim_state == server_slot::ClaimState::Suspect
                     && !slot.runs.is_empty()
-                    && slot.leases_expire_at().is_some_and(|at| at <= now)
+                    && slot.leases_expire_at(self.settings.max_lease) <= now
             })
             .map(|(id, _)| Arc::clone(id))
             .collect();
@@ -354,8 +367,6 @@
             let runs = std::mem::take(&mut slot.runs);
             let inputs = [
                 ("runs", count_input(runs.len())),
-                // Time since the server became suspect; since an earlier claim if a changed address
-                // made it suspect.
                 (
                     "silent_ms",
                     pool_action::whole_ms(now.saturating_sub(slot.claim_started_at)),
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -66,41 +66,49 @@
             slot.incarnation = incarnation;
         }
         let sent_at = slot.hold_sent_at;
-        let mut lost_runs = Vec::new();
         if has_restarted {
-            lost_runs.extend(std::mem::take(&mut slot.runs));
-            slot.processed_end_sequence = 0;
-            slot.lease_expiry_ms = 0;
-            slot.clock = None;
+            self.record_restart(id);
         }
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
         starts::record_clock(slot, report.clock_ms, now);
         if slot.claim_state != server_slot::ClaimState::Held {
             self.mark_held(id, report.running.len(), now);
         }
+        self.apply_reported_ends(id, &report.finished, now);
+        self.apply_reported_runs(id, report, sent_at, now);
         if has_restarted {
-            let inputs = [
-                ("runs", claims::count_input(lost_runs.len())),
-                ("", 0),
-                ("", 0),
-            ];
-            self.record_decision(
-                pool_action::DecisionKind::Restarted,
-                None,
-                Some(Arc::clone(id)),
-                "runs_lost",
-                inputs,
-            );
-            for (task, run) in lost_runs {
-                self.end_run(id, &task, &run, server_model::RunEnd::Lost, now);
-            }
-            // Orders sent to the previous incarnation may still arrive; a new token fences them.
+            // Starts that were sent to the previous incarnation may still arrive. A new token fences
+            // them, and the report on it shows which of the remaining runs the server has.
             self.send_claim_attempt(id, now);
         }
-        self.apply_reported_ends(id, &report.finished, now);
-        self.apply_reported_runs(id, report, sent_at, now);
         self.remove_if_unregistered(id);
     }
 
+    /// Discards what is known of the previous incarnation of server `id`. Its runs remain until a
+    /// report shows which of them the new incarnation has: some may have been started on it.
+    pub(super) fn record_restart(&mut self, id: &Arc<str>) {
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
+        slot.processed_end_sequence = 0;
+        slot.lease_expiry_ms = 0;
+        slot.clock = None;
+        let inputs = [
+            ("runs", claims::count_input(slot.runs.len())),
+            ("", 0),
+            ("", 0),
+        ];
+        self.record_decision(
+            pool_action::DecisionKind::Restarted,
+            None,
+            Some(Arc::clone(id)),
+            "runs_unknown",
+            inputs,
+        );
+    }
+
     /// Records that server `id` has granted the claim.
     fn mark_held(&mut self, id: &Arc<str>, running: usize, now: time::Duration) {
         let Some(slot) = self.servers.get_mut(id) else {
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -134,8 +134,7 @@
     pub runs: BTreeMap<job_model::TaskName, ServerRun>,
     /// Health of the server.
     pub health: health::ServerHealth,
-    /// Time at which the current claim began; not updated when a changed address or a restart
-    /// causes a new claim.
+    /// Time at which the current claim began; not updated by a restart that a hold report shows.
     pub claim_started_at: time::Duration,
     /// Number of attempts of the current claim.
     pub claim_attempts: u32,
@@ -223,14 +222,23 @@
     }
 
     /// Returns the time from which an unresponsive server can have no run left. The server's
-    /// clock may be slow, so a lease may last longer than stated. `None` without a clock reading.
-    pub fn leases_expire_at(&self) -> Option<time::Duration> {
-        let reading = self.clock?;
-        let lease_ms = self.lease_expiry_ms.saturating_sub(reading.clock_ms);
+    /// clock may be slow, so a lease may last longer than stated. Without a clock reading, the leases
+    /// count as renewed for `max_lease` when the current claim began.
+    pub fn leases_expire_at(&self, max_lease: time::Duration) -> time::Duration {
+        let (granted_at, lease_ms) = match self.clock {
+            Some(reading) => (
+                reading.received_at,
+                self.lease_expiry_ms.saturating_sub(reading.clock_ms),
+            ),
+            None => (
+                self.claim_started_at,
+                u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX / 128),
+            ),
+        };
         // A clock that is slow by 2 % stretches a lease by 1 / 0.98, which is above 2 %, so
         // one more percent is added.
         let max_lease_ms = lease_ms * u64::from(100 + MAX_CLOCK_DRIFT_PERCENT + 1) / 100;
-        Some(reading.received_at + time::Duration::from_millis(max_lease_ms) + LEASE_EXPIRY_MARGIN)
+        granted_at + time::Duration::from_millis(max_lease_ms) + LEASE_EXPIRY_MARGIN
     }
 
     /// Returns the earliest time at which a run of a job is checked for progress.
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod frontend;
 mod logs;
 mod peers;
+mod platform_faults;
 mod recovery;
 mod request_causes;
 mod shards;
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -3,11 +3,11 @@
 use std::time;
 
 use cuminkeel_replay::fake_server;
-use platform_emulator::emulated_store;
-use rand::{RngExt, rngs::StdRng};
+use platform_emulator::{emulated_store, loopback_proxy};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rustix::process::Signal;
 
-use crate::{proxy, site};
+use crate::site;
 
 /// Fault that was injected.
 #[derive(Clone, Debug)]
@@ -27,14 +27,23 @@
     RestoreServer(usize),
     RestoreStore,
     RestoreProxy(usize),
+    ReplaceServer(usize),
 }
 
+/// Distinguishes the random numbers of the later kinds of faults from those of the first kinds, so
+/// that an old seed still draws the same faults of the first kinds.
+const LATER_KINDS_SEED: u64 = 0x6c61_7465_7221;
+/// Number of configurations in a storm.
+const STORM_CONFIGS: u64 = 10;
+
 /// Injects random faults for `duration`, then ends those that remain.
 pub async fn inject_faults(
     site: &mut site::SoakSite,
     random: &mut StdRng,
+    seed: u64,
     duration: time::Duration,
 ) -> Vec<InjectedFault> {
+    let mut later_random = StdRng::seed_from_u64(seed ^ LATER_KINDS_SEED);
     let started_at = time::Instant::now();
     let mut faults = Vec::new();
     let mut repairs: Vec<(time::Duration, Repair)> = Vec::new();
@@ -47,8 +56,18 @@
         for (_, repair) in due {
             repair_fault(site, repair).await;
         }
+        let mut injected = Vec::new();
         if random.random_bool(0.25) {
-            let (description, repair) = inject_one(site, random).await;
+            let fault = inject_one(site, random).await;
+            let fault_duration = time::Duration::from_millis(random.random_range(200..2_500));
+            injected.push((fault, fault_duration));
+        }
+        if later_random.random_bool(0.1) {
+            let fault = inject_later_kind(site, &mut later_random).await;
+            let fault_duration = time::Duration::from_millis(later_random.random_range(200..2_500));
+            injected.push((fault, fault_duration));
+        }
+        for ((description, repair), fault_duration) in injected {
             let paused_node = match repair {
                 Some(Repair::ResumeNode(node)) => Some(node),
                 _ => None,
@@ -58,7 +77,6 @@
                 description,
                 paused_node,
             });
-            let fault_duration = time::Duration::from_millis(random.random_range(200..2_500));
             repairs.extend(repair.map(|repair| (now + fault_duration, repair)));
         }
         tokio::time::sleep(time::Duration::from_millis(100)).await;
@@ -121,11 +139,11 @@
             let proxy_index = random.random_range(0..count);
             let delay = time::Duration::from_millis(random.random_range(5..200));
             let mode = match random.random_range(0..5) {
-                0 => proxy::ProxyMode::Delay(delay),
-                1 => proxy::ProxyMode::StallUpstream,
-                2 => proxy::ProxyMode::StallDownstream,
-                3 => proxy::ProxyMode::StallBoth,
-                _ => proxy::ProxyMode::Reset,
+                0 => loopback_proxy::ProxyMode::Delay(delay),
+                1 => loopback_proxy::ProxyMode::StallUpstream,
+                2 => loopback_proxy::ProxyMode::StallDownstream,
+                3 => loopback_proxy::ProxyMode::StallBoth,
+                _ => loopback_proxy::ProxyMode::Reset,
             };
             set_proxy_mode(site, proxy_index, mode);
             (
@@ -151,6 +169,51 @@
     }
 }
 
+/// Injects one random fault of the kinds that were added later. Returns the same as [`inject_one`].
+async fn inject_later_kind(
+    site: &mut site::SoakSite,
+    random: &mut StdRng,
+) -> (String, Option<Repair>) {
+    let server = random.random_range(0..site.servers.len());
+    match random.random_range(0..4) {
+        0 => {
+            site.servers[server].set_mode(fake_server::ServerMode::StartAnswersLost);
+            (
+                format!("server {server} loses the answers of starts"),
+                Some(Repair::RestoreServer(server)),
+            )
+        }
+        1 => {
+            let first_version = random.random_range(2..1_000);
+            for version in first_version..first_version + STORM_CONFIGS {
+                site.write_config(version);
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+            (
+                format!("storm of configurations from {first_version}"),
+                None,
+            )
+        }
+        2 => {
+            site.servers[server].set_draining(true, &site.store);
+            (
+                format!("server {server} drains and is replaced"),
+                Some(Repair::ReplaceServer(server)),
+            )
+        }
+        _ => {
+            for proxy in site.proxies() {
+                proxy.set_mode(loopback_proxy::ProxyMode::Reset);
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            for proxy in site.proxies() {
+                proxy.set_mode(loopback_proxy::ProxyMode::Forward);
+            }
+            (String::from("reset all connections"), None)
+        }
+    }
+}
+
 async fn repair_fault(site: &mut site::SoakSite, repair: Repair) {
     match repair {
         Repair::RestartNode(node) => {
@@ -165,13 +228,19 @@
         Repair::RestoreServer(server) => {
             site.servers[server].set_mode(fake_server::ServerMode::Healthy);
         }
+        Repair::ReplaceServer(server) => {
+            site.servers[server].restart(&site.store);
+            site.servers[server].set_draining(false, &site.store);
+        }
         Repair::RestoreStore => site.store.set_mode(emulated_store::StoreMode::Up),
-        Repair::RestoreProxy(index) => set_proxy_mode(site, index, proxy::ProxyMode::Forward),
+        Repair::RestoreProxy(index) => {
+            set_proxy_mode(site, index, loopback_proxy::ProxyMode::Forward)
+        }
     }
 }
 
 /// Sets the mode of a proxy by its index: 0 is the store, then the servers, then the links.
-fn set_proxy_mode(site: &site::SoakSite, proxy_index: usize, mode: proxy::ProxyMode) {
+fn set_proxy_mode(site: &site::SoakSite, proxy_index: usize, mode: loopback_proxy::ProxyMode) {
     if let Some(proxy) = site.proxies().nth(proxy_index) {
         proxy.set_mode(mode);
     }
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -7,7 +7,6 @@
 mod callers;
 mod faults;
 mod invariants;
-mod proxy;
 mod site;
 
 use rand::SeedableRng;
@@ -46,7 +45,8 @@
     let mut random = rand::rngs::StdRng::seed_from_u64(seed);
     let mut site = site::SoakSite::start().await;
     let running_callers = callers::start_callers(&site, seed);
-    let injected_faults = faults::inject_faults(&mut site, &mut random, FAULT_PHASE_DURATION).await;
+    let injected_faults =
+        faults::inject_faults(&mut site, &mut random, seed, FAULT_PHASE_DURATION).await;
     site.end_all_faults();
     let call_records = running_callers.stop().await;
     let all_serve = callers::all_nodes_serve(&site).await;
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -11,11 +11,9 @@
 };
 
 use cuminkeel_replay::fake_server;
-use platform_emulator::{emulated_server, emulated_store, loopback};
+use platform_emulator::{emulated_server, emulated_store, loopback, loopback_proxy};
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::proxy;
-
 pub const ROUTE_HOST: &str = "desk.example";
 pub const ROUTE_PREFIX: &str = "/orders/";
 /// Names of the processes' VMs, with their failure domains.
@@ -36,7 +34,7 @@
     pub name: &'static str,
     pub caller_address: Arc<str>,
     /// Proxy in front of the listener for links from other processes.
-    pub link_proxy: proxy::Proxy,
+    pub link_proxy: loopback_proxy::LoopbackProxy,
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Option<process::Child>,
@@ -107,10 +105,10 @@
 pub struct SoakSite {
     pub store: emulated_store::EmulatedStore,
     /// Proxy in front of the store.
-    pub store_proxy: proxy::Proxy,
+    pub store_proxy: loopback_proxy::LoopbackProxy,
     pub servers: Vec<emulated_server::EmulatedServer>,
     /// Proxies in front of the servers, in their order.
-    pub server_proxies: Vec<proxy::Proxy>,
+    pub server_proxies: Vec<loopback_proxy::LoopbackProxy>,
     pub nodes: Vec<SoakNode>,
     directory: PathBuf,
 }
@@ -120,7 +118,7 @@
         let store = emulated_store::EmulatedStore::start()
             .await
             .expect("store should start");
-        let store_proxy = proxy::Proxy::start(&store.address()).await;
+        let store_proxy = start_proxy(&store.address()).await;
         let mut servers = Vec::new();
         let mut server_proxies = Vec::new();
         for domain in ["north", "south"] {
@@ -129,7 +127,7 @@
                 let server = emulated_server::EmulatedServer::start(&name, domain, 16_000)
                     .await
                     .expect("server should start");
-                let server_proxy = proxy::Proxy::start(&server.address()).await;
+                let server_proxy = start_proxy(&server.address()).await;
                 server.set_address(&server_proxy.address);
                 server.register(&store);
                 servers.push(server);
@@ -189,7 +187,7 @@
         SoakNode {
             name,
             caller_address,
-            link_proxy: proxy::Proxy::start(&link_address).await,
+            link_proxy: start_proxy(&link_address).await,
             settings_path,
             log_path: self.directory.join(format!("{name}.log")),
             child: None,
@@ -197,7 +195,7 @@
     }
 
     /// Returns all proxies: those of the store, the servers and the links, in this order.
-    pub fn proxies(&self) -> impl Iterator<Item = &proxy::Proxy> {
+    pub fn proxies(&self) -> impl Iterator<Item = &loopback_proxy::LoopbackProxy> {
         let link_proxies = self.nodes.iter().map(|node| &node.link_proxy);
         [&self.store_proxy]
             .into_iter()
@@ -209,11 +207,11 @@
     pub fn end_all_faults(&mut self) {
         self.store.set_mode(emulated_store::StoreMode::Up);
         for proxy in self.proxies() {
-            proxy.set_mode(proxy::ProxyMode::Forward);
+            proxy.set_mode(loopback_proxy::LoopbackProxyMode::Forward);
         }
         for server in &self.servers {
             server.set_mode(fake_server::ServerMode::Healthy);
-            server.register(&self.store);
+            server.set_draining(false, &self.store);
         }
         for node in &mut self.nodes {
             node.signal(Signal::CONT);
@@ -245,6 +243,12 @@
     }
 }
 
+async fn start_proxy(target: &str) -> loopback_proxy::LoopbackProxy {
+    loopback_proxy::LoopbackProxy::start(target)
+        .await
+        .expect("a loopback port should be free")
+}
+
 impl Drop for SoakSite {
     fn drop(&mut self) {
         self.nodes.clear();
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -24,6 +24,8 @@
     /// Starts stay unanswered and are carried out after this delay. In a `PoolSimulation` the first
     /// start is delayed and makes the server healthy; an emulated server delays every start.
     DelayedStarts(time::Duration),
+    /// Starts are carried out, and their answers are lost.
+    StartAnswersLost,
 }
 
 /// A run in progress on a fake server.
@@ -233,9 +235,10 @@
             ServerMode::Slow(factor) => (self.slowdown_factor * factor, profile.always_fails),
             ServerMode::Hanging => (1e4, profile.always_fails),
             ServerMode::Failing => (0.1, true),
-            ServerMode::Healthy | ServerMode::Unreachable | ServerMode::DelayedStarts(_) => {
-                (self.slowdown_factor, profile.always_fails)
-            }
+            ServerMode::Healthy
+            | ServerMode::Unreachable
+            | ServerMode::DelayedStarts(_)
+            | ServerMode::StartAnswersLost => (self.slowdown_factor, profile.always_fails),
         };
         self.runs.insert(
             order.task.clone(),
--- a/crates/cuminkeel_replay/src/load_bound.rs
+++ b/crates/cuminkeel_replay/src/load_bound.rs
@@ -127,7 +127,8 @@
                         ) => 0.0,
                         Some(
                             fake_server::ServerMode::DelayedStarts(_)
-                            | fake_server::ServerMode::Healthy,
+                            | fake_server::ServerMode::Healthy
+                            | fake_server::ServerMode::StartAnswersLost,
                         )
                         | None => full_rate,
                     }
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -372,13 +372,19 @@
             }
             _ => {}
         }
+        let answer_is_lost = server.mode == fake_server::ServerMode::StartAnswersLost;
         let outcome = server.start(&order, profile, now);
         let server_id = Arc::clone(&order.server);
         if matches!(outcome, server_model::StartOutcome::Started { .. }) {
             self.check_invariants(&order.task, &server_id);
         }
+        let (delay, outcome) = if answer_is_lost {
+            (ORDER_TIMEOUT, server_model::StartOutcome::Unanswered)
+        } else {
+            (ONE_WAY_LATENCY, outcome)
+        };
         self.push(
-            now + ONE_WAY_LATENCY,
+            now + delay,
             Event::StartOutcomeArrives(pool_index, order, outcome),
         );
         self.schedule_advance(&server_id);
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -887,3 +887,124 @@
     // The queued jobs expire 4.5 s after their arrival; jitter at most doubles the time.
     assert!(retry_after <= ms(2 * 4_500), "Retry-After {retry_after:?}");
 }
+
+/// Servers carry out starts whose answers are lost. A pool that started the tasks again would run
+/// them twice, and one that gave the runs up would lose their work.
+#[test]
+fn runs_whose_start_was_not_answered_are_kept() {
+    let mut simulation = simulation_with_leader(1, &["s1", "s2"]);
+    for name in ["s1", "s2"] {
+        simulation.server_mut(name).mode = fake_server::ServerMode::StartAnswersLost;
+    }
+    for number in 0..6 {
+        let id = format!("job{number}");
+        simulation.submit(0, &offer(&id, 2, LONG_RUN), task_profile(LONG_RUN));
+    }
+    simulation.run_until(ms(6_000));
+    assert_eq!(simulation.violations, []);
+    let completed = simulation
+        .answers
+        .iter()
+        .filter(|answer| answer.end == job_model::JobEnd::Completed)
+        .count();
+    let run_count: usize = simulation
+        .servers
+        .values()
+        .map(|server| server.history.len())
+        .sum();
+    assert!(completed >= 2, "{completed} jobs completed");
+    assert_eq!(
+        run_count,
+        completed * 2,
+        "runs of {completed} jobs of two tasks"
+    );
+}
+
+/// The servers of a service are replaced one after the other: each drains, leaves when its runs have
+/// ended, and returns as a new incarnation. Jobs arrive all the while and none loses a run.
+#[test]
+fn servers_are_replaced_one_after_the_other_without_a_lost_run() {
+    let names = ["s1", "s2", "s3", "s4"];
+    let mut simulation = simulation_with_leader(1, &names);
+    let mut submitted = 0;
+    let mut submit_for = |simulation: &mut pool_simulation::PoolSimulation, duration| {
+        let until = simulation.now() + duration;
+        while simulation.now() < until {
+            let id = format!("job{submitted}");
+            simulation.submit(0, &offer(&id, 2, SHORT_RUN), task_profile(SHORT_RUN));
+            submitted += 1;
+            let next = simulation.now() + ms(100);
+            simulation.run_until(next);
+        }
+    };
+    for name in names {
+        let entry = &mut simulation.server_mut(name).entry;
+        entry.draining = true;
+        entry.sequence += 1;
+        simulation.update_registry_entry(0, name);
+        submit_for(&mut simulation, ms(1_000));
+        let now = simulation.now();
+        let server = simulation.server_mut(name);
+        assert_eq!(server.used_cpu_millis(), 0, "{name} should be drained");
+        server.restart(now);
+        server.entry.draining = false;
+        simulation.update_registry_entry(0, name);
+        submit_for(&mut simulation, ms(500));
+    }
+    let until = simulation.now() + ms(2_000);
+    simulation.run_until(until);
+    assert_eq!(simulation.violations, []);
+    assert_eq!(simulation.answers.len(), submitted);
+    for answer in &simulation.answers {
+        assert_eq!(answer.end, job_model::JobEnd::Completed, "{}", answer.job);
+    }
+    let run_count: usize = simulation
+        .servers
+        .values()
+        .map(|server| server.history.len())
+        .sum();
+    assert_eq!(run_count, submitted * 2);
+}
+
+/// One of three servers becomes several times slower for a while. Jobs run on the others, and it is
+/// used again when they don't suffice.
+#[test]
+fn servers_that_turn_slow_are_avoided_and_used_again() {
+    let names = ["s1", "s2", "s3"];
+    let mut simulation = simulation_with_leader(1, &names);
+    let mut runs_on_slow = Vec::new();
+    let mut number = 0;
+    // The fast servers have room for four tasks.
+    for (phase, (mode, task_count)) in [
+        (fake_server::ServerMode::Healthy, 5),
+        (fake_server::ServerMode::Slow(6.0), 3),
+        (fake_server::ServerMode::Healthy, 5),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        simulation.server_mut("s1").mode = mode;
+        let history_before = simulation.server_mut("s1").history.len();
+        let phase_end = simulation.now() + ms(6_000);
+        while simulation.now() < phase_end {
+            let id = format!("job{number}");
+            let job = offer(&id, task_count, SHORT_RUN);
+            simulation.submit(0, &job, task_profile(SHORT_RUN));
+            number += 1;
+            let next = simulation.now() + ms(250);
+            simulation.run_until(next);
+        }
+        runs_on_slow.push(simulation.server_mut("s1").history.len() - history_before);
+        let late = simulation
+            .answers
+            .iter()
+            .filter(|answer| answer.end != job_model::JobEnd::Completed)
+            .count();
+        assert_eq!(late, 0, "jobs not completed after phase {phase}");
+    }
+    let [before, during, after] = runs_on_slow[..] else {
+        panic!("three phases, got {runs_on_slow:?}");
+    };
+    assert!(during * 4 < before, "runs on s1 by phase: {runs_on_slow:?}");
+    assert!(after * 2 > before, "runs on s1 by phase: {runs_on_slow:?}");
+}
