--- a/crates/cuminkeel_node/tests/node/request_causes.rs
+++ b/crates/cuminkeel_node/tests/node/request_causes.rs
@@ -110,6 +110,93 @@
     assert_eq!(outcome, "lapsed");
 }
 
+const ANSWERED: &str = r#"{"msg":"answered","node":"n1","outcome":"completed"}"#;
+
+/// Name of each case, its log lines, and the start of the cause that is found in them.
+const CAUSE_CASES: [(&str, &[&str], &str); 10] = [
+    (
+        "no log line",
+        &[],
+        "no log line shows that a process received the request",
+    ),
+    (
+        "no answer logged",
+        &[r#"{"msg":"received","node":"n1"}"#],
+        "the process on n1 received the request and logged no answer",
+    ),
+    (
+        "no leader",
+        &[
+            r#"{"msg":"received","node":"n1"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Refused { reason: NoPool }"}"#,
+        ],
+        "refused by n1: Refused { reason: NoPool }",
+    ),
+    (
+        "slow server",
+        &[
+            r#"{"msg":"run_ended","outcome":"done","server":"s1","elapsed_ms":900,"expected_ms":300}"#,
+            ANSWERED,
+        ],
+        "a run on s1 took 900 ms instead of the expected 300 ms",
+    ),
+    (
+        "task placed late",
+        &[
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":500}"#,
+            r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
+            ANSWERED,
+        ],
+        "a task was placed 500 ms after the job arrived, longer than any run took",
+    ),
+    (
+        "out of time before any task was placed",
+        &[
+            r#"{"msg":"queued","outcome":"accepted","node":"n2"}"#,
+            r#"{"msg":"job_ended","outcome":"out_of_time","node":"n2"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
+        ],
+        "none of its tasks was placed on a server before n2 ended the job as out_of_time",
+    ),
+    (
+        "out of time without a pool",
+        &[
+            r#"{"msg":"received","node":"n1"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
+        ],
+        "none of its tasks was placed on a server before n1 ended the job as Failed(OutOfTime)",
+    ),
+    (
+        "out of time with a run in progress",
+        &[
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
+            r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
+            r#"{"msg":"job_ended","outcome":"out_of_time","node":"n2"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
+        ],
+        "n2 ended the job as out_of_time while 1 of its runs went on",
+    ),
+    (
+        "withdrawn after all runs",
+        &[
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
+            r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Failed(Withdrawn)"}"#,
+        ],
+        "n1 ended the job as Failed(Withdrawn), and no log line shows why",
+    ),
+    (
+        "nothing unusual",
+        &[
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
+            r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
+            ANSWERED,
+        ],
+        "no log line shows a loss or a delay",
+    ),
+];
+
 #[test]
 fn each_pattern_of_log_lines_has_its_cause() {
     let parse_line = |text: &str| {
@@ -124,91 +211,7 @@
             fields: fields.clone(),
         }
     };
-    let answered = r#"{"msg":"answered","node":"n1","outcome":"completed"}"#;
-    let cases: [(&str, &[&str], &str); 10] = [
-        (
-            "no log line",
-            &[],
-            "no log line shows that a process received the request",
-        ),
-        (
-            "no answer logged",
-            &[r#"{"msg":"received","node":"n1"}"#],
-            "the process on n1 received the request and logged no answer",
-        ),
-        (
-            "no leader",
-            &[
-                r#"{"msg":"received","node":"n1"}"#,
-                r#"{"msg":"answered","node":"n1","outcome":"Refused { reason: NoPool }"}"#,
-            ],
-            "refused by n1: Refused { reason: NoPool }",
-        ),
-        (
-            "slow server",
-            &[
-                r#"{"msg":"run_ended","outcome":"done","server":"s1","elapsed_ms":900,"expected_ms":300}"#,
-                answered,
-            ],
-            "a run on s1 took 900 ms instead of the expected 300 ms",
-        ),
-        (
-            "task placed late",
-            &[
-                r#"{"msg":"placed","outcome":"ordered","wait_ms":500}"#,
-                r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
-                answered,
-            ],
-            "a task was placed 500 ms after the job arrived, longer than any run took",
-        ),
-        (
-            "out of time before any task was placed",
-            &[
-                r#"{"msg":"queued","outcome":"accepted","node":"n2"}"#,
-                r#"{"msg":"job_ended","outcome":"out_of_time","node":"n2"}"#,
-                r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
-            ],
-            "none of its tasks was placed on a server before n2 ended the job as out_of_time",
-        ),
-        (
-            "out of time without a pool",
-            &[
-                r#"{"msg":"received","node":"n1"}"#,
-                r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
-            ],
-            "none of its tasks was placed on a server before n1 ended the job as Failed(OutOfTime)",
-        ),
-        (
-            "out of time with a run in progress",
-            &[
-                r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
-                r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
-                r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
-                r#"{"msg":"job_ended","outcome":"out_of_time","node":"n2"}"#,
-                r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
-            ],
-            "n2 ended the job as out_of_time while 1 of its runs went on",
-        ),
-        (
-            "withdrawn after all runs",
-            &[
-                r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
-                r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
-                r#"{"msg":"answered","node":"n1","outcome":"Failed(Withdrawn)"}"#,
-            ],
-            "n1 ended the job as Failed(Withdrawn), and no log line shows why",
-        ),
-        (
-            "nothing unusual",
-            &[
-                r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
-                r#"{"msg":"run_ended","outcome":"done","elapsed_ms":300,"expected_ms":300}"#,
-                answered,
-            ],
-            "no log line shows a loss or a delay",
-        ),
-    ];
-    for (name, texts, expected) in cases {
+    for (name, texts, expected) in CAUSE_CASES {
         let lines: Vec<explain::ExplainedLine> =
             texts.iter().map(|text| parse_line(text)).collect();
         let found = request_cause::find_cause(&lines).to_string();
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -234,7 +234,7 @@
         }
         Repair::RestoreStore => site.store.set_mode(emulated_store::StoreMode::Up),
         Repair::RestoreProxy(index) => {
-            set_proxy_mode(site, index, loopback_proxy::ProxyMode::Forward)
+            set_proxy_mode(site, index, loopback_proxy::ProxyMode::Forward);
         }
     }
 }
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -207,7 +207,7 @@
     pub fn end_all_faults(&mut self) {
         self.store.set_mode(emulated_store::StoreMode::Up);
         for proxy in self.proxies() {
-            proxy.set_mode(loopback_proxy::LoopbackProxyMode::Forward);
+            proxy.set_mode(loopback_proxy::ProxyMode::Forward);
         }
         for server in &self.servers {
             server.set_mode(fake_server::ServerMode::Healthy);
