Stop the jobs of a peer that has been silent for 1.2 s

A leader never noticed that a peer with jobs in its pool was cut off without a reset. The peer gives the connection up after 600 ms and offers the job to another pool, which may start it once no inherited run can be left, 1.4 s later; a leader that still reaches other servers of the domain went on with it until the caller's deadline, up to 10 s. Two runs of a task could overlap in a domain that is split. Change: a connection over which a peer has jobs in progress counts as lost after 1.2 s without a frame, so its jobs are stopped 1.7 s after the cut, before the other pool can start them at 2.0 s. While a process waits for jobs over a link, it sends its statuses at the interval of a busy link. Test that failed first: job_of_a_silent_peer_is_stopped (the run went on to its end). The check for a pause no longer scans the servers on every call.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -262,11 +262,11 @@
     pub fn step_down_after_pause(&mut self, now: time::Duration) -> bool {
         let pause = now.saturating_sub(self.last_active_at);
         self.last_active_at = now;
-        let has_claims = self
-            .servers
-            .values()
-            .any(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed);
-        let steps_down = pause > MAX_PAUSE && has_claims;
+        let steps_down = pause > MAX_PAUSE
+            && self
+                .servers
+                .values()
+                .any(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed);
         if steps_down {
             self.step_down(now, "was_paused");
         }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -12,6 +12,12 @@
 /// a new connection or through another process, and the pool attaches the submission to the
 /// running job. Two dials that time out and the delays before them take 450 ms.
 const ORPHANED_JOB_GRACE: time::Duration = time::Duration::from_millis(500);
+/// Time without a frame after which the connection of a peer with jobs here counts as lost: four of
+/// the longest intervals at which a peer sends statuses while it waits for jobs. The peer gives the
+/// connection up before, and may offer the jobs to another pool. With `ORPHANED_JOB_GRACE`, their
+/// runs here are stopped before that pool can start them, which takes it 600 ms to notice the loss,
+/// and the longest lease and 400 ms until it no longer waits for inherited runs.
+const MAX_SILENCE_WITH_JOBS: time::Duration = time::Duration::from_millis(1_200);
 /// Pause before the next accept after an error such as too many open descriptors.
 const ACCEPT_RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -84,7 +90,7 @@
         }
     });
     let result = loop {
-        match link_frame::read_frame(&mut reader).await {
+        match next_frame(&mut reader, job_tasks).await {
             Ok(link_frame::LinkFrame::Status(status)) => {
                 let now = node.now();
                 peer_update::apply_status(node, &peer_name, status, send_times.sent_at(now));
@@ -125,6 +131,29 @@
     result
 }
 
+/// Reads the next frame. Returns an error if none arrives for `MAX_SILENCE_WITH_JOBS` while jobs of the
+/// peer are in progress.
+async fn next_frame<R>(
+    reader: &mut R,
+    job_tasks: &HashMap<u64, task::JoinHandle<()>>,
+) -> Result<link_frame::LinkFrame, link_frame::LinkError>
+where
+    R: tokio::io::AsyncRead + Unpin,
+{
+    let frame = link_frame::read_frame(reader);
+    tokio::pin!(frame);
+    loop {
+        match tokio::time::timeout(MAX_SILENCE_WITH_JOBS, frame.as_mut()).await {
+            Ok(result) => return result,
+            Err(_) if job_tasks.values().any(|job_task| !job_task.is_finished()) => {
+                return Err(link_frame::LinkError::Silent);
+            }
+            // A peer without jobs here may send statuses less often.
+            Err(_) => {}
+        }
+    }
+}
+
 fn apply_frame(
     node: &Arc<node_state::NodeState>,
     peer_name: &Arc<str>,
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -458,7 +458,8 @@
     }
 
     fn is_busy(&self, now: time::Duration) -> bool {
-        self.last_job_at.is_some_and(|at| now < at + BUSY_PERIOD)
+        !self.pending_replies.is_empty()
+            || self.last_job_at.is_some_and(|at| now < at + BUSY_PERIOD)
     }
 
     fn apply_command(
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -231,12 +231,8 @@
         }
     }
 
-    /// Offers a job as if the offer had been sent `delay` ago, and returns its end.
-    async fn offer_sent_before(
-        &mut self,
-        delay: std::time::Duration,
-        offer: job_model::JobOffer,
-    ) -> job_model::JobEnd {
+    /// Sends the offer of a job as if it had been sent `delay` ago.
+    async fn send_offer(&mut self, delay: std::time::Duration, offer: job_model::JobOffer) {
         let (reading, received_at) = self.process_clock;
         let frames = [
             link_frame::LinkFrame::SendTime {
@@ -251,6 +247,15 @@
         link_frame::write_frames(&mut self.stream, &frames)
             .await
             .expect("offer should be sent");
+    }
+
+    /// Offers a job as if the offer had been sent `delay` ago, and returns its end.
+    async fn offer_sent_before(
+        &mut self,
+        delay: std::time::Duration,
+        offer: job_model::JobOffer,
+    ) -> job_model::JobEnd {
+        self.send_offer(delay, offer).await;
         loop {
             let frame = link_frame::read_frame(&mut self.stream)
                 .await
@@ -262,13 +267,13 @@
     }
 }
 
-fn offer_of_one_task(id: &str) -> job_model::JobOffer {
+fn offer_of_one_task(id: &str, run_ms: u32) -> job_model::JobOffer {
     let step = job_model::StepSpec {
         task_count: 1,
         cpu_millis: 1_000,
         memory_mb: 1,
         gpus: 0,
-        estimate_ms: 20,
+        estimate_ms: run_ms,
         depends_on: smallvec::SmallVec::new(),
         required_label: None,
         data_rack: None,
@@ -279,7 +284,7 @@
             id: Arc::from(id),
             route: Arc::from("orders"),
             service: Arc::from("order-desk"),
-            payload: Arc::from("20"),
+            payload: Arc::from(run_ms.to_string()),
             steps: vec![step],
             priority: 0,
             max_attempts: 1,
@@ -304,15 +309,41 @@
     tokio::time::sleep(second).await;
     let mut peer = RawPeer::connect(&node.settings.link_address).await;
     let late_end = peer
-        .offer_sent_before(second, offer_of_one_task("00000000000000e1"))
+        .offer_sent_before(second, offer_of_one_task("00000000000000e1", 20))
         .await;
     assert_eq!(late_end, job_model::JobEnd::NotLeader);
     assert!(platform.started_tasks().is_empty());
     let fresh_end = peer
         .offer_sent_before(
             std::time::Duration::ZERO,
-            offer_of_one_task("00000000000000e2"),
+            offer_of_one_task("00000000000000e2", 20),
         )
         .await;
     assert_eq!(fresh_end, job_model::JobEnd::Completed);
 }
+
+/// The network between a process and the leader that runs its job is cut, and nothing resets the
+/// connection. The process offers the job to another pool, so the leader must not go on with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_of_a_silent_peer_is_stopped() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let mut peer = RawPeer::connect(&node.settings.link_address).await;
+    peer.send_offer(
+        std::time::Duration::ZERO,
+        offer_of_one_task("00000000000000e3", 6_000),
+    )
+    .await;
+    let ended_runs = || {
+        let histories = platform
+            .servers
+            .iter()
+            .map(|server| server.runs_and_peak_cpu().0);
+        histories.flatten().collect::<Vec<_>>()
+    };
+    test_platform::wait_until("the run to end", async || !ended_runs().is_empty()).await;
+    assert_eq!(
+        ended_runs()[0].end,
+        Some(cuminkeel_dispatch::server_model::RunEnd::Stopped)
+    );
+}
--- a/crates/cuminkeel_replay/benches/pool_cost.rs
+++ b/crates/cuminkeel_replay/benches/pool_cost.rs
@@ -74,7 +74,7 @@
             // Nothing expires or becomes late during the measurement.
             job_spec.target_latency_ms = 3_600_000;
             offer.spec = std::sync::Arc::new(job_spec);
-            offer.time_to_deadline = time::Duration::from_mins(60);
+            offer.time_to_deadline = time::Duration::from_hours(1);
             simulation.submit(0, &offer, arrival.task_profile);
         }
         let now = simulation.now();
