Ignore a late heartbeat of a server's previous incarnation

Cause: the registry lags. A heartbeat from before a restart that a hold report has shown already looked like another restart, so the server was claimed twice more and unusable for a round trip. Change: only a higher incarnation than the known one counts as a restart in the registry; reports still count any other one, as clocks step. Test that failed first: heartbeat_of_a_previous_incarnation_does_not_disturb_the_claim.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -47,13 +47,9 @@
             return;
         }
         let address_changed = slot.entry.address != entry.address;
-        // Incarnation 0 stands for an entry without a start time.
-        let has_restarted = slot.incarnation != 0
-            && entry.incarnation != 0
-            && entry.incarnation != slot.incarnation;
-        if entry.incarnation != 0 {
-            slot.incarnation = entry.incarnation;
-        }
+        // Incarnation 0 stands for one that is unknown. The entry may be older than the last report.
+        let has_restarted = slot.incarnation != 0 && entry.incarnation > slot.incarnation;
+        slot.incarnation = slot.incarnation.max(entry.incarnation);
         slot.registered = true;
         slot.entry = entry;
         if slot.claim_state != server_slot::ClaimState::Unclaimed
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -84,6 +84,8 @@
         has_placed_task
     }
 
+    /// Returns whether all inherited runs on the servers of the shards that this pool leads are
+    /// known or expired.
     fn inherited_runs_resolved(&self, now: time::Duration) -> bool {
         let all_runs_known = || {
             self.servers.iter().all(|(id, slot)| {
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -14,9 +14,8 @@
 const ORPHANED_JOB_GRACE: time::Duration = time::Duration::from_millis(500);
 /// Time without a frame after which the connection of a peer with jobs here counts as lost: four of
 /// the longest intervals at which a peer sends statuses while it waits for jobs. The peer gives the
-/// connection up before, and may offer the jobs to another pool. With `ORPHANED_JOB_GRACE`, their
-/// runs here are stopped before that pool can start them, which takes it 600 ms to notice the loss,
-/// and the longest lease and 400 ms until it no longer waits for inherited runs.
+/// connection up after 600 ms and may offer the jobs to another pool, which starts them 1.4 s later
+/// at the earliest. Their runs here are stopped before that, `ORPHANED_JOB_GRACE` after this time.
 const MAX_SILENCE_WITH_JOBS: time::Duration = time::Duration::from_millis(1_200);
 /// Pause before the next accept after an error such as too many open descriptors.
 const ACCEPT_RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -334,16 +334,12 @@
         offer_of_one_task("00000000000000e3", 6_000),
     )
     .await;
-    let ended_runs = || {
-        let histories = platform
-            .servers
-            .iter()
-            .map(|server| server.runs_and_peak_cpu().0);
-        histories.flatten().collect::<Vec<_>>()
-    };
-    test_platform::wait_until("the run to end", async || !ended_runs().is_empty()).await;
+    test_platform::wait_until("the run to end", async || {
+        !platform.ended_runs_without_overlap().is_empty()
+    })
+    .await;
     assert_eq!(
-        ended_runs()[0].end,
+        platform.ended_runs_without_overlap()[0].end,
         Some(cuminkeel_dispatch::server_model::RunEnd::Stopped)
     );
 }
--- a/crates/cuminkeel_node/tests/node/platform_faults.rs
+++ b/crates/cuminkeel_node/tests/node/platform_faults.rs
@@ -10,19 +10,7 @@
 
 /// Asserts that no two runs of one task overlapped and that each task was done once.
 fn assert_each_task_was_done_once(platform: &test_platform::TestPlatform, task_count: usize) {
-    let mut runs: Vec<fake_server::RunRecord> = platform
-        .servers
-        .iter()
-        .flat_map(|server| server.runs_and_peak_cpu().0)
-        .collect();
-    runs.sort_by_key(|run| (run.task.clone(), run.started_at));
-    for pair in runs.windows(2) {
-        assert!(
-            pair[0].task != pair[1].task || pair[0].ended_at <= pair[1].started_at,
-            "runs of {} overlap",
-            pair[0].task
-        );
-    }
+    let runs = platform.ended_runs_without_overlap();
     let done_count = runs
         .iter()
         .filter(|run| run.end == Some(cuminkeel_dispatch::server_model::RunEnd::Done))
--- a/crates/cuminkeel_node/tests/node/recovery.rs
+++ b/crates/cuminkeel_node/tests/node/recovery.rs
@@ -148,19 +148,7 @@
     let lost_runs = server.started_runs().len();
     assert!((1..24).contains(&lost_runs), "{lost_runs} runs were lost");
     assert_eq!(platform.started_tasks().len(), 24 + lost_runs);
-    let mut runs: Vec<fake_server::RunRecord> = platform
-        .servers
-        .iter()
-        .flat_map(|server| server.runs_and_peak_cpu().0)
-        .collect();
-    runs.sort_by_key(|run| (run.task.clone(), run.started_at));
-    for pair in runs.windows(2) {
-        assert!(
-            pair[0].task != pair[1].task || pair[0].ended_at <= pair[1].started_at,
-            "runs of {} overlap",
-            pair[0].task
-        );
-    }
+    platform.ended_runs_without_overlap();
     server.set_mode(fake_server::ServerMode::Healthy);
     let starts_before = server.started_runs().len();
     test_platform::wait_until("runs on the restored server", async || {
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cuminkeel_node::{embedded_process, process_log};
+use cuminkeel_replay::fake_server;
 use platform_adapter::{http_client, settings};
 use platform_emulator::{emulated_server, emulated_store, loopback};
 
@@ -321,6 +322,24 @@
         node
     }
 
+    /// Returns the ended runs of all servers, and panics if two runs of one task overlapped.
+    pub fn ended_runs_without_overlap(&self) -> Vec<fake_server::RunRecord> {
+        let mut runs: Vec<fake_server::RunRecord> = self
+            .servers
+            .iter()
+            .flat_map(|server| server.runs_and_peak_cpu().0)
+            .collect();
+        runs.sort_by_key(|run| (run.task.clone(), run.started_at));
+        for pair in runs.windows(2) {
+            assert!(
+                pair[0].task != pair[1].task || pair[0].ended_at <= pair[1].started_at,
+                "runs of {} overlap",
+                pair[0].task
+            );
+        }
+        runs
+    }
+
     /// Returns the names of the tasks that all servers have started, sorted, one for each start.
     pub fn started_tasks(&self) -> Vec<String> {
         let mut tasks: Vec<String> = self
--- a/crates/cuminkeel_replay/tests/promises.rs
+++ b/crates/cuminkeel_replay/tests/promises.rs
@@ -1034,3 +1034,27 @@
     assert_eq!(simulation.violations, []);
     assert_eq!(simulation.answers.len(), 120);
 }
+
+/// A hold report has shown a restart before the registry does, and the registry still brings a late
+/// heartbeat of the previous incarnation. The claim on the new one must not be given up for it.
+#[test]
+fn heartbeat_of_a_previous_incarnation_does_not_disturb_the_claim() {
+    let mut simulation = simulation_with_leader(1, &["s1"]);
+    let mut late_heartbeat = simulation.server_mut("s1").entry.clone();
+    late_heartbeat.sequence += 1;
+    simulation.server_mut("s1").restart(ms(100));
+    simulation.run_until(ms(700));
+    assert_eq!(
+        decision_count(&simulation, pool_action::DecisionKind::Restarted),
+        1
+    );
+    simulation.pools[0].apply_registry_entry(late_heartbeat, ms(700));
+    assert_eq!(
+        simulation.pools[0].claim_state("s1"),
+        Some(server_slot::ClaimState::Held)
+    );
+    assert_eq!(
+        decision_count(&simulation, pool_action::DecisionKind::Restarted),
+        1
+    );
+}
