--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -234,19 +234,17 @@
     /// Sends the offer of a job as if it had been sent `delay` ago.
     async fn send_offer(&mut self, delay: std::time::Duration, offer: job_model::JobOffer) {
         let (reading, received_at) = self.process_clock;
-        let frames = [
-            link_frame::LinkFrame::SendTime {
-                sender_clock: std::time::Duration::ZERO,
-                receiver_clock: Some((reading + received_at.elapsed()).saturating_sub(delay)),
-            },
-            link_frame::LinkFrame::Submit {
-                submission_id: 1,
-                offer,
-            },
-        ];
-        link_frame::write_frames(&mut self.stream, &frames)
+        let send_time = link_frame::LinkFrame::SendTime {
+            sender_clock: std::time::Duration::ZERO,
+            receiver_clock: Some((reading + received_at.elapsed()).saturating_sub(delay)),
+        };
+        self.send(&[send_time, submission(offer)]).await;
+    }
+
+    async fn send(&mut self, frames: &[link_frame::LinkFrame]) {
+        link_frame::write_frames(&mut self.stream, frames)
             .await
-            .expect("offer should be sent");
+            .expect("frames should be sent");
     }
 
     /// Offers a job as if the offer had been sent `delay` ago, and returns its end.
@@ -256,6 +254,10 @@
         offer: job_model::JobOffer,
     ) -> job_model::JobEnd {
         self.send_offer(delay, offer).await;
+        self.read_end().await
+    }
+
+    async fn read_end(&mut self) -> job_model::JobEnd {
         loop {
             let frame = link_frame::read_frame(&mut self.stream)
                 .await
@@ -267,6 +269,13 @@
     }
 }
 
+fn submission(offer: job_model::JobOffer) -> link_frame::LinkFrame {
+    link_frame::LinkFrame::Submit {
+        submission_id: 1,
+        offer,
+    }
+}
+
 fn offer_of_one_task(id: &str, run_ms: u32) -> job_model::JobOffer {
     let step = job_model::StepSpec {
         task_count: 1,
@@ -322,6 +331,17 @@
     assert_eq!(fresh_end, job_model::JobEnd::Completed);
 }
 
+/// During a rolling update, a peer of the previous release dates none of its frames.
+#[tokio::test(flavor = "multi_thread")]
+async fn offer_without_a_send_time_is_admitted() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let mut peer = RawPeer::connect(&node.settings.link_address).await;
+    let offer = offer_of_one_task("00000000000000e4", 20);
+    peer.send(&[submission(offer)]).await;
+    assert_eq!(peer.read_end().await, job_model::JobEnd::Completed);
+}
+
 /// The network between a process and the leader that runs its job is cut, and nothing resets the
 /// connection. The process offers the job to another pool, so the leader must not go on with it.
 #[tokio::test(flavor = "multi_thread")]
