Record runs that ended before a restart with their own ends, in the emulator

Ruled out: a lease that lasted longer than the pool assumed (run time 216 ms, lease 800 ms); the new handling of restarts (the server was claimed again after the second run had started elsewhere). Change: FakeServer::restart first brings its runs up to date. The check of overlapping runs is as it was, and records more true ends than before. Test that failed first: restart_does_not_prolong_the_record_of_an_earlier_run.

--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -15,7 +15,10 @@
 ///
 /// Seed 7: after a pause, a previous leader led again and started a queued job that its successor
 /// also ran.
-const DEFAULT_SEEDS: [u64; 3] = [1, 2, 7];
+///
+/// Seed 719: a server that was cut off restarted, and the emulator recorded the run that had ended on
+/// it long before as lasting until then.
+const DEFAULT_SEEDS: [u64; 4] = [1, 2, 7, 719];
 /// Duration of the phase in which faults are injected, including the time at its start in which
 /// the processes discover each other without faults.
 const FAULT_PHASE_DURATION: std::time::Duration = std::time::Duration::from_secs(6);
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -140,6 +140,8 @@
     /// Restarts the server under the same id: starts a new incarnation, in which the runs,
     /// the leases and the fencing token of the previous one are lost.
     pub fn restart(&mut self, now: time::Duration) {
+        // Records the ends of the runs that ended before.
+        self.advance(now);
         self.entry.incarnation += 1;
         self.entry.sequence += 1;
         for (task, run) in std::mem::take(&mut self.runs) {
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cuminkeel_dispatch::{job_model, pool_action, server_slot, settings};
+use cuminkeel_dispatch::{job_model, pool_action, server_model, server_slot, settings};
 use cuminkeel_replay::{fake_server, pool_simulation};
 
 use crate::fixtures;
@@ -386,3 +386,26 @@
         1
     );
 }
+
+/// A server that nobody asked while it was cut off restarts long after its run has ended. The run is
+/// recorded with the time of its end: one that seemed to last until the restart would overlap with the
+/// next run of its task.
+#[test]
+fn restart_does_not_prolong_the_record_of_an_earlier_run() {
+    let mut server = fixtures::server("s1");
+    let order = server_model::StartOrder {
+        server: Arc::from("s1"),
+        address: Arc::from("s1:1"),
+        task: job_model::TaskName::parse("job.0.0.0").expect("task name should be valid"),
+        run_id: 1,
+        payload: Arc::from("payload"),
+        lease_expiry_ms: 800,
+        token: 1,
+    };
+    let profile = fixtures::task_profile(fixtures::SHORT_RUN);
+    server.start(&order, profile, fixtures::ms(0));
+    server.restart(fixtures::ms(1_500));
+    assert_eq!(server.history.len(), 1);
+    assert_eq!(server.history[0].ended_at, fixtures::SHORT_RUN);
+    assert_eq!(server.history[0].end, Some(server_model::RunEnd::Done));
+}
