Test that a status read late does not replace a newer one

Cause: read once more, the change had a rule on statuses that no test broke. The program is unchanged.

--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use cuminkeel_dispatch::{job_model, leadership};
-use cuminkeel_node::{link_frame, node_state, node_tuning, peer_link, peer_table, pool_driver};
+use cuminkeel_node::{
+    link_frame, node_state, node_tuning, peer_link, peer_table, peer_update, pool_driver,
+};
 
 use crate::test_platform;
 
@@ -163,17 +165,42 @@
     );
 }
 
-#[tokio::test]
-async fn job_for_a_link_that_is_down_is_not_sent() {
+/// Returns the state of a process that runs none of its tasks.
+async fn idle_node() -> Arc<node_state::NodeState> {
     let platform = test_platform::TestPlatform::start_unconfigured(&["north"]).await;
     let (pool, _inbox) = pool_driver::PoolHandle::new();
-    let node = Arc::new(node_state::NodeState::new(
+    Arc::new(node_state::NodeState::new(
         platform.node_settings("n0", "north"),
         node_tuning::NodeTuning::default(),
         hello("n0", "127.0.0.1:2"),
         slog::Logger::root(slog::Discard, slog::o!()),
         pool,
-    ));
+    ))
+}
+
+/// A status waited in the socket of a paused process while a newer one came over another connection.
+/// The old one says that the peer leads; the newer one says that it doesn't any more.
+#[tokio::test]
+async fn status_that_is_read_late_does_not_replace_a_newer_one() {
+    let node = idle_node().await;
+    node_state::upsert_peer(&node, hello("n1", "127.0.0.1:1"));
+    let ms = std::time::Duration::from_millis;
+    let leading = link_frame::PeerStatus {
+        held_servers: 3,
+        ..link_frame::PeerStatus::default()
+    };
+    let held_servers = || node.peers().get("n1").map(|peer| peer.status.held_servers);
+    peer_update::apply_status(&node, "n1", link_frame::PeerStatus::default(), ms(2_000));
+    peer_update::apply_status(&node, "n1", leading, ms(1_000));
+    assert_eq!(held_servers(), Some(0));
+    // Statuses of two connections that were sent at almost the same time count as read in order.
+    peer_update::apply_status(&node, "n1", leading, ms(1_990));
+    assert_eq!(held_servers(), Some(3));
+}
+
+#[tokio::test]
+async fn job_for_a_link_that_is_down_is_not_sent() {
+    let node = idle_node().await;
     let link = peer_link::start_link(&node, &hello("n1", "127.0.0.1:1"));
     let spec = job_model::JobSpec {
         id: Arc::from("00000000000000d1"),
