Add the types that evacuation, copies and room news share

EvacuationState, PoolRoom, two refusal reasons, the source of an offer, and frames of format 4, which earlier releases skip. Nothing uses them yet: decisions are as before.

--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -162,6 +162,10 @@
     /// not part of the frame: the receiving process sets it.
     #[serde(skip)]
     pub sent_at: time::Duration,
+    /// Name of the VM whose process offers the job. It is not part of the frame: the receiving process
+    /// sets it.
+    #[serde(skip)]
+    pub source: Arc<str>,
 }
 
 /// Condition under which a pool should admit an offered job.
@@ -191,6 +195,13 @@
     /// leader does not know yet what its servers run.
     #[display("no_pool")]
     NoPool,
+    /// The failure domain of the pool is evacuated, so it starts no tasks.
+    #[display("evacuated")]
+    Evacuated,
+    /// Another process has offered the job here and, after a refusal, may be offering it to other
+    /// pools, so a copy of it may run there.
+    #[display("copy_elsewhere")]
+    CopyElsewhere,
 }
 
 /// Reason why a job failed.
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! monotonic clock.
 
 pub mod capacity_forecast;
+pub mod evacuation;
 pub mod health;
 pub mod job_model;
 pub mod job_order;
@@ -15,6 +16,7 @@
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
+pub mod pool_room;
 pub mod retry_advice;
 pub mod run_time_model;
 pub mod server_model;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -21,7 +21,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    health, job_model, job_order, leadership, pool_action, run_time_model, server_model,
+    health, job_model, job_order, leadership, pool_action, pool_room, run_time_model, server_model,
     server_slot, settings,
 };
 
@@ -87,6 +87,15 @@
     may_run_elsewhere: bool,
 }
 
+/// Time since which the failure domain of a pool has been evacuated, as far as its process knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EvacuationStart {
+    /// The process learnt of the evacuation at this time, soon after the operator's request.
+    LearntAt(time::Duration),
+    /// The evacuation was in force when the process first read the log, so it may be of any age.
+    Unknown,
+}
+
 /// Load of a pool, as reported to other processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolLoad {
@@ -143,6 +152,8 @@
     typical_cpu_millis: u32,
     /// Number of scans of all servers for the placement of a task.
     placement_scans: u64,
+    /// Start of the evacuation of the pool's failure domain, or `None` if it isn't evacuated.
+    evacuation: Option<EvacuationStart>,
     /// Time of the last call that checked for a pause.
     last_active_at: time::Duration,
     actions: Vec<pool_action::PoolAction>,
@@ -172,6 +183,7 @@
             inherited_ends: HashMap::new(),
             typical_cpu_millis: 0,
             placement_scans: 0,
+            evacuation: None,
             last_active_at: time::Duration::ZERO,
             actions: Vec::new(),
         }
@@ -218,6 +230,25 @@
         load
     }
 
+    /// Sets the start of the evacuation of the pool's failure domain, or `None` when it ends.
+    pub fn set_evacuation(&mut self, evacuation: Option<EvacuationStart>, now: time::Duration) {
+        self.step_down_after_pause(now);
+        self.evacuation = evacuation;
+    }
+
+    /// Returns what the pool could start at `now`.
+    pub fn room(&self, now: time::Duration) -> pool_room::PoolRoom {
+        if self.evacuation.is_some() {
+            return pool_room::PoolRoom::default();
+        }
+        let servers = self
+            .servers
+            .values()
+            .filter(|slot| slot.is_usable(now))
+            .map(|slot| (slot.free_cpu_millis(), slot.entry.cpu_millis));
+        pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
+    }
+
     /// Returns the number of jobs of `route` of which no task has started.
     pub fn pending_job_count(&self, route: &str) -> usize {
         self.jobs
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -480,6 +480,8 @@
         job_model::RefusalReason::NoSuitableServer => "no_suitable_server",
         job_model::RefusalReason::ExpiredInQueue => "expired_in_queue",
         job_model::RefusalReason::NoPool => "no_pool",
+        job_model::RefusalReason::Evacuated => "evacuated",
+        job_model::RefusalReason::CopyElsewhere => "copy_elsewhere",
     }
 }
 
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -227,6 +227,7 @@
             may_have_started: self.may_have_started,
             terms,
             sent_at: now,
+            source: Arc::clone(&self.node.hello.name),
         };
         let end = match target.link {
             None => {
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -7,7 +7,7 @@
 
 use std::{io, sync::Arc, time};
 
-use cuminkeel_dispatch::{job_model, leadership};
+use cuminkeel_dispatch::{evacuation, job_model, leadership, pool_room};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +16,9 @@
 const FRAME_FORMAT: u8 = 2;
 /// Format number of [`LinkFrame::SendTime`], which releases that don't know it skip.
 const SEND_TIME_FORMAT: u8 = 3;
+/// Format number of [`LinkFrame::Evacuations`] and [`LinkFrame::Room`], which releases that don't know
+/// them skip.
+const DOMAIN_NEWS_FORMAT: u8 = 4;
 /// Maximum length of a frame, which has to fit a complete configuration and its header.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
@@ -112,6 +115,32 @@
         /// a reading of it over the same connection.
         receiver_clock: Option<time::Duration>,
     },
+    /// Evacuated failure domains, as the sender knows them.
+    Evacuations(evacuation::EvacuationState),
+    /// Room in the pool of the sender, which leads shards.
+    Room(pool_room::PoolRoom),
+}
+
+/// Returns the end of a job in a form that releases before [`LinkFrame::Evacuations`] can decode. Its
+/// reason makes them treat the job as the original one would.
+pub fn end_for_earlier_release(end: job_model::JobEnd) -> job_model::JobEnd {
+    match end {
+        job_model::JobEnd::Refused {
+            reason: job_model::RefusalReason::Evacuated,
+            retry_after,
+        } => job_model::JobEnd::Refused {
+            reason: job_model::RefusalReason::NoSuitableServer,
+            retry_after,
+        },
+        job_model::JobEnd::Refused {
+            reason: job_model::RefusalReason::CopyElsewhere,
+            retry_after,
+        } => job_model::JobEnd::Refused {
+            reason: job_model::RefusalReason::NoPool,
+            retry_after,
+        },
+        other => other,
+    }
 }
 
 /// Error that ends a connection of a link, or a dial.
@@ -170,6 +199,7 @@
     let start = buffer.len();
     let format = match frame {
         LinkFrame::SendTime { .. } => SEND_TIME_FORMAT,
+        LinkFrame::Evacuations(_) | LinkFrame::Room(_) => DOMAIN_NEWS_FORMAT,
         _ => FRAME_FORMAT,
     };
     buffer.extend_from_slice(&[0, 0, 0, 0, format]);
@@ -198,7 +228,10 @@
         }
         let mut body = vec![0; bytes];
         reader.read_exact(&mut body).await?;
-        if matches!(body[0], FRAME_FORMAT | SEND_TIME_FORMAT) {
+        if matches!(
+            body[0],
+            FRAME_FORMAT | SEND_TIME_FORMAT | DOMAIN_NEWS_FORMAT
+        ) {
             return Ok(postcard::from_bytes(&body[1..])?);
         }
     }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -124,6 +124,7 @@
                 mut offer,
             }) => {
                 offer.sent_at = send_times.sent_at(node.now());
+                offer.source = Arc::clone(&peer_name);
                 job_tasks.retain(|_, job_task| !job_task.is_finished());
                 let job = node.pool.submit(offer);
                 let frame_sender = frame_sender.clone();
@@ -181,7 +182,9 @@
         }
         link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
         link_frame::LinkFrame::End { .. }
+        | link_frame::LinkFrame::Evacuations(_)
         | link_frame::LinkFrame::Hello(_)
+        | link_frame::LinkFrame::Room(_)
         | link_frame::LinkFrame::SendTime { .. }
         | link_frame::LinkFrame::Status(_)
         | link_frame::LinkFrame::Submit { .. } => {}
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -432,7 +432,9 @@
                 }
             }
             link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
-            link_frame::LinkFrame::Hello(_)
+            link_frame::LinkFrame::Evacuations(_)
+            | link_frame::LinkFrame::Hello(_)
+            | link_frame::LinkFrame::Room(_)
             | link_frame::LinkFrame::Submit { .. }
             | link_frame::LinkFrame::Withdraw { .. } => {}
         }
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -220,6 +220,7 @@
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
+        source: Arc::from("north-1"),
     });
     let end = job
         .wait_for_end()
@@ -333,6 +334,7 @@
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
+        source: Arc::from("north-1"),
     }
 }
 
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -245,6 +245,7 @@
             may_have_started: false,
             terms: job_model::OfferTerms::Useful,
             sent_at: time::Duration::ZERO,
+            source: Arc::from("vm"),
         },
         task_profile: fake_server::TaskProfile {
             cpu_millis: round_to_u32(cpu_millis),
--- a/crates/cuminkeel_replay/tests/promises/fixtures.rs
+++ b/crates/cuminkeel_replay/tests/promises/fixtures.rs
@@ -52,6 +52,7 @@
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
         sent_at: time::Duration::ZERO,
+        source: Arc::from("vm"),
     }
 }
 
