--- a/crates/cuminkeel/src/load_test/local_deployment.rs
+++ b/crates/cuminkeel/src/load_test/local_deployment.rs
@@ -210,5 +210,7 @@
         stop_time: time::Duration::from_millis(50),
         stop_grace: time::Duration::from_secs(3),
         config_apply: time::Duration::from_secs(2),
+        regions: BTreeMap::new(),
+        evacuation_bound: None,
     }
 }
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_dispatch::leadership;
+use cuminkeel_dispatch::{evacuation, leadership};
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
 
@@ -41,6 +41,7 @@
     started_at: time::Duration,
     peers: Mutex<peer_table::PeerTable>,
     config: Mutex<Option<ActiveConfig>>,
+    evacuations: Mutex<evacuation::EvacuationState>,
     /// Status of the pool, of which `config_version` and `leaving` are unused.
     pool_status: Mutex<link_frame::PeerStatus>,
     leaving: atomic::AtomicBool,
@@ -73,6 +74,7 @@
             started_at: boot_time(),
             peers: Mutex::new(peer_table::PeerTable::default()),
             config: Mutex::new(None),
+            evacuations: Mutex::default(),
             pool_status: Mutex::new(link_frame::PeerStatus::default()),
             leaving: atomic::AtomicBool::new(false),
             peer_list_read: atomic::AtomicBool::new(false),
@@ -128,6 +130,14 @@
         self.notify_status_change();
     }
 
+    /// Returns whether `failure_domain` is evacuated, as far as this process knows.
+    pub fn is_evacuated(&self, failure_domain: &str) -> bool {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(failure_domain)
+    }
+
     /// Returns the status of this process as peers receive it.
     pub fn own_status(&self) -> link_frame::PeerStatus {
         let status = *self
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -1,6 +1,6 @@
 //! Emulated platform for tests: store, backend servers, and processes under test.
 
-use std::{sync::Arc, time};
+use std::{collections::BTreeMap, sync::Arc, time};
 
 use bytes::Bytes;
 use cuminkeel_node::{embedded_process, process_log};
@@ -313,6 +313,8 @@
             stop_time: time::Duration::from_millis(50),
             stop_grace: time::Duration::from_secs(3),
             config_apply: time::Duration::from_secs(2),
+            regions: BTreeMap::new(),
+            evacuation_bound: Some(time::Duration::from_secs(5)),
         }
     }
 
