--- a/crates/cuminkeel/src/load_test/local_deployment.rs
+++ b/crates/cuminkeel/src/load_test/local_deployment.rs
@@ -1,6 +1,6 @@
 //! Deployment on loopback for load tests: processes, a store and backend servers.
 
-use std::{fs, io::Write, path, sync::Arc, time};
+use std::{collections::BTreeMap, fs, io::Write, path, sync::Arc, time};
 
 use cuminkeel_node::{embedded_process, process_log};
 use cuminkeel_replay::{fake_server, load_pattern};
