Move the decisions on offers into a state machine in dispatch

The coordinator decided between its awaits to which pool a job is offered, and the replay of several domains had a copy of these rules that differed: it tried all remote domains, without regard to the size of the job's tasks, and offered the job to the home pool again after any refusal.

offer_plan::OfferPlan now takes these decisions, with events in, actions out and `now` as an argument. Coordinator and replay carry its actions out. JobAnswer moves with it. Decisions of the process are as before.

Ran: fmt, clippy, tests of cuminkeel_dispatch, cuminkeel_node (56, soak) and cuminkeel_replay.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leadership;
 pub mod link_plan;
 pub mod message_delay;
+pub mod offer_plan;
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
--- a/crates/cuminkeel_node/benches/telemetry_cost.rs
+++ b/crates/cuminkeel_node/benches/telemetry_cost.rs
@@ -3,8 +3,8 @@
 use std::{hint, sync::Arc, time};
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use cuminkeel_dispatch::pool_action;
-use cuminkeel_node::{coordinator, node_metrics, process_log};
+use cuminkeel_dispatch::{offer_plan, pool_action};
+use cuminkeel_node::{node_metrics, process_log};
 
 /// Number of lines after which the buffer is emptied, so that it never fills up.
 const LINES_PER_BATCH: usize = 1_000;
@@ -45,7 +45,7 @@
         let route = Arc::from(format!("route-{number}"));
         metrics.count_answer(
             &route,
-            &coordinator::JobAnswer::Completed,
+            &offer_plan::JobAnswer::Completed,
             time::Duration::from_millis(150),
         );
     }
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -3,7 +3,7 @@
 use std::{convert, sync::Arc, time};
 
 use bytes::Bytes;
-use cuminkeel_dispatch::job_model;
+use cuminkeel_dispatch::{job_model, offer_plan};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
@@ -180,7 +180,7 @@
         "patience_ms" => whole_ms(time_to_deadline));
     let answer = coordinator::run_job(node, spec, time_to_deadline).await;
     let elapsed = node.now().saturating_sub(headers_read_at);
-    if answer == coordinator::JobAnswer::Completed {
+    if answer == offer_plan::JobAnswer::Completed {
         slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
             "outcome" => "completed", "took_ms" => whole_ms(elapsed));
     } else {
@@ -240,27 +240,27 @@
     }
 }
 
-fn job_response(answer: &coordinator::JobAnswer) -> Response {
+fn job_response(answer: &offer_plan::JobAnswer) -> Response {
     match answer {
-        coordinator::JobAnswer::Completed => {
+        offer_plan::JobAnswer::Completed => {
             json_response(http::StatusCode::OK, caller_api::encode_job_end(true))
         }
-        coordinator::JobAnswer::Failed(job_model::FailureReason::AttemptsExhausted) => {
+        offer_plan::JobAnswer::Failed(job_model::FailureReason::AttemptsExhausted) => {
             json_response(http::StatusCode::OK, caller_api::encode_job_end(false))
         }
         // Not a refusal, as tasks may have run; not a failed job, as no task has used up its
         // attempts.
-        coordinator::JobAnswer::Failed(
+        offer_plan::JobAnswer::Failed(
             job_model::FailureReason::OutOfTime | job_model::FailureReason::Withdrawn,
         ) => json_response(
             http::StatusCode::GATEWAY_TIMEOUT,
             caller_api::encode_error("out_of_time"),
         ),
-        coordinator::JobAnswer::Failed(job_model::FailureReason::PoolLost) => json_response(
+        offer_plan::JobAnswer::Failed(job_model::FailureReason::PoolLost) => json_response(
             http::StatusCode::BAD_GATEWAY,
             caller_api::encode_error("pool_lost"),
         ),
-        coordinator::JobAnswer::Refused {
+        offer_plan::JobAnswer::Refused {
             reason,
             retry_after,
         } => retry_later_response(
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -5,14 +5,14 @@
     time,
 };
 
-use cuminkeel_dispatch::pool_action;
+use cuminkeel_dispatch::{offer_plan, pool_action};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter, family, gauge, histogram},
     registry,
 };
 
-use crate::{coordinator, link_frame};
+use crate::link_frame;
 
 /// Upper bounds of the buckets for response times, in seconds: from one network hop to
 /// twice the default time to a caller's deadline.
@@ -172,13 +172,13 @@
     pub fn count_answer(
         &self,
         route: &Arc<str>,
-        answer: &coordinator::JobAnswer,
+        answer: &offer_plan::JobAnswer,
         elapsed: time::Duration,
     ) {
         let outcome = match answer {
-            coordinator::JobAnswer::Completed => "completed",
-            coordinator::JobAnswer::Failed(_) => "failed",
-            coordinator::JobAnswer::Refused { .. } => "refused",
+            offer_plan::JobAnswer::Completed => "completed",
+            offer_plan::JobAnswer::Failed(_) => "failed",
+            offer_plan::JobAnswer::Refused { .. } => "refused",
         };
         let labels = AnswerLabels {
             route: String::from(&**route),
--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -1,8 +1,13 @@
 //! Replays of several failure domains at once, to measure what spillover between them is worth.
 
-use std::{sync::Arc, time};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time,
+};
 
-use cuminkeel_dispatch::{job_model, settings};
+use cuminkeel_dispatch::{job_model, leadership, offer_plan, settings};
+use smallvec::SmallVec;
 
 use crate::{load_pattern, pool_simulation, replay_report};
 
@@ -32,11 +37,73 @@
     pub violations: Vec<pool_simulation::InvariantViolation>,
 }
 
-/// A job and the domain that admitted it.
+/// Time between two checks for the ends of jobs.
+const STEP_TIME: time::Duration = time::Duration::from_millis(2);
+/// Maximum time that a job waits for a leader of its failure domain, as in a process by default.
+const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_500);
+
+/// A job with the plan of its offers.
 struct OfferedJob {
     arrival: load_pattern::JobArrival,
     local_domain: usize,
-    admitted_by: Option<usize>,
+    plan: offer_plan::OfferPlan,
+    /// Domain whose pool has admitted the job and not ended it.
+    offered_to: Option<usize>,
+    /// Whether a remote domain has admitted the job.
+    is_remote: bool,
+    answer: Option<pool_simulation::CallerAnswer>,
+}
+
+/// Pools of all domains, as the coordinators of one domain see them.
+struct DomainDirectory<'a> {
+    simulations: &'a [pool_simulation::PoolSimulation],
+    names: &'a [Arc<str>],
+    local_domain: usize,
+    spillover_policy: SpilloverPolicy,
+}
+
+impl offer_plan::PoolDirectory for DomainDirectory<'_> {
+    fn home_pool(&self, _id: &str) -> Option<offer_plan::HomePool> {
+        Some(offer_plan::HomePool {
+            process: Arc::clone(&self.names[self.local_domain]),
+            shards: leadership::ShardSet::ALL,
+        })
+    }
+
+    fn other_pools(&self) -> SmallVec<[offer_plan::OtherPool; 4]> {
+        if self.spillover_policy == SpilloverPolicy::LocalOnly {
+            return SmallVec::new();
+        }
+        let domains = self.simulations.iter().zip(self.names).enumerate();
+        domains
+            .filter(|(domain, _)| *domain != self.local_domain)
+            .map(|(_, (simulation, name))| {
+                let load = simulation.load(0);
+                offer_plan::OtherPool {
+                    process: Arc::clone(name),
+                    is_local: false,
+                    shards: leadership::ShardSet::ALL,
+                    free_cpu_millis: load.free_cpu_millis,
+                    queued_jobs: load.queued_jobs,
+                }
+            })
+            .collect()
+    }
+}
+
+/// Pools of all domains and their jobs.
+struct DomainSimulation {
+    simulations: Vec<pool_simulation::PoolSimulation>,
+    /// Names of the domains, each also that of its only process.
+    names: Vec<Arc<str>>,
+    spillover_policy: SpilloverPolicy,
+    jobs: Vec<OfferedJob>,
+    /// Positions in `jobs` by id.
+    job_positions: HashMap<Arc<str>, usize>,
+    /// Times at which the plans of waiting jobs are asked again, with the positions of the jobs.
+    wake_ups: BTreeSet<(time::Duration, usize)>,
+    /// Number of answers of each simulation that have been passed to the plans.
+    read_answers: Vec<usize>,
 }
 
 /// Replays the arrivals of one pattern for each domain, all at the same time. Ignores the patterns'
@@ -55,17 +122,28 @@
     for simulation in &mut simulations {
         simulation.lead(0);
     }
-    let mut jobs = offered_jobs(patterns);
-    for job in &mut jobs {
-        for simulation in &mut simulations {
-            simulation.run_until(WARM_UP_TIME + job.arrival.at);
-        }
-        job.admitted_by = offer_to_domains(&mut simulations, job, spillover_policy);
-    }
-    for simulation in &mut simulations {
-        simulation.run_until(WARM_UP_TIME + load_pattern::PATTERN_DURATION + COOL_DOWN_TIME);
+    let jobs = offered_jobs(patterns);
+    let mut domains = DomainSimulation {
+        names: (0..patterns.len())
+            .map(|domain| Arc::from(format!("domain-{domain}")))
+            .collect(),
+        spillover_policy,
+        job_positions: jobs
+            .iter()
+            .enumerate()
+            .map(|(position, job)| (Arc::clone(&job.arrival.offer.spec.id), position))
+            .collect(),
+        jobs,
+        wake_ups: BTreeSet::new(),
+        read_answers: vec![0; simulations.len()],
+        simulations,
+    };
+    for position in 0..domains.jobs.len() {
+        domains.run_until(WARM_UP_TIME + domains.jobs[position].arrival.at);
+        domains.advance_job(position);
     }
-    summarise(&simulations, &jobs, patterns.len())
+    domains.run_until(WARM_UP_TIME + load_pattern::PATTERN_DURATION + COOL_DOWN_TIME);
+    domains.summarise()
 }
 
 /// Returns the arrivals of all domains in order of time. Job ids are prefixed with the domain's
@@ -80,10 +158,18 @@
                 let mut spec = (*arrival.offer.spec).clone();
                 spec.id = Arc::from(format!("{local_domain}-{}", spec.id));
                 arrival.offer.spec = Arc::new(spec);
+                let limits = offer_plan::PlanLimits {
+                    answer_deadline: WARM_UP_TIME + arrival.at + arrival.offer.time_to_deadline,
+                    leader_wait: LEADER_WAIT,
+                };
+                let spec = Arc::clone(&arrival.offer.spec);
                 OfferedJob {
                     arrival,
                     local_domain,
-                    admitted_by: None,
+                    plan: offer_plan::OfferPlan::new(spec, limits),
+                    offered_to: None,
+                    is_remote: false,
+                    answer: None,
                 }
             })
         })
@@ -92,95 +178,177 @@
     jobs
 }
 
-/// Offers a job to one pool after another and returns the domain that admitted it. Remote
-/// domains without queued jobs are tried in descending order of free processor.
-fn offer_to_domains(
-    simulations: &mut [pool_simulation::PoolSimulation],
-    job: &OfferedJob,
-    spillover_policy: SpilloverPolicy,
-) -> Option<usize> {
-    let mut offers = Vec::new();
-    if spillover_policy == SpilloverPolicy::RemoteWhenFull {
-        offers.push((job.local_domain, job_model::OfferTerms::AtOnce));
-        let mut remote_domains: Vec<(u32, usize)> = simulations
-            .iter()
-            .enumerate()
-            .filter(|(domain, _)| *domain != job.local_domain)
-            .map(|(domain, simulation)| (simulation.load(0), domain))
-            .filter(|(load, _)| load.queued_jobs == 0)
-            .map(|(load, domain)| (load.free_cpu_millis, domain))
-            .collect();
-        remote_domains.sort_unstable();
-        let by_free_cpu = remote_domains.into_iter().rev();
-        offers.extend(by_free_cpu.map(|(_, domain)| (domain, job_model::OfferTerms::AtOnce)));
+impl DomainSimulation {
+    /// Returns the virtual time, which is the same in all domains.
+    fn now(&self) -> time::Duration {
+        self.simulations[0].now()
     }
-    offers.push((job.local_domain, job_model::OfferTerms::Useful));
-    offers
-        .into_iter()
-        .find(|(domain, terms)| submit_offer(&mut simulations[*domain], job, *terms))
-        .map(|(domain, _)| domain)
-}
 
-/// Offers a job to one pool and returns whether the pool admits it. A refusal on arrival is
-/// among the pool's answers when `submit` returns.
-fn submit_offer(
-    simulation: &mut pool_simulation::PoolSimulation,
-    job: &OfferedJob,
-    terms: job_model::OfferTerms,
-) -> bool {
-    let offer = job_model::JobOffer {
-        terms,
-        ..job.arrival.offer.clone()
-    };
-    let answers_before = simulation.answers.len();
-    simulation.submit(0, &offer, job.arrival.task_profile);
-    let refusal = simulation.answers[answers_before..]
-        .iter()
-        .position(|answer| {
-            answer.job == offer.spec.id && matches!(answer.end, job_model::JobEnd::Refused { .. })
-        });
-    // The caller receives only the refusal of the last offer.
-    if let (Some(position), job_model::OfferTerms::AtOnce) = (refusal, terms) {
-        simulation.answers.remove(answers_before + position);
+    /// Runs all domains until the time `until`, and passes the ends of jobs to their plans.
+    fn run_until(&mut self, until: time::Duration) {
+        while self.now() < until {
+            let next = until.min(self.now() + STEP_TIME);
+            for simulation in &mut self.simulations {
+                simulation.run_until(next);
+            }
+            for domain in 0..self.simulations.len() {
+                self.apply_answers(domain);
+            }
+            while let Some((at, position)) = self.wake_ups.first().copied()
+                && at <= next
+            {
+                self.wake_ups.pop_first();
+                self.advance_job(position);
+            }
+        }
     }
-    refusal.is_none()
-}
 
-fn summarise(
-    simulations: &[pool_simulation::PoolSimulation],
-    jobs: &[OfferedJob],
-    domain_count: usize,
-) -> DomainReport {
-    let mut offered = vec![0.0; domain_count];
-    let mut earned = vec![0.0; domain_count];
-    for job in jobs {
-        offered[job.local_domain] += job.arrival.worth;
-        let answer = job.admitted_by.and_then(|domain| {
-            let answers = &simulations[domain].answers;
-            answers
-                .iter()
-                .rfind(|answer| answer.job == job.arrival.offer.spec.id)
-        });
-        earned[job.local_domain] += answer.map_or(0.0, |answer| {
-            replay_report::earned_worth(&job.arrival, answer, WARM_UP_TIME)
-        });
+    /// Passes the answers of one domain's pool to the plans of the jobs that it has admitted.
+    fn apply_answers(&mut self, domain: usize) {
+        while let Some(answer) = self.simulations[domain]
+            .answers
+            .get(self.read_answers[domain])
+            .cloned()
+        {
+            self.read_answers[domain] += 1;
+            let Some(position) = self.job_positions.get(&answer.job).copied() else {
+                continue;
+            };
+            let job = &mut self.jobs[position];
+            if job.offered_to != Some(domain) {
+                continue;
+            }
+            job.offered_to = None;
+            // The caller receives only the last refusal, and the job may run in this domain until then.
+            if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
+                self.read_answers[domain] -= 1;
+                let unread = self.read_answers[domain];
+                self.simulations[domain].answers.remove(unread);
+            }
+            job.plan.record_end(Some(&answer.end), answer.at);
+            self.advance_job(position);
+        }
     }
-    DomainReport {
-        worth_shares: earned
-            .iter()
-            .zip(&offered)
-            .map(|(earned, offered)| earned / offered.max(f64::MIN_POSITIVE))
-            .collect(),
-        remote_jobs: jobs
-            .iter()
-            .filter(|job| {
-                job.admitted_by
-                    .is_some_and(|domain| domain != job.local_domain)
-            })
-            .count(),
-        violations: simulations
+
+    /// Carries out the actions of a job's plan until the job is in a pool, waits or is answered.
+    fn advance_job(&mut self, position: usize) {
+        let now = self.now();
+        loop {
+            let directory = DomainDirectory {
+                simulations: &self.simulations,
+                names: &self.names,
+                local_domain: self.jobs[position].local_domain,
+                spillover_policy: self.spillover_policy,
+            };
+            match self.jobs[position].plan.next_action(&directory, now) {
+                offer_plan::OfferAction::Offer { process, terms } => {
+                    let domain = self.names.iter().position(|name| *name == process);
+                    let end = domain.map_or(Some(job_model::JobEnd::NotLeader), |domain| {
+                        self.submit_offer(domain, position, terms)
+                    });
+                    let job = &mut self.jobs[position];
+                    if end.is_none() {
+                        job.offered_to = domain;
+                        job.is_remote |= domain != Some(job.local_domain);
+                        return;
+                    }
+                    job.plan.record_end(end.as_ref(), now);
+                }
+                offer_plan::OfferAction::Wait(pause) => {
+                    self.wake_ups.insert((now + pause, position));
+                    return;
+                }
+                offer_plan::OfferAction::Answer(answer) => {
+                    self.record_answer(position, answer, now);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Offers a job to one pool and returns its end if the pool ends it at once. A refusal on arrival is
+    /// among the pool's answers when `submit` returns; it is removed, as the job may be offered to the
+    /// pool again.
+    fn submit_offer(
+        &mut self,
+        domain: usize,
+        position: usize,
+        terms: job_model::OfferTerms,
+    ) -> Option<job_model::JobEnd> {
+        let now = self.now();
+        let job = &self.jobs[position];
+        let arrived_at = WARM_UP_TIME + job.arrival.at;
+        let age = now.saturating_sub(arrived_at);
+        let offer = job_model::JobOffer {
+            terms,
+            age,
+            time_to_deadline: job.arrival.offer.time_to_deadline.saturating_sub(age),
+            may_have_started: job.plan.may_have_started(),
+            source: Arc::clone(&self.names[job.local_domain]),
+            ..job.arrival.offer.clone()
+        };
+        let simulation = &mut self.simulations[domain];
+        let answers_before = simulation.answers.len();
+        simulation.submit(0, &offer, job.arrival.task_profile);
+        let ended = simulation.answers[answers_before..]
             .iter()
-            .flat_map(|simulation| simulation.violations.iter().cloned())
-            .collect(),
+            .position(|answer| answer.job == offer.spec.id)?;
+        Some(simulation.answers.remove(answers_before + ended).end)
+    }
+
+    /// Stores the answer to a job's caller. A refusal is shown to all pools, as no task of the job may
+    /// start in any of them from then on.
+    fn record_answer(
+        &mut self,
+        position: usize,
+        answer: offer_plan::JobAnswer,
+        now: time::Duration,
+    ) {
+        let end = match answer {
+            offer_plan::JobAnswer::Completed => job_model::JobEnd::Completed,
+            offer_plan::JobAnswer::Failed(reason) => job_model::JobEnd::Failed(reason),
+            offer_plan::JobAnswer::Refused {
+                reason,
+                retry_after,
+            } => job_model::JobEnd::Refused {
+                reason,
+                retry_after,
+            },
+        };
+        let caller_answer = pool_simulation::CallerAnswer {
+            job: Arc::clone(&self.jobs[position].arrival.offer.spec.id),
+            end,
+            at: now,
+        };
+        if matches!(answer, offer_plan::JobAnswer::Refused { .. }) {
+            for simulation in &mut self.simulations {
+                simulation.answers.push(caller_answer.clone());
+            }
+        }
+        self.jobs[position].answer = Some(caller_answer);
+    }
+
+    fn summarise(&self) -> DomainReport {
+        let mut offered = vec![0.0; self.simulations.len()];
+        let mut earned = vec![0.0; self.simulations.len()];
+        for job in &self.jobs {
+            offered[job.local_domain] += job.arrival.worth;
+            earned[job.local_domain] += job.answer.as_ref().map_or(0.0, |answer| {
+                replay_report::earned_worth(&job.arrival, answer, WARM_UP_TIME)
+            });
+        }
+        DomainReport {
+            worth_shares: earned
+                .iter()
+                .zip(&offered)
+                .map(|(earned, offered)| earned / offered.max(f64::MIN_POSITIVE))
+                .collect(),
+            remote_jobs: self.jobs.iter().filter(|job| job.is_remote).count(),
+            violations: self
+                .simulations
+                .iter()
+                .flat_map(|simulation| simulation.violations.iter().cloned())
+                .collect(),
+        }
     }
 }
