Offer jobs of an evacuated domain to the other domains

Cause: after the refusal Evacuated of the home pool, a job was offered to the two pools with the most free processor, so all jobs went to the same pools, and it was refused if neither could start it at once.

Change: after Evacuated, the job goes at once to other domains, those of the own region first, and equally near ones in proportion to their free processor by a hash of the job's id; if these can't start it at once, to the pools with the shortest queues on the terms Useful, and never to the home pool again. Pools of evacuated domains get no offers. If there is no other pool, the refusal Evacuated is the answer at once; if the other pools are full, the shortest Retry-After of their refusals.

--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -4,7 +4,7 @@
 //! The home pool of a job leads the shard of its id in the failure domain where the caller came in.
 //! It is asked first; other pools are asked only after it has refused the job.
 
-use std::{sync::Arc, time};
+use std::{cmp, sync::Arc, time};
 
 use smallvec::SmallVec;
 
@@ -14,6 +14,11 @@
 const OFFER_RETRY_PAUSE: time::Duration = time::Duration::from_millis(25);
 /// Maximum number of other pools that a job is offered to on the terms `AtOnce`.
 const MAX_SPILLOVER_OFFERS: usize = 2;
+/// Number of different hashes from which a draw is made.
+const DRAW_RANGE: f64 = (1_u64 << 32) as f64;
+/// Units in which queued jobs for each thousandth of a core are compared: a core has a thousand of
+/// them, and tasks of up to a hundred cores should still make a difference of several units.
+const QUEUE_LENGTH_UNITS: u64 = 1_000_000;
 
 /// Answer to the caller of a job.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,17 +58,24 @@
     }
 }
 
-/// Pool of another connected process that holds servers and is not about to stop.
+/// Pool of another connected process that holds servers and is not about to stop. Its failure domain
+/// is not evacuated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OtherPool {
     /// Name of the VM whose process runs the pool.
     pub process: Arc<str>,
-    /// Whether the pool belongs to the local failure domain.
+    /// Failure domain of the pool.
+    pub failure_domain: Arc<str>,
+    /// Whether that is the local failure domain.
     pub is_local: bool,
+    /// Whether the failure domain of the pool is in the region of the local one.
+    pub is_near: bool,
     /// Shards of its failure domain that the pool leads.
     pub shards: leadership::ShardSet,
     /// Free processor capacity of the pool, in thousandths of a core.
     pub free_cpu_millis: u32,
+    /// Total processor capacity of the pool, in thousandths of a core.
+    pub total_cpu_millis: u32,
     /// Number of queued jobs in the pool.
     pub queued_jobs: u32,
 }
@@ -126,6 +138,9 @@
     Home(job_model::OfferTerms),
     /// Other pools are asked on the terms `AtOnce`, the last one first.
     Others(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
+    /// The home domain is evacuated, and other pools are asked on the terms `Useful`, the last one
+    /// first.
+    UsefulOthers(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
     Answered(JobAnswer),
 }
 
@@ -147,6 +162,8 @@
     home_missing_since: Option<time::Duration>,
     /// Refusal with which the home pool last ended the job.
     home_refusal: Option<JobRefusal>,
+    /// Refusal of another pool, because of its queue, with the shortest `retry_after`.
+    other_refusal: Option<JobRefusal>,
 }
 
 impl OfferPlan {
@@ -162,6 +179,7 @@
             may_have_started: false,
             home_missing_since: None,
             home_refusal: None,
+            other_refusal: None,
         }
     }
 
@@ -202,7 +220,16 @@
                             terms: job_model::OfferTerms::AtOnce,
                         };
                     }
-                    None => self.leave_others(),
+                    None => self.leave_others(pools),
+                },
+                OfferStage::UsefulOthers(processes) => match processes.pop() {
+                    Some(process) => {
+                        return OfferAction::Offer {
+                            process,
+                            terms: job_model::OfferTerms::Useful,
+                        };
+                    }
+                    None => self.leave_useful_others(),
                 },
                 OfferStage::Answered(answer) => return OfferAction::Answer(*answer),
             }
@@ -240,7 +267,14 @@
                 });
             }
             Some(job_model::JobEnd::NotLeader) if is_home => self.record_missing_home(now),
-            Some(job_model::JobEnd::NotLeader | job_model::JobEnd::Refused { .. }) => {}
+            Some(job_model::JobEnd::Refused {
+                reason,
+                retry_after,
+            }) => self.record_other_refusal(JobRefusal {
+                reason: *reason,
+                retry_after: *retry_after,
+            }),
+            Some(job_model::JobEnd::NotLeader) => {}
         }
     }
 
@@ -248,6 +282,18 @@
         self.stage = OfferStage::Answered(answer);
     }
 
+    /// Keeps the refusal of another pool if it shows when there is capacity, and earlier than those
+    /// before.
+    fn record_other_refusal(&mut self, refusal: JobRefusal) {
+        let shows_capacity = refusal.reason == job_model::RefusalReason::QueueTooLong;
+        let is_earliest = self
+            .other_refusal
+            .is_none_or(|earliest| refusal.retry_after < earliest.retry_after);
+        if shows_capacity && is_earliest {
+            self.other_refusal = Some(refusal);
+        }
+    }
+
     /// Returns what to do next while the home pool is asked on `terms`, or `None` if it has refused the
     /// job or is not waited for any longer.
     fn next_home_action(
@@ -302,34 +348,49 @@
             self.answer(JobAnswer::Failed(job_model::FailureReason::PoolLost));
             return;
         }
-        let is_last = terms == job_model::OfferTerms::Useful;
+        let is_last = terms == job_model::OfferTerms::Useful && !self.is_home_evacuated();
         match self.home_refusal {
             // A copy that the caller sent earlier may run on servers of the home pool.
             Some(refusal) if is_last || refusal.reason == job_model::RefusalReason::NoPool => {
                 self.answer(refusal.answer());
             }
             None if is_last => self.answer(self.no_pool_refusal().answer()),
-            Some(_) | None => {
-                let mut processes = self.spillover_pools(pools);
-                processes.reverse();
-                self.stage = OfferStage::Others(processes);
-            }
+            Some(_) | None => self.stage = OfferStage::Others(self.spillover_pools(pools)),
         }
     }
 
-    /// Decides what follows after all other pools have refused the job.
-    fn leave_others(&mut self) {
+    /// Returns whether the home pool refused the job because its failure domain is evacuated.
+    fn is_home_evacuated(&self) -> bool {
+        self.home_refusal
+            .is_some_and(|refusal| refusal.reason == job_model::RefusalReason::Evacuated)
+    }
+
+    /// Decides what follows after other pools have refused the job on the terms `AtOnce`.
+    fn leave_others(&mut self, pools: &dyn PoolDirectory) {
         match self.home_refusal {
             Some(refusal) if refusal.reason == job_model::RefusalReason::QueueTooLong => {
                 self.home_refusal = None;
                 self.home_missing_since = None;
                 self.stage = OfferStage::Home(job_model::OfferTerms::Useful);
             }
+            Some(refusal) if refusal.reason == job_model::RefusalReason::Evacuated => {
+                self.stage = OfferStage::UsefulOthers(self.shortest_queues(pools));
+            }
             Some(refusal) => self.answer(refusal.answer()),
             None => self.answer(self.no_pool_refusal().answer()),
         }
     }
 
+    /// Refuses the job after the other pools have refused it on all terms. The home pool starts
+    /// nothing, so its refusal does not say when there is capacity.
+    fn leave_useful_others(&mut self) {
+        let refusal = self
+            .other_refusal
+            .or(self.home_refusal)
+            .unwrap_or_else(|| self.no_pool_refusal());
+        self.answer(refusal.answer());
+    }
+
     fn no_pool_refusal(&self) -> JobRefusal {
         JobRefusal {
             reason: job_model::RefusalReason::NoPool,
@@ -337,32 +398,77 @@
         }
     }
 
-    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that could start the job at once, the most free
-    /// processor first: pools that have no queued jobs and whose free processor is enough for the
-    /// largest task of the job.
+    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that could start the job at once, the first
+    /// choice last: pools that have no queued jobs and whose free processor is enough for the largest
+    /// task of the job. The most free processor comes first or, if the home domain is evacuated, near
+    /// pools, and equally near ones in proportion to their free processor by a hash of the job's id.
     fn spillover_pools(
         &self,
         pools: &dyn PoolDirectory,
     ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
-        let needed_cpu_millis = self
-            .spec
-            .steps
-            .iter()
-            .map(|step| step.cpu_millis)
-            .max()
-            .unwrap_or(0);
+        let needed_cpu_millis = self.largest_task_cpu_millis();
         let mut others = pools.other_pools();
         others.retain(|pool| {
             self.is_other_pool(pool)
                 && pool.free_cpu_millis >= needed_cpu_millis
                 && pool.queued_jobs == 0
         });
-        others.sort_by_key(|pool| std::cmp::Reverse(pool.free_cpu_millis));
-        others
-            .into_iter()
-            .take(MAX_SPILLOVER_OFFERS)
-            .map(|pool| pool.process)
-            .collect()
+        if self.is_home_evacuated() {
+            others.sort_by_cached_key(|pool| {
+                let room = f64::from(pool.free_cpu_millis / needed_cpu_millis);
+                (!pool.is_near, self.draw_rank(&pool.process, room))
+            });
+        } else {
+            others.sort_by_key(|pool| cmp::Reverse(pool.free_cpu_millis));
+        }
+        last_choice_first(others)
+    }
+
+    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools with the shortest queues for their capacity, the
+    /// shortest last, and near ones before others of the same length.
+    fn shortest_queues(
+        &self,
+        pools: &dyn PoolDirectory,
+    ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
+        let mut others = pools.other_pools();
+        others.retain(|pool| self.is_other_pool(pool));
+        others.sort_by_cached_key(|pool| {
+            let queue_length = u64::from(pool.queued_jobs) * QUEUE_LENGTH_UNITS
+                / u64::from(pool.total_cpu_millis.max(1));
+            let capacity = f64::from(pool.total_cpu_millis);
+            (
+                queue_length,
+                !pool.is_near,
+                self.draw_rank(&pool.process, capacity),
+            )
+        });
+        last_choice_first(others)
+    }
+
+    /// Returns the rank of the pool of `process` in a draw in which each pool comes first with a
+    /// probability in proportion to its `weight`; the lowest rank is first. The draw is a function of
+    /// the job's id, so all processes draw alike.
+    fn draw_rank(&self, process: &str, weight: f64) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.spec.id.as_bytes());
+        hasher.update(b"/");
+        hasher.update(process.as_bytes());
+        let [a, b, c, d, ..] = *hasher.finalize().as_bytes();
+        let uniform = (f64::from(u32::from_be_bytes([a, b, c, d])) + 0.5) / DRAW_RANGE;
+        // The first of several exponential variables is each of them in proportion to their rates.
+        let variable = -uniform.ln() / weight.max(f64::MIN_POSITIVE);
+        // The bits of positive numbers are in the order of the numbers.
+        variable.to_bits()
+    }
+
+    fn largest_task_cpu_millis(&self) -> u32 {
+        self.spec
+            .steps
+            .iter()
+            .map(|step| step.cpu_millis)
+            .max()
+            .unwrap_or(0)
+            .max(1)
     }
 
     /// Returns whether `pool` is certainly not the home pool of the job.
@@ -370,3 +476,15 @@
         !pool.is_local || (!pool.shards.is_empty() && !pool.shards.contains_id(&self.spec.id))
     }
 }
+
+fn last_choice_first(
+    pools: SmallVec<[OtherPool; 4]>,
+) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
+    let mut processes: SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> = pools
+        .into_iter()
+        .take(MAX_SPILLOVER_OFFERS)
+        .map(|pool| pool.process)
+        .collect();
+    processes.reverse();
+    processes
+}
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -122,7 +122,10 @@
     }
 
     fn other_pools(&self) -> SmallVec<[offer_plan::OtherPool; 4]> {
-        self.peers()
+        let local_domain = &self.hello.failure_domain;
+        let local_region = self.settings.regions.get(local_domain);
+        let mut pools: SmallVec<[offer_plan::OtherPool; 4]> = self
+            .peers()
             .iter()
             .filter(|peer| {
                 peer.connected
@@ -132,11 +135,16 @@
             })
             .map(|peer| offer_plan::OtherPool {
                 process: Arc::clone(&peer.hello.name),
-                is_local: peer.hello.failure_domain == self.hello.failure_domain,
+                failure_domain: Arc::clone(&peer.hello.failure_domain),
+                is_local: peer.hello.failure_domain == *local_domain,
+                is_near: self.settings.regions.get(&peer.hello.failure_domain) == local_region,
                 shards: peer.status.shards,
                 free_cpu_millis: peer.status.free_cpu_millis,
+                total_cpu_millis: peer.status.total_cpu_millis,
                 queued_jobs: peer.status.queued_jobs,
             })
-            .collect()
+            .collect();
+        pools.retain(|pool| !self.is_evacuated(&pool.failure_domain));
+        pools
     }
 }
--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -81,9 +81,12 @@
                 let load = simulation.load(0);
                 offer_plan::OtherPool {
                     process: Arc::clone(name),
+                    failure_domain: Arc::clone(name),
                     is_local: false,
+                    is_near: true,
                     shards: leadership::ShardSet::ALL,
                     free_cpu_millis: load.free_cpu_millis,
+                    total_cpu_millis: load.total_cpu_millis,
                     queued_jobs: load.queued_jobs,
                 }
             })
