Offer a job with a copy elsewhere to no other pool

Cause: of two copies of a job, one may be offered to other domains after a refusal while the home pool admits the other; without a home pool, copies went to whichever pools had the most free processor; and two copies in one process were offered independently of each other.

Change: after CopyElsewhere a job is offered nowhere else, and its caller gets a 502 (`copy_elsewhere`; JobAnswer::CopyElsewhere is not on the wire). After leader_wait without a home pool, other domains are asked in the rendezvous order of the id; near the deadline the job is refused. Copies in one process share one run of the offers in a task of its own (job_table.rs), which is aborted when the last of their callers has left. A home pool that was lost while it had the job ends it with a 502 as before.

Of the new tests, these fail without their rule (trial on a scratch copy): the copy elsewhere, copies without a home pool, the copy in one process that waits for the first. The caller that leaves and the withdrawal after both have left also pass without it, as the pool attaches the second copy to the same job.

--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -34,6 +34,8 @@
         /// Time after which the caller may submit the job again.
         retry_after: time::Duration,
     },
+    /// A copy of the job may be running on behalf of another process, so it was offered nowhere else.
+    CopyElsewhere,
 }
 
 /// Pool of the process that leads the job's shard in the local failure domain or, if none does, of
@@ -138,8 +140,8 @@
     Home(job_model::OfferTerms),
     /// Other pools are asked on the terms `AtOnce`, the last one first.
     Others(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
-    /// The home domain is evacuated, and other pools are asked on the terms `Useful`, the last one
-    /// first.
+    /// The home domain is evacuated or has no pool, and other pools are asked on the terms `Useful`, the
+    /// last one first.
     UsefulOthers(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
     Answered(JobAnswer),
 }
@@ -211,7 +213,7 @@
                     if let Some(action) = self.next_home_action(terms, pools, now) {
                         return action;
                     }
-                    self.leave_home(terms, pools);
+                    self.leave_home(terms, pools, now);
                 }
                 OfferStage::Others(processes) => match processes.pop() {
                     Some(process) => {
@@ -252,6 +254,10 @@
             Some(job_model::JobEnd::PoolLost) | None => {
                 self.answer(JobAnswer::Failed(job_model::FailureReason::PoolLost));
             }
+            Some(job_model::JobEnd::Refused {
+                reason: job_model::RefusalReason::CopyElsewhere,
+                ..
+            }) => self.answer(JobAnswer::CopyElsewhere),
             // The leader may soon know the servers, and find runs of the job on them.
             Some(job_model::JobEnd::Refused {
                 reason: job_model::RefusalReason::NoPool,
@@ -342,20 +348,27 @@
 
     /// Decides what follows after the home pool was asked on `terms`. Only the reason `QueueTooLong`
     /// depends on the terms, so only after it the pool is asked again.
-    fn leave_home(&mut self, terms: job_model::OfferTerms, pools: &dyn PoolDirectory) {
-        if self.may_have_started {
-            // Runs of the job may continue on servers of the lost pool, which other pools may not hold.
-            self.answer(JobAnswer::Failed(job_model::FailureReason::PoolLost));
-            return;
-        }
+    fn leave_home(
+        &mut self,
+        terms: job_model::OfferTerms,
+        pools: &dyn PoolDirectory,
+        now: time::Duration,
+    ) {
         let is_last = terms == job_model::OfferTerms::Useful && !self.is_home_evacuated();
         match self.home_refusal {
+            // Runs of the job may continue on servers of the lost pool, which other pools may not hold.
+            _ if self.may_have_started => {
+                self.answer(JobAnswer::Failed(job_model::FailureReason::PoolLost));
+            }
             // A copy that the caller sent earlier may run on servers of the home pool.
             Some(refusal) if is_last || refusal.reason == job_model::RefusalReason::NoPool => {
                 self.answer(refusal.answer());
             }
-            None if is_last => self.answer(self.no_pool_refusal().answer()),
-            Some(_) | None => self.stage = OfferStage::Others(self.spillover_pools(pools)),
+            Some(_) => self.stage = OfferStage::Others(self.spillover_pools(pools)),
+            None if now + OFFER_RETRY_PAUSE > self.limits.answer_deadline => {
+                self.answer(self.no_pool_refusal().answer());
+            }
+            None => self.stage = OfferStage::UsefulOthers(self.rendezvous_pools(pools)),
         }
     }
 
@@ -382,7 +395,7 @@
     }
 
     /// Refuses the job after the other pools have refused it on all terms. The home pool starts
-    /// nothing, so its refusal does not say when there is capacity.
+    /// nothing or was not found, so its refusal does not say when there is capacity.
     fn leave_useful_others(&mut self) {
         let refusal = self
             .other_refusal
@@ -445,14 +458,27 @@
         last_choice_first(others)
     }
 
-    /// Returns the rank of the pool of `process` in a draw in which each pool comes first with a
-    /// probability in proportion to its `weight`; the lowest rank is first. The draw is a function of
-    /// the job's id, so all processes draw alike.
-    fn draw_rank(&self, process: &str, weight: f64) -> u64 {
+    /// Returns up to `MAX_SPILLOVER_OFFERS` pools of other failure domains, one in each, that lead the
+    /// job's shard there, the first choice last. They are in the order of a rendezvous hash of the job's
+    /// id, so that copies of the job meet in the same pool, which then decides for the id.
+    fn rendezvous_pools(
+        &self,
+        pools: &dyn PoolDirectory,
+    ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
+        let mut others = pools.other_pools();
+        others.retain(|pool| !pool.is_local && pool.shards.contains_id(&self.spec.id));
+        others.sort_by_cached_key(|pool| self.draw_rank(&pool.failure_domain, 1.0));
+        last_choice_first(others)
+    }
+
+    /// Returns the rank of `candidate` in a draw in which each one comes first with a probability in
+    /// proportion to its `weight`; the lowest rank is first. The draw is a function of the job's id, so
+    /// all processes draw alike.
+    fn draw_rank(&self, candidate: &str, weight: f64) -> u64 {
         let mut hasher = blake3::Hasher::new();
         hasher.update(self.spec.id.as_bytes());
         hasher.update(b"/");
-        hasher.update(process.as_bytes());
+        hasher.update(candidate.as_bytes());
         let [a, b, c, d, ..] = *hasher.finalize().as_bytes();
         let uniform = (f64::from(u32::from_be_bytes([a, b, c, d])) + 0.5) / DRAW_RANGE;
         // The first of several exponential variables is each of them in proportion to their rates.
--- a/crates/cuminkeel_dispatch/tests/offers.rs
+++ b/crates/cuminkeel_dispatch/tests/offers.rs
@@ -267,3 +267,73 @@
     });
     assert_eq!(answer, answer_of(QueueTooLong, 600));
 }
+
+/// Guards against two runs of a task: a copy that another process offers elsewhere may run there.
+#[test]
+fn job_with_a_copy_elsewhere_is_offered_nowhere_else() {
+    use job_model::RefusalReason::{CopyElsewhere, QueueTooLong};
+    let cases = [("at home", HOME, 1), ("at another pool", "a", 2)];
+    for (name, refusing, expected_count) in cases {
+        let others = vec![other_pool("a", true, 50), other_pool("b", true, 40)];
+        let (offers, wait_count, answer) =
+            run_plan(&mut new_plan("00f1"), &pools_with(others), |process, _| {
+                Some(if process == refusing {
+                    refused(CopyElsewhere, 100)
+                } else {
+                    refused(QueueTooLong, 100)
+                })
+            });
+        assert_eq!(
+            (offers.len(), wait_count, answer),
+            (expected_count, 0, offer_plan::JobAnswer::CopyElsewhere),
+            "{name}"
+        );
+    }
+}
+
+/// Guards against copies that run in two domains while the home domain has no pool: each copy's
+/// process sees other room, so only the id may decide.
+#[test]
+fn copies_of_a_job_without_a_home_pool_meet_in_the_same_pool() {
+    let mut first_pools = std::collections::BTreeSet::new();
+    for number in 0..50 {
+        let id = format!("{number:016x}");
+        let first_offers = [[50, 0, 7], [1, 40, 90], [0, 0, 0]].map(|free_tasks| {
+            let mut pools = pools_with(
+                ["a", "b", "c"]
+                    .into_iter()
+                    .zip(free_tasks)
+                    .map(|(name, free_tasks)| other_pool(name, name == "b", free_tasks))
+                    .collect(),
+            );
+            pools.home = None;
+            let (offers, wait_count, answer) = run_plan(&mut new_plan(&id), &pools, |_, _| {
+                Some(job_model::JobEnd::Completed)
+            });
+            assert!(wait_count >= 60, "it should wait for `LEADER_WAIT` first");
+            assert_eq!(answer, offer_plan::JobAnswer::Completed);
+            offers
+        });
+        assert_eq!(first_offers[0], first_offers[1]);
+        assert_eq!(first_offers[0], first_offers[2]);
+        first_pools.insert(first_offers[0][0].0.clone());
+    }
+    assert_eq!(first_pools.len(), 3, "the ids should be spread");
+}
+
+/// Guards against an offer that outlives its caller.
+#[test]
+fn job_without_a_home_pool_is_refused_if_its_deadline_is_near() {
+    let mut pools = pools_with(vec![other_pool("a", true, 50)]);
+    pools.home = None;
+    let limits = offer_plan::PlanLimits {
+        answer_deadline: time::Duration::from_secs(1),
+        leader_wait: LEADER_WAIT,
+    };
+    let mut plan = offer_plan::OfferPlan::new(job_spec("00f1"), limits);
+    let (offers, _, answer) = run_plan(&mut plan, &pools, |_, _| None);
+    assert_eq!(
+        (offers, answer),
+        (vec![], answer_of(job_model::RefusalReason::NoPool, 1_500))
+    );
+}
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -10,7 +10,8 @@
 /// Time reserved before the deadline for sending the answer to the caller.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
 
-/// Runs the job `spec` for a caller that stops waiting after `time_to_deadline`.
+/// Runs the job `spec` for a caller that stops waiting after `time_to_deadline`. If a copy of the job is
+/// in progress in this process, waits for its answer instead.
 pub async fn run_job(
     node: &Arc<node_state::NodeState>,
     spec: Arc<job_model::JobSpec>,
@@ -22,32 +23,34 @@
         answer_deadline: received_at + time_to_answer,
         leader_wait: node.tuning.leader_wait(),
     };
-    let mut job = CallerJob {
-        node,
+    let id = Arc::clone(&spec.id);
+    let job = CallerJob {
+        node: Arc::clone(node),
         received_at,
         limits,
         plan: offer_plan::OfferPlan::new(spec, limits),
     };
-    match tokio::time::timeout(time_to_answer, job.run()).await {
+    let job = node.jobs.join_or_start(&id, job.run());
+    match tokio::time::timeout(time_to_answer, job.wait_for_answer()).await {
         Ok(answer) => answer,
-        // The dropped offer withdraws the job, and its pool stops the runs.
+        // The last caller to drop the job withdraws it, and its pool stops the runs.
         Err(_) => offer_plan::JobAnswer::Failed(job_model::FailureReason::OutOfTime),
     }
 }
 
-struct CallerJob<'a> {
-    node: &'a Arc<node_state::NodeState>,
+struct CallerJob {
+    node: Arc<node_state::NodeState>,
     /// Time at which the whole request had been read.
     received_at: time::Duration,
     limits: offer_plan::PlanLimits,
     plan: offer_plan::OfferPlan,
 }
 
-impl CallerJob<'_> {
+impl CallerJob {
     /// Carries out the actions of the plan until it answers the caller.
-    async fn run(&mut self) -> offer_plan::JobAnswer {
+    async fn run(mut self) -> offer_plan::JobAnswer {
         loop {
-            match self.plan.next_action(&**self.node, self.node.now()) {
+            match self.plan.next_action(&*self.node, self.node.now()) {
                 offer_plan::OfferAction::Offer { process, terms } => {
                     let end = self.offer(&process, terms).await;
                     self.plan.record_end(end.as_ref(), self.node.now());
@@ -79,7 +82,7 @@
             let mut job = self.node.pool.submit(offer);
             Some(job.wait_for_end().await)
         } else {
-            match link_to(self.node, process) {
+            match link_to(&self.node, process) {
                 Some(link) => {
                     let mut job = link.submit(offer);
                     job.wait_for_end().await.ok()
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -260,6 +260,11 @@
             http::StatusCode::BAD_GATEWAY,
             caller_api::encode_error("pool_lost"),
         ),
+        // Not a refusal, as tasks of the copy may run.
+        offer_plan::JobAnswer::CopyElsewhere => json_response(
+            http::StatusCode::BAD_GATEWAY,
+            caller_api::encode_error("copy_elsewhere"),
+        ),
         offer_plan::JobAnswer::Refused {
             reason,
             retry_after,
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod embedded_process;
 pub mod explain;
 pub mod frontend;
+pub mod job_table;
 pub mod link_frame;
 pub mod link_interval;
 pub mod link_listener;
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -177,7 +177,7 @@
     ) {
         let outcome = match answer {
             offer_plan::JobAnswer::Completed => "completed",
-            offer_plan::JobAnswer::Failed(_) => "failed",
+            offer_plan::JobAnswer::CopyElsewhere | offer_plan::JobAnswer::Failed(_) => "failed",
             offer_plan::JobAnswer::Refused { .. } => "refused",
         };
         let labels = AnswerLabels {
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -10,7 +10,7 @@
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
 
-use crate::{link_frame, node_metrics, node_tuning, peer_table, pool_driver};
+use crate::{job_table, link_frame, node_metrics, node_tuning, peer_table, pool_driver};
 
 /// Configuration in force, with the bytes from which it was decoded.
 #[derive(Clone, Debug)]
@@ -37,6 +37,8 @@
     /// Handle to the server pool of this process, which admits jobs only while the process leads
     /// shards.
     pub pool: pool_driver::PoolHandle,
+    /// Jobs that this process runs for callers.
+    pub jobs: Arc<job_table::JobTable>,
     /// Start of the process on the clock of [`boot_time`].
     started_at: time::Duration,
     peers: Mutex<peer_table::PeerTable>,
@@ -71,6 +73,7 @@
             logger,
             metrics: node_metrics::NodeMetrics::default(),
             pool,
+            jobs: Arc::default(),
             started_at: boot_time(),
             peers: Mutex::new(peer_table::PeerTable::default()),
             config: Mutex::new(None),
--- a/crates/cuminkeel_node/tests/node/resent_jobs.rs
+++ b/crates/cuminkeel_node/tests/node/resent_jobs.rs
@@ -259,3 +259,86 @@
     assert!(matches!(status, 200 | 502 | 503), "{status}");
     assert_no_overlapping_runs(&platform).await;
 }
+
+/// The first copy runs in another domain because its own had no server. The second reaches the same
+/// process when its domain has servers again, so the home pool would admit it.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_in_one_process_waits_for_the_answer_of_the_first() {
+    let platform = test_platform::TestPlatform::start(&["north", "south"]).await;
+    let _south = start_node_with_long_lease(&platform, "s1", "south").await;
+    let north = start_node_with_long_lease(&platform, "n1", "north").await;
+    for server in ["north-server-0", "north-server-1"] {
+        platform.store.put("keyed.servers", server, "");
+    }
+    test_platform::wait_until("a job of the north to run in the south", async || {
+        north.gauge_value("held_servers").await == Some(0)
+            && north.submit(&test_platform::random_id(), "20", 1).await.0 == 200
+    })
+    .await;
+    let second_copy = async {
+        test_platform::wait_until("the first copy to run", async || {
+            platform.servers.iter().any(has_started_job)
+        })
+        .await;
+        for server in &platform.servers {
+            server.register(&platform.store);
+        }
+        test_platform::wait_until("the north to hold servers", async || {
+            north.gauge_value("held_servers").await == Some(2)
+        })
+        .await;
+        send_again(&north).await
+    };
+    let (first_status, second_status) = tokio::join!(send_again(&north), second_copy);
+    assert_eq!((first_status, second_status), (200, 200));
+    assert_no_overlapping_runs(&platform).await;
+}
+
+/// A caller that leaves must not take the answer from another that waits for a copy of its job.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_is_answered_after_the_caller_of_the_first_has_left() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = Arc::new(start_node_with_long_lease(&platform, "n1", "north").await);
+    let first_copy = tokio::spawn({
+        let node = Arc::clone(&node);
+        async move { send_again(&node).await }
+    });
+    test_platform::wait_until("the first copy to run", async || {
+        platform.servers.iter().any(has_started_job)
+    })
+    .await;
+    let first_leaves = async {
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        first_copy.abort();
+    };
+    let (status, ()) = tokio::join!(send_again(&node), first_leaves);
+    assert_eq!(status, 200);
+    assert_eq!(platform.started_tasks().len(), 1);
+    assert_no_overlapping_runs(&platform).await;
+}
+
+/// The run of a job that nobody waits for any more must end.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_is_withdrawn_after_the_callers_of_all_copies_have_left() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = Arc::new(start_node_with_long_lease(&platform, "n1", "north").await);
+    let copies = [(); 2].map(|()| {
+        let node = Arc::clone(&node);
+        tokio::spawn(async move { send_again(&node).await })
+    });
+    test_platform::wait_until("the job to run", async || {
+        platform.servers.iter().any(has_started_job)
+    })
+    .await;
+    for copy in &copies {
+        copy.abort();
+    }
+    test_platform::wait_until("the run to end", async || {
+        !platform.ended_runs_without_overlap().is_empty()
+    })
+    .await;
+    assert_eq!(
+        platform.ended_runs_without_overlap()[0].end,
+        Some(cuminkeel_dispatch::server_model::RunEnd::Stopped)
+    );
+}
--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -309,6 +309,9 @@
     ) {
         let end = match answer {
             offer_plan::JobAnswer::Completed => job_model::JobEnd::Completed,
+            offer_plan::JobAnswer::CopyElsewhere => {
+                job_model::JobEnd::Failed(job_model::FailureReason::PoolLost)
+            }
             offer_plan::JobAnswer::Failed(reason) => job_model::JobEnd::Failed(reason),
             offer_plan::JobAnswer::Refused {
                 reason,
