--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -136,6 +136,15 @@
             + time::Duration::from_millis(u64::from(self.target_latency_ms))
     }
 
+    /// Returns the processor of all tasks that depend on no others, in thousandths of a core.
+    pub fn ready_cpu_millis(&self) -> u32 {
+        self.steps
+            .iter()
+            .filter(|step| step.depends_on.is_empty())
+            .map(|step| step.cpu_millis.saturating_mul(u32::from(step.task_count)))
+            .fold(0, u32::saturating_add)
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn task_count(&self) -> usize {
         self.steps
--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -4,21 +4,29 @@
 //! The home pool of a job leads the shard of its id in the failure domain where the caller came in.
 //! It is asked first; other pools are asked only after it has refused the job.
 
-use std::{cmp, sync::Arc, time};
+use std::{sync::Arc, time};
 
 use smallvec::SmallVec;
 
-use crate::{job_model, leadership};
+use crate::{job_model, leadership, pool_room, retry_advice};
 
 /// Pause before a job is offered again after the home pool was lost or no leader was found.
 const OFFER_RETRY_PAUSE: time::Duration = time::Duration::from_millis(25);
-/// Maximum number of other pools that a job is offered to on the terms `AtOnce`.
+/// Maximum number of other pools that a job is offered to on the same terms.
 const MAX_SPILLOVER_OFFERS: usize = 2;
+/// Time after its offer from which a refusal shows that the job was queued in the pool. A refusal on
+/// arrival takes a round trip.
+const MIN_QUEUED_TIME: time::Duration = time::Duration::from_millis(50);
+/// Age of a room update up to which it counts in full; the room counts in inverse proportion to the age
+/// beyond that.
+const ROOM_VALIDITY: time::Duration = time::Duration::from_millis(500);
+/// Difference up to which forecast waits count as equal: they change by about as much between two
+/// updates of a pool that is in use, which are 0.25 s apart.
+const WAIT_TOLERANCE: time::Duration = time::Duration::from_millis(100);
+/// Assumed wait in a pool with queued jobs that sends no room, as processes of earlier releases.
+const UNKNOWN_QUEUE_WAIT: time::Duration = time::Duration::from_secs(1);
 /// Number of different hashes from which a draw is made.
 const DRAW_RANGE: f64 = (1_u64 << 32) as f64;
-/// Units in which queued jobs for each thousandth of a core are compared: a core has a thousand of
-/// them, and tasks of up to a hundred cores should still make a difference of several units.
-const QUEUE_LENGTH_UNITS: u64 = 1_000_000;
 
 /// Answer to the caller of a job.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -80,6 +88,13 @@
     pub total_cpu_millis: u32,
     /// Number of queued jobs in the pool.
     pub queued_jobs: u32,
+    /// Room that the pool has last sent, or `None` if its release sends none.
+    pub room: Option<pool_room::PoolRoom>,
+    /// Time since the pool sent the room, or a status that confirms it.
+    pub room_age: time::Duration,
+    /// Processor of the jobs that this process has sent to the pool since then, in thousandths of a
+    /// core.
+    pub sent_cpu_millis: u32,
 }
 
 /// Pools that a process can offer jobs to.
@@ -123,14 +138,8 @@
     retry_after: time::Duration,
 }
 
-impl JobRefusal {
-    fn answer(self) -> JobAnswer {
-        JobAnswer::Refused {
-            reason: self.reason,
-            retry_after: self.retry_after,
-        }
-    }
-}
+/// Processes of pools, the first choice last.
+type ProcessStack = SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>;
 
 #[derive(Clone, Debug)]
 enum OfferStage {
@@ -138,14 +147,23 @@
     New,
     /// The home pool is asked on these terms.
     Home(job_model::OfferTerms),
-    /// Other pools are asked on the terms `AtOnce`, the last one first.
-    Others(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
-    /// The home domain is evacuated or has no pool, and other pools are asked on the terms `Useful`, the
-    /// last one first.
-    UsefulOthers(SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]>),
+    /// Other pools are asked on these terms.
+    Others(job_model::OfferTerms, ProcessStack),
+    /// The job was refused after it had been queued in a pool, and is to be offered to others.
+    Moving,
     Answered(JobAnswer),
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HomeStep {
+    /// Offer the job to the home pool.
+    Offer,
+    /// Pause after an attempt that found no home pool or lost it, unless it was waited for long enough.
+    Pause,
+    /// Ask other pools or answer, as the home pool has refused the job.
+    Leave,
+}
+
 /// State machine that decides on the offers of one job.
 #[derive(Debug)]
 pub struct OfferPlan {
@@ -158,14 +176,23 @@
     lost_shards: leadership::ShardSet,
     /// Whether a home pool that was lost may have started tasks of the job.
     may_have_started: bool,
-    /// Whether the last attempt to reach the home pool failed, so that a pause precedes the next one.
-    has_failed_attempt: bool,
+    /// What follows while the home pool is asked.
+    home_step: HomeStep,
     /// Time of the first attempt in this stage that found no home pool or lost it.
     home_missing_since: Option<time::Duration>,
     /// Refusal with which the home pool last ended the job.
     home_refusal: Option<JobRefusal>,
+    /// Whether the home pool may be asked on the terms `Useful`: it was not, and has not refused the job
+    /// after it had been queued there.
+    may_ask_home_usefully: bool,
+    /// Process of another pool that was asked on the terms `Useful` because of its shorter wait.
+    usefully_asked: Option<Arc<str>>,
     /// Refusal of another pool, because of its queue, with the shortest `retry_after`.
     other_refusal: Option<JobRefusal>,
+    /// Process of the pool that the job was last offered to, with the time of the offer.
+    last_offer: Option<(Arc<str>, time::Duration)>,
+    /// Process of the pool that refused the job after it had been queued there.
+    left_process: Option<Arc<str>>,
 }
 
 impl OfferPlan {
@@ -175,13 +202,17 @@
             spec,
             limits,
             stage: OfferStage::New,
-            has_failed_attempt: false,
+            home_step: HomeStep::Offer,
             offered_shards: leadership::ShardSet::default(),
             lost_shards: leadership::ShardSet::default(),
             may_have_started: false,
             home_missing_since: None,
             home_refusal: None,
+            may_ask_home_usefully: true,
+            usefully_asked: None,
             other_refusal: None,
+            last_offer: None,
+            left_process: None,
         }
     }
 
@@ -198,15 +229,23 @@
     /// Returns what to do next at `now`. After [`OfferAction::Offer`], it may only be called again when
     /// the end of the offer has been recorded.
     pub fn next_action(&mut self, pools: &dyn PoolDirectory, now: time::Duration) -> OfferAction {
+        let action = self.decide(pools, now);
+        if let OfferAction::Offer { process, .. } = &action {
+            self.last_offer = Some((Arc::clone(process), now));
+        }
+        action
+    }
+
+    fn decide(&mut self, pools: &dyn PoolDirectory, now: time::Duration) -> OfferAction {
         loop {
             match &mut self.stage {
                 OfferStage::New => {
-                    let has_others = !self.spillover_pools(pools).is_empty();
-                    self.stage = OfferStage::Home(if has_others {
+                    let terms = if self.has_alternative(pools, now) {
                         job_model::OfferTerms::AtOnce
                     } else {
                         job_model::OfferTerms::Useful
-                    });
+                    };
+                    self.stage = OfferStage::Home(terms);
                 }
                 OfferStage::Home(terms) => {
                     let terms = *terms;
@@ -215,24 +254,17 @@
                     }
                     self.leave_home(terms, pools, now);
                 }
-                OfferStage::Others(processes) => match processes.pop() {
-                    Some(process) => {
-                        return OfferAction::Offer {
-                            process,
-                            terms: job_model::OfferTerms::AtOnce,
-                        };
-                    }
-                    None => self.leave_others(pools),
-                },
-                OfferStage::UsefulOthers(processes) => match processes.pop() {
-                    Some(process) => {
-                        return OfferAction::Offer {
-                            process,
-                            terms: job_model::OfferTerms::Useful,
-                        };
+                OfferStage::Others(terms, processes) => {
+                    let terms = *terms;
+                    if let Some(process) = processes.pop() {
+                        return OfferAction::Offer { process, terms };
                     }
-                    None => self.leave_useful_others(),
-                },
+                    self.leave_others(terms, pools, now);
+                }
+                OfferStage::Moving => {
+                    let processes = self.drawn_pools(pools);
+                    self.stage = OfferStage::Others(job_model::OfferTerms::AtOnce, processes);
+                }
                 OfferStage::Answered(answer) => return OfferAction::Answer(*answer),
             }
         }
@@ -266,20 +298,20 @@
             Some(job_model::JobEnd::Refused {
                 reason,
                 retry_after,
-            }) if is_home => {
-                self.home_refusal = Some(JobRefusal {
+            }) => {
+                let refusal = JobRefusal {
                     reason: *reason,
                     retry_after: *retry_after,
-                });
+                };
+                if is_home {
+                    self.home_step = HomeStep::Leave;
+                    self.home_refusal = Some(refusal);
+                } else {
+                    self.record_other_refusal(refusal);
+                }
+                self.move_if_queued(is_home, *reason, now);
             }
             Some(job_model::JobEnd::NotLeader) if is_home => self.record_missing_home(now),
-            Some(job_model::JobEnd::Refused {
-                reason,
-                retry_after,
-            }) => self.record_other_refusal(JobRefusal {
-                reason: *reason,
-                retry_after: *retry_after,
-            }),
             Some(job_model::JobEnd::NotLeader) => {}
         }
     }
@@ -288,6 +320,32 @@
         self.stage = OfferStage::Answered(answer);
     }
 
+    /// Offers the job to other pools, once, if its last pool had queued it before it refused it.
+    fn move_if_queued(
+        &mut self,
+        is_home: bool,
+        reason: job_model::RefusalReason,
+        now: time::Duration,
+    ) {
+        let may_run_in_others = matches!(
+            reason,
+            job_model::RefusalReason::Evacuated | job_model::RefusalReason::QueueTooLong
+        );
+        match &self.last_offer {
+            Some((process, offered_at))
+                if may_run_in_others
+                    && !self.may_have_started
+                    && self.left_process.is_none()
+                    && now >= *offered_at + MIN_QUEUED_TIME =>
+            {
+                self.left_process = Some(Arc::clone(process));
+                self.may_ask_home_usefully &= !is_home;
+                self.stage = OfferStage::Moving;
+            }
+            _ => {}
+        }
+    }
+
     /// Keeps the refusal of another pool if it shows when there is capacity, and earlier than those
     /// before.
     fn record_other_refusal(&mut self, refusal: JobRefusal) {
@@ -308,10 +366,10 @@
         pools: &dyn PoolDirectory,
         now: time::Duration,
     ) -> Option<OfferAction> {
-        if self.home_refusal.is_some() {
+        if self.home_step == HomeStep::Leave {
             return None;
         }
-        if !self.has_failed_attempt {
+        if self.home_step == HomeStep::Offer {
             match pools.home_pool(&self.spec.id) {
                 // A leader that has not reported its shards may share those of the lost pool with others.
                 Some(home) if home.shards.covers(self.lost_shards) => {
@@ -331,7 +389,7 @@
                 Some(_) | None => self.record_missing_home(now),
             }
         }
-        self.has_failed_attempt = false;
+        self.home_step = HomeStep::Offer;
         let missing_since = self.home_missing_since.unwrap_or(now);
         if now > missing_since + self.limits.leader_wait
             || now + OFFER_RETRY_PAUSE > self.limits.answer_deadline
@@ -342,7 +400,7 @@
     }
 
     fn record_missing_home(&mut self, now: time::Duration) {
-        self.has_failed_attempt = true;
+        self.home_step = HomeStep::Pause;
         self.home_missing_since.get_or_insert(now);
     }
 
@@ -354,21 +412,38 @@
         pools: &dyn PoolDirectory,
         now: time::Duration,
     ) {
-        let is_last = terms == job_model::OfferTerms::Useful && !self.is_home_evacuated();
+        let is_useful = terms == job_model::OfferTerms::Useful;
+        self.may_ask_home_usefully &= !is_useful;
         match self.home_refusal {
             // Runs of the job may continue on servers of the lost pool, which other pools may not hold.
             _ if self.may_have_started => {
                 self.answer(JobAnswer::Failed(job_model::FailureReason::PoolLost));
             }
             // A copy that the caller sent earlier may run on servers of the home pool.
-            Some(refusal) if is_last || refusal.reason == job_model::RefusalReason::NoPool => {
-                self.answer(refusal.answer());
+            Some(refusal) if refusal.reason == job_model::RefusalReason::NoPool => {
+                self.answer(JobAnswer::Refused {
+                    reason: refusal.reason,
+                    retry_after: refusal.retry_after,
+                });
             }
-            Some(_) => self.stage = OfferStage::Others(self.spillover_pools(pools)),
-            None if now + OFFER_RETRY_PAUSE > self.limits.answer_deadline => {
-                self.answer(self.no_pool_refusal().answer());
+            // The home pool is full, as others may be. All of them refuse some jobs then, and a job that
+            // is offered to others shares the loss with their callers.
+            Some(refusal)
+                if is_useful && refusal.reason == job_model::RefusalReason::QueueTooLong =>
+            {
+                let processes = self.drawn_full_pools(pools, now);
+                self.stage = OfferStage::Others(job_model::OfferTerms::Useful, processes);
+            }
+            Some(_) if is_useful && !self.is_home_evacuated() => self.refuse(),
+            Some(_) => {
+                let processes = self.drawn_pools(pools);
+                self.stage = OfferStage::Others(job_model::OfferTerms::AtOnce, processes);
+            }
+            None if now + OFFER_RETRY_PAUSE > self.limits.answer_deadline => self.refuse(),
+            None => {
+                let processes = self.rendezvous_pools(pools);
+                self.stage = OfferStage::Others(job_model::OfferTerms::Useful, processes);
             }
-            None => self.stage = OfferStage::UsefulOthers(self.rendezvous_pools(pools)),
         }
     }
 
@@ -378,97 +453,211 @@
             .is_some_and(|refusal| refusal.reason == job_model::RefusalReason::Evacuated)
     }
 
-    /// Decides what follows after other pools have refused the job on the terms `AtOnce`.
-    fn leave_others(&mut self, pools: &dyn PoolDirectory) {
-        match self.home_refusal {
-            Some(refusal) if refusal.reason == job_model::RefusalReason::QueueTooLong => {
-                self.home_refusal = None;
+    /// Decides what follows after other pools have refused the job on `terms`: the pool with the shortest
+    /// wait is asked on the terms `Useful`, and the home pool last, if its refusal depends on the terms.
+    fn leave_others(
+        &mut self,
+        terms: job_model::OfferTerms,
+        pools: &dyn PoolDirectory,
+        now: time::Duration,
+    ) {
+        let may_ask_home = self.may_ask_home_usefully
+            && self
+                .home_refusal
+                .is_some_and(|refusal| refusal.reason == job_model::RefusalReason::QueueTooLong);
+        let has_expired = self
+            .home_refusal
+            .is_some_and(|refusal| refusal.reason == job_model::RefusalReason::ExpiredInQueue);
+        match terms {
+            job_model::OfferTerms::AtOnce if !has_expired => {
+                let home_wait = self.home_refusal.filter(|_| may_ask_home).map(|refusal| {
+                    retry_advice::wait_before_jitter(&self.spec.id, refusal.retry_after)
+                });
+                let processes = self.shortest_waits(pools, home_wait, now);
+                self.usefully_asked = processes.last().cloned();
+                self.stage = OfferStage::Others(job_model::OfferTerms::Useful, processes);
+            }
+            job_model::OfferTerms::AtOnce | job_model::OfferTerms::Useful if may_ask_home => {
+                self.home_step = HomeStep::Offer;
                 self.home_missing_since = None;
                 self.stage = OfferStage::Home(job_model::OfferTerms::Useful);
             }
-            Some(refusal) if refusal.reason == job_model::RefusalReason::Evacuated => {
-                self.stage = OfferStage::UsefulOthers(self.shortest_queues(pools));
-            }
-            Some(refusal) => self.answer(refusal.answer()),
-            None => self.answer(self.no_pool_refusal().answer()),
+            job_model::OfferTerms::AtOnce | job_model::OfferTerms::Useful => self.refuse(),
         }
     }
 
-    /// Refuses the job after the other pools have refused it on all terms. The home pool starts
-    /// nothing or was not found, so its refusal does not say when there is capacity.
-    fn leave_useful_others(&mut self) {
-        let refusal = self
-            .other_refusal
-            .or(self.home_refusal)
-            .unwrap_or_else(|| self.no_pool_refusal());
-        self.answer(refusal.answer());
+    /// Refuses the job with the shortest `retry_after` of the pools' refusals. A home pool that has no
+    /// suitable server, or starts nothing, does not say when there is capacity.
+    fn refuse(&mut self) {
+        let home_refusal = self.home_refusal.filter(|refusal| {
+            let shows_capacity = !matches!(
+                refusal.reason,
+                job_model::RefusalReason::Evacuated | job_model::RefusalReason::NoSuitableServer
+            );
+            shows_capacity || self.other_refusal.is_none()
+        });
+        let refusal = [home_refusal, self.other_refusal]
+            .into_iter()
+            .flatten()
+            .min_by_key(|refusal| refusal.retry_after)
+            .unwrap_or(JobRefusal {
+                reason: job_model::RefusalReason::NoPool,
+                retry_after: self.limits.leader_wait,
+            });
+        self.answer(JobAnswer::Refused {
+            reason: refusal.reason,
+            retry_after: refusal.retry_after,
+        });
     }
 
-    fn no_pool_refusal(&self) -> JobRefusal {
-        JobRefusal {
-            reason: job_model::RefusalReason::NoPool,
-            retry_after: self.limits.leader_wait,
-        }
+    /// Returns whether a pool other than the home pool might start the job, now or later.
+    fn has_alternative(&self, pools: &dyn PoolDirectory, now: time::Duration) -> bool {
+        pools.other_pools().iter().any(|pool| {
+            self.is_candidate(pool)
+                && (self.startable_jobs(pool) >= 1.0
+                    || (pool.room.is_some() && self.useful_wait(pool, now).is_some()))
+        })
     }
 
-    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that could start the job at once, the first
-    /// choice last: pools that have no queued jobs and whose free processor is enough for the largest
-    /// task of the job. The most free processor comes first or, if the home domain is evacuated, near
-    /// pools, and equally near ones in proportion to their free processor by a hash of the job's id.
-    fn spillover_pools(
+    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that have room for the job, the first choice last.
+    /// They are drawn in proportion to their room by a hash of the job's id; if the home domain is
+    /// evacuated, near ones come first.
+    fn drawn_pools(&self, pools: &dyn PoolDirectory) -> ProcessStack {
+        let is_evacuated = self.is_home_evacuated();
+        let mut ranked: SmallVec<[_; 4]> = pools
+            .other_pools()
+            .into_iter()
+            .filter(|pool| self.is_candidate(pool))
+            .map(|pool| (self.startable_jobs(&pool), pool))
+            .filter(|(room, _)| *room >= 1.0)
+            .map(|(room, pool)| {
+                let rank = self.draw_rank(&pool.process, room);
+                (is_evacuated && !pool.is_near, rank, pool.process)
+            })
+            .collect();
+        ranked.sort_unstable();
+        first_choices(ranked.into_iter().map(|(.., process)| process))
+    }
+
+    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that are forecast to start the job while it is
+    /// useful, the one with the shortest wait last. With the wait `home_wait` in the home pool, returns
+    /// at most one, whose wait is shorter. Pools with equal waits are drawn in proportion to their
+    /// capacity by a hash of the job's id; if the home domain is evacuated, near ones come first.
+    fn shortest_waits(
         &self,
         pools: &dyn PoolDirectory,
-    ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
-        let needed_cpu_millis = self.largest_task_cpu_millis();
-        let mut others = pools.other_pools();
-        others.retain(|pool| {
-            self.is_other_pool(pool)
-                && pool.free_cpu_millis >= needed_cpu_millis
-                && pool.queued_jobs == 0
+        home_wait: Option<time::Duration>,
+        now: time::Duration,
+    ) -> ProcessStack {
+        let is_evacuated = self.is_home_evacuated();
+        let mut waits: SmallVec<[_; 4]> = pools
+            .other_pools()
+            .into_iter()
+            .filter(|pool| self.is_candidate(pool))
+            .filter_map(|pool| Some((self.useful_wait(&pool, now)?, pool)))
+            .filter(|(wait, pool)| {
+                home_wait.is_none_or(|home_wait| {
+                    pool.room.is_some() && *wait + WAIT_TOLERANCE < home_wait
+                })
+            })
+            .collect();
+        let shortest = waits
+            .iter()
+            .map(|(wait, _)| *wait)
+            .min()
+            .unwrap_or_default();
+        waits.sort_by_cached_key(|(wait, pool)| {
+            let excess = wait.saturating_sub(shortest + WAIT_TOLERANCE);
+            let rank = self.draw_rank(&pool.process, f64::from(pool.total_cpu_millis));
+            (excess, is_evacuated && !pool.is_near, rank)
         });
-        if self.is_home_evacuated() {
-            others.sort_by_cached_key(|pool| {
-                let room = f64::from(pool.free_cpu_millis / needed_cpu_millis);
-                (!pool.is_near, self.draw_rank(&pool.process, room))
-            });
-        } else {
-            others.sort_by_key(|pool| cmp::Reverse(pool.free_cpu_millis));
-        }
-        last_choice_first(others)
+        let max_count = match home_wait {
+            Some(_) => 1,
+            None => MAX_SPILLOVER_OFFERS,
+        };
+        first_choices(
+            waits
+                .into_iter()
+                .map(|(_, pool)| pool.process)
+                .take(max_count),
+        )
     }
 
-    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools with the shortest queues for their capacity, the
-    /// shortest last, and near ones before others of the same length.
-    fn shortest_queues(
-        &self,
-        pools: &dyn PoolDirectory,
-    ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
+    /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that were not asked on the terms `Useful`, drawn in
+    /// proportion to capacity by a hash of the job's id, the first choice last.
+    fn drawn_full_pools(&self, pools: &dyn PoolDirectory, now: time::Duration) -> ProcessStack {
         let mut others = pools.other_pools();
-        others.retain(|pool| self.is_other_pool(pool));
+        others.retain(|pool| {
+            self.is_candidate(pool)
+                && pool.room.is_some()
+                && self.usefully_asked.as_ref() != Some(&pool.process)
+                && self.useful_wait(pool, now).is_some()
+        });
         others.sort_by_cached_key(|pool| {
-            let queue_length = u64::from(pool.queued_jobs) * QUEUE_LENGTH_UNITS
-                / u64::from(pool.total_cpu_millis.max(1));
-            let capacity = f64::from(pool.total_cpu_millis);
-            (
-                queue_length,
-                !pool.is_near,
-                self.draw_rank(&pool.process, capacity),
-            )
+            self.draw_rank(&pool.process, f64::from(pool.total_cpu_millis))
         });
-        last_choice_first(others)
+        first_choices(others.into_iter().map(|pool| pool.process))
     }
 
     /// Returns up to `MAX_SPILLOVER_OFFERS` pools of other failure domains, one in each, that lead the
     /// job's shard there, the first choice last. They are in the order of a rendezvous hash of the job's
     /// id, so that copies of the job meet in the same pool, which then decides for the id.
-    fn rendezvous_pools(
-        &self,
-        pools: &dyn PoolDirectory,
-    ) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
+    fn rendezvous_pools(&self, pools: &dyn PoolDirectory) -> ProcessStack {
         let mut others = pools.other_pools();
         others.retain(|pool| !pool.is_local && pool.shards.contains_id(&self.spec.id));
         others.sort_by_cached_key(|pool| self.draw_rank(&pool.failure_domain, 1.0));
-        last_choice_first(others)
+        first_choices(others.into_iter().map(|pool| pool.process))
+    }
+
+    /// Returns how many jobs like this one the pool could start now, each with all its ready tasks.
+    fn startable_jobs(&self, pool: &OtherPool) -> f64 {
+        let Some(room) = pool.room else {
+            // Earlier releases send only the sum of free processor: the job has to fit as before.
+            let largest = self.largest_task_cpu_millis();
+            return match pool.queued_jobs {
+                0 => f64::from(pool.free_cpu_millis / largest),
+                _ => 0.0,
+            };
+        };
+        let age = pool.room_age.max(ROOM_VALIDITY);
+        let validity = ROOM_VALIDITY.as_secs_f64() / age.as_secs_f64();
+        let used_share: f64 = self
+            .spec
+            .steps
+            .iter()
+            .filter(|step| step.depends_on.is_empty())
+            .map(|step| {
+                let sent_tasks = pool.sent_cpu_millis / step.cpu_millis.max(1);
+                let startable = room
+                    .startable_tasks(step.cpu_millis)
+                    .saturating_sub(sent_tasks);
+                f64::from(step.task_count.max(1)) / (f64::from(startable) * validity)
+            })
+            .sum();
+        1.0 / used_share
+    }
+
+    /// Returns the forecast wait of the job in the pool, or `None` if the pool could not run it or the
+    /// job would end after its deadline.
+    fn useful_wait(&self, pool: &OtherPool, now: time::Duration) -> Option<time::Duration> {
+        let run_times: SmallVec<[time::Duration; 4]> = self
+            .spec
+            .steps
+            .iter()
+            .map(job_model::StepSpec::estimate)
+            .collect();
+        let critical_path = self.spec.critical_path(&run_times);
+        let wait = match pool.room {
+            Some(room) if room.largest_cpu_millis < self.largest_task_cpu_millis() => return None,
+            Some(room) => {
+                let sent_wait = critical_path * pool.sent_cpu_millis / pool.total_cpu_millis.max(1);
+                let stale_wait = pool.room_age.saturating_sub(ROOM_VALIDITY);
+                time::Duration::from_millis(u64::from(room.queue_wait_ms)) + sent_wait + stale_wait
+            }
+            None if pool.queued_jobs == 0 => time::Duration::ZERO,
+            None => UNKNOWN_QUEUE_WAIT,
+        };
+        (now + wait + critical_path <= self.limits.answer_deadline).then_some(wait)
     }
 
     /// Returns the rank of `candidate` in a draw in which each one comes first with a probability in
@@ -497,20 +686,19 @@
             .max(1)
     }
 
+    /// Returns whether the job may be offered to `pool`, which is not its home pool.
+    fn is_candidate(&self, pool: &OtherPool) -> bool {
+        self.is_other_pool(pool) && self.left_process.as_ref() != Some(&pool.process)
+    }
+
     /// Returns whether `pool` is certainly not the home pool of the job.
     fn is_other_pool(&self, pool: &OtherPool) -> bool {
         !pool.is_local || (!pool.shards.is_empty() && !pool.shards.contains_id(&self.spec.id))
     }
 }
 
-fn last_choice_first(
-    pools: SmallVec<[OtherPool; 4]>,
-) -> SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> {
-    let mut processes: SmallVec<[Arc<str>; MAX_SPILLOVER_OFFERS]> = pools
-        .into_iter()
-        .take(MAX_SPILLOVER_OFFERS)
-        .map(|pool| pool.process)
-        .collect();
-    processes.reverse();
-    processes
+fn first_choices(processes: impl Iterator<Item = Arc<str>>) -> ProcessStack {
+    let mut stack: ProcessStack = processes.take(MAX_SPILLOVER_OFFERS).collect();
+    stack.reverse();
+    stack
 }
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod inherited_runs;
 mod jobs;
+mod queue_wait;
 mod reports;
 mod run_ends;
 mod schedule;
@@ -246,7 +247,7 @@
             .values()
             .filter(|slot| slot.is_usable(now))
             .map(|slot| (slot.free_cpu_millis(), slot.entry.cpu_millis));
-        pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
+        pool_room::PoolRoom::from_servers(servers, self.typical_wait(now))
     }
 
     /// Returns the number of jobs of `route` of which no task has started.
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -181,7 +181,7 @@
 }
 
 /// Returns the tasks of `job` that have no run, with their mean nominal run time.
-fn queued_work(job: &JobEntry) -> capacity_forecast::QueuedWork {
+pub(super) fn queued_work(job: &JobEntry) -> capacity_forecast::QueuedWork {
     let mut task_count = 0;
     let mut total_run_time = time::Duration::ZERO;
     for task in &job.tasks {
--- a/crates/cuminkeel_dispatch/src/retry_advice.rs
+++ b/crates/cuminkeel_dispatch/src/retry_advice.rs
@@ -16,3 +16,16 @@
     let jitter_range = wait.max(MIN_JITTER_RANGE);
     wait + jitter_range * u32::from(jitter) / u32::from(u8::MAX)
 }
+
+/// Returns the wait from which [`jittered_retry_after`] got `retry_after` for `job`.
+pub fn wait_before_jitter(job: &str, retry_after: time::Duration) -> time::Duration {
+    let [jitter, ..] = *blake3::hash(job.as_bytes()).as_bytes();
+    let whole = u32::from(u8::MAX);
+    let min_jitter = MIN_JITTER_RANGE * u32::from(jitter) / whole;
+    let short_wait = retry_after.saturating_sub(min_jitter);
+    if short_wait <= MIN_JITTER_RANGE {
+        short_wait
+    } else {
+        retry_after * whole / (whole + u32::from(jitter))
+    }
+}
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -84,8 +84,12 @@
         } else {
             match link_to(&self.node, process) {
                 Some(link) => {
+                    let cpu_millis = offer.spec.ready_cpu_millis();
+                    self.node.ledger().record_sent(process, cpu_millis, now);
                     let mut job = link.submit(offer);
-                    job.wait_for_end().await.ok()
+                    let end = job.wait_for_end().await.ok();
+                    self.node.ledger().record_ended(process, cpu_millis, now);
+                    end
                 }
                 // The link was dropped since the plan saw it, so the job was not sent.
                 None => Some(job_model::JobEnd::NotLeader),
@@ -127,6 +131,7 @@
     fn other_pools(&self) -> SmallVec<[offer_plan::OtherPool; 4]> {
         let local_domain = &self.hello.failure_domain;
         let local_region = self.settings.regions.get(local_domain);
+        let now = self.now();
         let mut pools: SmallVec<[offer_plan::OtherPool; 4]> = self
             .peers()
             .iter()
@@ -145,9 +150,18 @@
                 free_cpu_millis: peer.status.free_cpu_millis,
                 total_cpu_millis: peer.status.total_cpu_millis,
                 queued_jobs: peer.status.queued_jobs,
+                room: peer.room,
+                room_age: now.saturating_sub(peer.status_sent_at.max(peer.room_sent_at)),
+                sent_cpu_millis: 0,
             })
             .collect();
         pools.retain(|pool| !self.is_evacuated(&pool.failure_domain));
+        let ledger = self.ledger();
+        for pool in &mut pools {
+            pool.sent_cpu_millis =
+                ledger.sent_cpu_millis(&pool.process, now.saturating_sub(pool.room_age));
+        }
+        drop(ledger);
         pools
     }
 }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -67,15 +67,17 @@
         return Err(link_frame::LinkError::NoHello);
     };
     let peer_name = Arc::clone(&hello.name);
+    let peer_domain = Arc::clone(&hello.failure_domain);
     let mut sent_state = sent_state::SentState::default();
     let mut send_times = send_time::SendTimes::default();
     // The leaders precede the status because the peer counts this process as probed when the
     // status arrives.
-    let first_frames: SmallVec<[link_frame::LinkFrame; 4]> = [
+    let first_frames: SmallVec<[link_frame::LinkFrame; 5]> = [
         Some(link_frame::LinkFrame::Hello(node.hello.clone())),
         sent_state.leader_change(node),
         Some(send_times.frame(node.now())),
         Some(link_frame::LinkFrame::Status(node.own_status())),
+        sent_state.room_change(node, &peer_domain),
     ]
     .into_iter()
     .flatten()
@@ -106,6 +108,7 @@
                 let responses = [
                     Some(send_times.frame(now)),
                     Some(link_frame::LinkFrame::Status(node.own_status())),
+                    sent_state.room_change(node, &peer_domain),
                     sent_state.newer_config(node, &status),
                     sent_state.leader_change(node),
                 ];
@@ -119,6 +122,10 @@
                 sender_clock,
                 receiver_clock,
             }) => send_times.apply(sender_clock, receiver_clock, node.now()),
+            Ok(link_frame::LinkFrame::Room(room)) => {
+                let sent_at = send_times.sent_at(node.now());
+                peer_update::apply_room(node, &peer_name, room, sent_at);
+            }
             Ok(link_frame::LinkFrame::Submit {
                 submission_id,
                 mut offer,
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_dispatch::{evacuation, leadership};
+use cuminkeel_dispatch::{evacuation, leadership, pool_room, room_ledger};
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
 
@@ -39,6 +39,10 @@
     pub pool: pool_driver::PoolHandle,
     /// Jobs that this process runs for callers.
     pub jobs: Arc<job_table::JobTable>,
+    /// Jobs that this process has sent to other pools.
+    ledger: Mutex<room_ledger::RoomLedger>,
+    /// Room in the pool of this process.
+    pool_room: Mutex<pool_room::PoolRoom>,
     /// Start of the process on the clock of [`boot_time`].
     started_at: time::Duration,
     peers: Mutex<peer_table::PeerTable>,
@@ -74,6 +78,8 @@
             metrics: node_metrics::NodeMetrics::default(),
             pool,
             jobs: Arc::default(),
+            ledger: Mutex::default(),
+            pool_room: Mutex::default(),
             started_at: boot_time(),
             peers: Mutex::new(peer_table::PeerTable::default()),
             config: Mutex::new(None),
@@ -171,6 +177,27 @@
         }
     }
 
+    /// Returns the room in the pool of this process.
+    pub fn pool_room(&self) -> pool_room::PoolRoom {
+        *self
+            .pool_room
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stores the room in the pool of this process, which the links send behind the next status.
+    pub fn set_pool_room(&self, room: pool_room::PoolRoom) {
+        *self
+            .pool_room
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = room;
+    }
+
+    /// Locks the ledger of the jobs that this process has sent to other pools.
+    pub fn ledger(&self) -> MutexGuard<'_, room_ledger::RoomLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the process is about to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(atomic::Ordering::Relaxed)
@@ -279,6 +306,7 @@
         Some(entry) if entry.hello.link_address == hello.link_address => {
             if entry.hello.boot != hello.boot {
                 entry.status = link_frame::PeerStatus::default();
+                entry.room = None;
             }
             entry.hello = hello;
             entry.connection_refused = false;
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -129,6 +129,7 @@
         link_id,
         name: Arc::clone(&hello.name),
         address: Arc::clone(&hello.link_address),
+        failure_domain: Arc::clone(&hello.failure_domain),
         is_local: hello.failure_domain == node.hello.failure_domain,
         command_receiver,
     };
@@ -173,6 +174,7 @@
     link_id: u64,
     name: Arc<str>,
     address: Arc<str>,
+    failure_domain: Arc<str>,
     is_local: bool,
     command_receiver: mpsc::UnboundedReceiver<LinkCommand>,
 }
@@ -370,6 +372,7 @@
         let interval = self.interval(node, session.is_busy(now));
         session.set_interval(interval, now);
         outgoing.push(link_frame::LinkFrame::Status(node.own_status()));
+        outgoing.extend(session.sent_state.room_change(node, &self.failure_domain));
         outgoing.extend(session.sent_state.leader_change(node));
     }
 
@@ -422,6 +425,9 @@
                 }
                 outgoing.extend(session.sent_state.newer_config(node, &status));
             }
+            link_frame::LinkFrame::Room(room) => {
+                peer_update::apply_room(node, &self.name, room, sent_at);
+            }
             link_frame::LinkFrame::Leaders(change) => {
                 peer_update::apply_leader_change(node, &self.name, change);
             }
@@ -434,7 +440,6 @@
             link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
             link_frame::LinkFrame::Evacuations(_)
             | link_frame::LinkFrame::Hello(_)
-            | link_frame::LinkFrame::Room(_)
             | link_frame::LinkFrame::Submit { .. }
             | link_frame::LinkFrame::Withdraw { .. } => {}
         }
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -9,7 +9,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{leadership, link_plan};
+use cuminkeel_dispatch::{leadership, link_plan, pool_room};
 use smallvec::SmallVec;
 
 use crate::{link_frame, peer_link};
@@ -37,6 +37,10 @@
     pub status: link_frame::PeerStatus,
     /// Time at which the peer sent `status`, on the clock of this process.
     pub status_sent_at: time::Duration,
+    /// Room in the peer's pool that it last sent, or `None` if it has sent none.
+    pub room: Option<pool_room::PoolRoom>,
+    /// Time at which the peer sent `room`, on the clock of this process. A later status confirms it.
+    pub room_sent_at: time::Duration,
     /// Names of the leaders that the peer last reported.
     pub reported_leaders: SmallVec<[Arc<str>; 6]>,
     /// Link that this process has opened to the peer, if there is one, connected or not.
@@ -62,6 +66,8 @@
             hello,
             status: link_frame::PeerStatus::default(),
             status_sent_at: time::Duration::ZERO,
+            room: None,
+            room_sent_at: time::Duration::ZERO,
             reported_leaders: SmallVec::new(),
             link: None,
             unwanted_since: None,
--- a/crates/cuminkeel_node/src/peer_update.rs
+++ b/crates/cuminkeel_node/src/peer_update.rs
@@ -1,8 +1,8 @@
-//! Application of statuses and leader changes that peers send.
+//! Application of statuses, room updates and leader changes that peers send.
 
 use std::{sync::Arc, time};
 
-use cuminkeel_dispatch::message_delay;
+use cuminkeel_dispatch::{message_delay, pool_room};
 
 use crate::{link_frame, link_reconciler, node_state};
 
@@ -34,6 +34,22 @@
     }
 }
 
+/// Stores the room that the peer `name` sent at `sent_at`. An update that was read late does not replace
+/// a newer one from another connection.
+pub fn apply_room(
+    node: &node_state::NodeState,
+    name: &str,
+    room: pool_room::PoolRoom,
+    sent_at: time::Duration,
+) {
+    if let Some(peer) = node.peers().get_mut(name)
+        && peer.room_sent_at <= sent_at + message_delay::MAX_OFFER_DELAY
+    {
+        peer.room = Some(room);
+        peer.room_sent_at = sent_at;
+    }
+}
+
 /// Applies the leader change that the peer `name` reported, and starts links to new leaders.
 pub fn apply_leader_change(
     node: &Arc<node_state::NodeState>,
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -6,7 +6,9 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, leadership, pool, pool_action, server_model, settings};
+use cuminkeel_dispatch::{
+    job_model, leadership, pool, pool_action, pool_room, server_model, settings,
+};
 use platform_adapter::server_client;
 use tokio::sync::{mpsc, oneshot};
 
@@ -21,6 +23,8 @@
 /// that a burst of changes needs few reconciliations. Each takes up to a millisecond in a large
 /// failure domain.
 const RECONCILE_PAUSE: time::Duration = time::Duration::from_millis(5);
+/// Minimum time between two computations of the pool's room, which walk its queue and its runs.
+const ROOM_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Time after the start of this process during which it may lead only if all peers of its failure
 /// domain to which it has a link are probed.
 const MAX_LEADERSHIP_DELAY: time::Duration = time::Duration::from_millis(800);
@@ -175,6 +179,7 @@
     /// Whether this process leads shards; it may not hold any of their servers yet.
     is_leader: bool,
     reconciled_at: time::Duration,
+    room_computed_at: Option<time::Duration>,
 }
 
 /// Runs the pool until the process ends.
@@ -189,6 +194,7 @@
         clients: HashMap::new(),
         is_leader: false,
         reconciled_at: time::Duration::ZERO,
+        room_computed_at: None,
         node,
     };
     let mut peer_changes = driver.node.peer_changes();
@@ -322,6 +328,7 @@
                     .wanted_servers(&members, shards, registered.iter(), now);
             self.pool.reconcile_claims(&wanted, shards, now);
         }
+        self.publish_room(now);
         let pool_load = self.pool.load(now);
         self.node.set_pool_status(link_frame::PeerStatus {
             held_servers: pool_load.held_servers,
@@ -337,6 +344,22 @@
         });
     }
 
+    fn publish_room(&mut self, now: time::Duration) {
+        if self
+            .room_computed_at
+            .is_some_and(|at| now < at + ROOM_INTERVAL)
+        {
+            return;
+        }
+        self.room_computed_at = Some(now);
+        let room = if self.is_leader {
+            self.pool.room(now)
+        } else {
+            pool_room::PoolRoom::default()
+        };
+        self.node.set_pool_room(room);
+    }
+
     fn execute_actions(&mut self) {
         let order_timeout = self.node.tuning.order_timeout();
         let hold_timeout = self.node.tuning.hold_timeout();
--- a/crates/cuminkeel_node/src/sent_state.rs
+++ b/crates/cuminkeel_node/src/sent_state.rs
@@ -1,15 +1,19 @@
-//! Configurations and leaders, which are sent over a connection only when they have changed.
+//! Configurations, leaders and room, which are sent over a connection only when they have changed.
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use cuminkeel_dispatch::{leadership, pool_room};
+
 use crate::{link_frame, node_state};
 
-/// Configuration version and leaders that were last sent over one connection.
+/// Configuration version, leaders and room that were last sent over one connection.
 #[derive(Debug, Default)]
 pub struct SentState {
     sent_config_version: u64,
     /// Names of the leaders that the peer was told of, with their boot numbers.
     sent_leaders: BTreeMap<Arc<str>, u64>,
+    /// Room in the pool of this process that was last sent; the default before the first frame.
+    room: pool_room::PoolRoom,
 }
 
 impl SentState {
@@ -30,6 +34,24 @@
         })
     }
 
+    /// Returns the room in the pool of this process if it has changed since the last call and the peer
+    /// may offer it jobs for which another pool is the home pool.
+    pub fn room_change(
+        &mut self,
+        node: &node_state::NodeState,
+        peer_domain: &str,
+    ) -> Option<link_frame::LinkFrame> {
+        let shards = node.own_status().shards;
+        let has_other_leaders = shards != leadership::ShardSet::ALL;
+        let room = node.pool_room();
+        let is_wanted = *peer_domain != *node.hello.failure_domain || has_other_leaders;
+        if !is_wanted || room == self.room {
+            return None;
+        }
+        self.room = room;
+        Some(link_frame::LinkFrame::Room(room))
+    }
+
     /// Returns the change of the leaders among the peers since the last call, if there is one.
     ///
     /// A leader that has restarted counts as added.
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod components;
 mod frontend;
 mod logs;
+mod offers;
 mod peers;
 mod platform_faults;
 mod recovery;
--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -6,10 +6,12 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, leadership, offer_plan, settings};
+use cuminkeel_dispatch::{
+    job_model, leadership, offer_plan, pool, pool_room, room_ledger, settings,
+};
 use smallvec::SmallVec;
 
-use crate::{load_pattern, pool_simulation, replay_report};
+use crate::{fake_server, load_pattern, pool_simulation, replay_report};
 
 /// Time before the first arrival, in which each pool claims its servers.
 const WARM_UP_TIME: time::Duration = time::Duration::from_secs(1);
@@ -31,6 +33,8 @@
 pub struct DomainReport {
     /// Worth earned as a share of the worth offered by all jobs, for the callers of each domain.
     pub worth_shares: Vec<f64>,
+    /// Share of the jobs that were answered while their answers had worth, for the callers of each domain.
+    pub served_shares: Vec<f64>,
     /// Number of jobs that were admitted in a remote domain.
     pub remote_jobs: usize,
     /// Invariant violations in all domains.
@@ -42,24 +46,63 @@
 /// Maximum time that a job waits for a leader of its failure domain, as in a process by default.
 const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Interval at which a process receives the room of pools of other domains while it sends them jobs.
+const ROOM_UPDATE_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Number of processes in a domain that offer jobs; each knows only what it has sent itself.
+const PROCESSES_PER_DOMAIN: usize = 3;
+
+/// Failure domain with its callers and servers.
+#[derive(Clone, Debug)]
+pub struct DomainSpec {
+    /// Arrivals of the domain's callers; changes of server modes are ignored.
+    pub pattern: load_pattern::LoadPattern,
+    /// Servers of the domain.
+    pub servers: Vec<fake_server::FakeServer>,
+    /// Start of the evacuation of the domain, from the start of the pattern; it doesn't end.
+    pub evacuated_at: Option<time::Duration>,
+}
+
+/// Sums over the jobs of a domain's callers.
+#[derive(Clone, Copy, Debug, Default)]
+struct DomainTotals {
+    offered_worth: f64,
+    earned_worth: f64,
+    jobs: f64,
+    served_jobs: f64,
+}
+
 /// A job with the plan of its offers.
 struct OfferedJob {
     arrival: load_pattern::JobArrival,
     local_domain: usize,
+    /// Position of the process that the caller reached, among those of its domain.
+    process: usize,
     plan: offer_plan::OfferPlan,
-    /// Domain whose pool has admitted the job and not ended it.
-    offered_to: Option<usize>,
+    /// Domain whose pool has admitted the job and not ended it, with the time of the offer.
+    offered_to: Option<(usize, time::Duration)>,
     /// Whether a remote domain has admitted the job.
     is_remote: bool,
     answer: Option<pool_simulation::CallerAnswer>,
 }
 
-/// Pools of all domains, as the coordinators of one domain see them.
+/// What a process knows of the pools of all domains.
+#[derive(Clone, Debug, Default)]
+struct ProcessView {
+    updated_at: time::Duration,
+    next_update_at: time::Duration,
+    /// Load and room of each domain's pool.
+    pools: Vec<(pool::PoolLoad, pool_room::PoolRoom)>,
+}
+
+/// Pools of all domains, as a process of one domain sees them.
 struct DomainDirectory<'a> {
-    simulations: &'a [pool_simulation::PoolSimulation],
+    view: &'a ProcessView,
+    ledger: &'a room_ledger::RoomLedger,
     names: &'a [Arc<str>],
+    is_evacuated: &'a [bool],
     local_domain: usize,
     spillover_policy: SpilloverPolicy,
+    now: time::Duration,
 }
 
 impl offer_plan::PoolDirectory for DomainDirectory<'_> {
@@ -74,21 +117,21 @@
         if self.spillover_policy == SpilloverPolicy::LocalOnly {
             return SmallVec::new();
         }
-        let domains = self.simulations.iter().zip(self.names).enumerate();
+        let domains = self.view.pools.iter().zip(self.names).enumerate();
         domains
-            .filter(|(domain, _)| *domain != self.local_domain)
-            .map(|(_, (simulation, name))| {
-                let load = simulation.load(0);
-                offer_plan::OtherPool {
-                    process: Arc::clone(name),
-                    failure_domain: Arc::clone(name),
-                    is_local: false,
-                    is_near: true,
-                    shards: leadership::ShardSet::ALL,
-                    free_cpu_millis: load.free_cpu_millis,
-                    total_cpu_millis: load.total_cpu_millis,
-                    queued_jobs: load.queued_jobs,
-                }
+            .filter(|(domain, _)| *domain != self.local_domain && !self.is_evacuated[*domain])
+            .map(|(_, ((load, room), name))| offer_plan::OtherPool {
+                process: Arc::clone(name),
+                failure_domain: Arc::clone(name),
+                is_local: false,
+                is_near: true,
+                shards: leadership::ShardSet::ALL,
+                free_cpu_millis: load.free_cpu_millis,
+                total_cpu_millis: load.total_cpu_millis,
+                queued_jobs: load.queued_jobs,
+                room: Some(*room),
+                room_age: self.now.saturating_sub(self.view.updated_at),
+                sent_cpu_millis: self.ledger.sent_cpu_millis(name, self.view.updated_at),
             })
             .collect()
     }
@@ -105,6 +148,13 @@
     job_positions: HashMap<Arc<str>, usize>,
     /// Times at which the plans of waiting jobs are asked again, with the positions of the jobs.
     wake_ups: BTreeSet<(time::Duration, usize)>,
+    /// Views and ledgers of the processes of each domain.
+    views: Vec<[ProcessView; PROCESSES_PER_DOMAIN]>,
+    ledgers: Vec<[room_ledger::RoomLedger; PROCESSES_PER_DOMAIN]>,
+    /// Times at which domains are evacuated.
+    evacuations: Vec<Option<time::Duration>>,
+    /// Whether each domain is evacuated at present.
+    is_evacuated: Vec<bool>,
     /// Number of answers of each simulation that have been passed to the plans.
     read_answers: Vec<usize>,
 }
@@ -115,19 +165,30 @@
     patterns: &[load_pattern::LoadPattern],
     spillover_policy: SpilloverPolicy,
 ) -> DomainReport {
-    let pool_policies = settings::PoolPolicies::default();
-    let mut simulations: Vec<_> = patterns
+    let domains: Vec<DomainSpec> = patterns
         .iter()
-        .map(|_| {
-            pool_simulation::PoolSimulation::new(1, load_pattern::domain_servers(), pool_policies)
+        .map(|pattern| DomainSpec {
+            pattern: pattern.clone(),
+            servers: load_pattern::domain_servers(),
+            evacuated_at: None,
         })
         .collect();
+    replay_domains(&domains, spillover_policy)
+}
+
+/// Replays the arrivals of all domains at the same time.
+pub fn replay_domains(specs: &[DomainSpec], spillover_policy: SpilloverPolicy) -> DomainReport {
+    let pool_policies = settings::PoolPolicies::default();
+    let mut simulations: Vec<_> = specs
+        .iter()
+        .map(|spec| pool_simulation::PoolSimulation::new(1, spec.servers.clone(), pool_policies))
+        .collect();
     for simulation in &mut simulations {
         simulation.lead(0);
     }
-    let jobs = offered_jobs(patterns);
+    let jobs = offered_jobs(specs);
     let mut domains = DomainSimulation {
-        names: (0..patterns.len())
+        names: (0..specs.len())
             .map(|domain| Arc::from(format!("domain-{domain}")))
             .collect(),
         spillover_policy,
@@ -138,6 +199,13 @@
             .collect(),
         jobs,
         wake_ups: BTreeSet::new(),
+        views: specs.iter().map(|_| Default::default()).collect(),
+        ledgers: specs.iter().map(|_| Default::default()).collect(),
+        evacuations: specs
+            .iter()
+            .map(|spec| spec.evacuated_at.map(|at| WARM_UP_TIME + at))
+            .collect(),
+        is_evacuated: vec![false; specs.len()],
         read_answers: vec![0; simulations.len()],
         simulations,
     };
@@ -151,12 +219,13 @@
 
 /// Returns the arrivals of all domains in order of time. Job ids are prefixed with the domain's
 /// index, because the patterns of two domains may use the same ids.
-fn offered_jobs(patterns: &[load_pattern::LoadPattern]) -> Vec<OfferedJob> {
-    let mut jobs: Vec<OfferedJob> = patterns
+fn offered_jobs(specs: &[DomainSpec]) -> Vec<OfferedJob> {
+    let mut jobs: Vec<OfferedJob> = specs
         .iter()
         .enumerate()
-        .flat_map(|(local_domain, pattern)| {
-            pattern.arrivals.iter().map(move |arrival| {
+        .flat_map(|(local_domain, spec)| {
+            let arrivals = spec.pattern.arrivals.iter().enumerate();
+            arrivals.map(move |(number, arrival)| {
                 let mut arrival = arrival.clone();
                 let mut spec = (*arrival.offer.spec).clone();
                 spec.id = Arc::from(format!("{local_domain}-{}", spec.id));
@@ -169,6 +238,7 @@
                 OfferedJob {
                     arrival,
                     local_domain,
+                    process: number % PROCESSES_PER_DOMAIN,
                     plan: offer_plan::OfferPlan::new(spec, limits),
                     offered_to: None,
                     is_remote: false,
@@ -191,6 +261,8 @@
     fn run_until(&mut self, until: time::Duration) {
         while self.now() < until {
             let next = until.min(self.now() + STEP_TIME);
+            self.start_evacuations();
+            self.update_views();
             for simulation in &mut self.simulations {
                 simulation.run_until(next);
             }
@@ -206,6 +278,42 @@
         }
     }
 
+    fn start_evacuations(&mut self) {
+        let now = self.now();
+        for (domain, evacuated_at) in self.evacuations.iter().enumerate() {
+            if !self.is_evacuated[domain] && evacuated_at.is_some_and(|at| at <= now) {
+                self.is_evacuated[domain] = true;
+                self.simulations[domain].evacuate(0);
+            }
+        }
+    }
+
+    /// Updates what the processes know of the pools. The updates of a domain's processes are spread over
+    /// the interval.
+    fn update_views(&mut self) {
+        let now = self.now();
+        for views in &mut self.views {
+            for (view, number) in views.iter_mut().zip(1..) {
+                if now < view.next_update_at {
+                    continue;
+                }
+                let interval = match view.pools.len() {
+                    0 => ROOM_UPDATE_INTERVAL * number / 3,
+                    _ => ROOM_UPDATE_INTERVAL,
+                };
+                *view = ProcessView {
+                    updated_at: now,
+                    next_update_at: now + interval,
+                    pools: self
+                        .simulations
+                        .iter()
+                        .map(|simulation| (simulation.load(0), simulation.pools[0].room(now)))
+                        .collect(),
+                };
+            }
+        }
+    }
+
     /// Passes the answers of one domain's pool to the plans of the jobs that it has admitted.
     fn apply_answers(&mut self, domain: usize) {
         while let Some(answer) = self.simulations[domain]
@@ -218,10 +326,17 @@
                 continue;
             };
             let job = &mut self.jobs[position];
-            if job.offered_to != Some(domain) {
+            let Some((_, offered_at)) = job
+                .offered_to
+                .take_if(|(admitting_domain, _)| *admitting_domain == domain)
+            else {
                 continue;
-            }
-            job.offered_to = None;
+            };
+            self.ledgers[job.local_domain][job.process].record_ended(
+                &self.names[domain],
+                job.arrival.offer.spec.ready_cpu_millis(),
+                offered_at,
+            );
             // The caller receives only the last refusal, and the job may run in this domain until then.
             if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
                 self.read_answers[domain] -= 1;
@@ -237,11 +352,18 @@
     fn advance_job(&mut self, position: usize) {
         let now = self.now();
         loop {
+            let (local_domain, caller_process) = (
+                self.jobs[position].local_domain,
+                self.jobs[position].process,
+            );
             let directory = DomainDirectory {
-                simulations: &self.simulations,
+                view: &self.views[local_domain][caller_process],
+                ledger: &self.ledgers[local_domain][caller_process],
                 names: &self.names,
-                local_domain: self.jobs[position].local_domain,
+                is_evacuated: &self.is_evacuated,
+                local_domain,
                 spillover_policy: self.spillover_policy,
+                now,
             };
             match self.jobs[position].plan.next_action(&directory, now) {
                 offer_plan::OfferAction::Offer { process, terms } => {
@@ -251,8 +373,15 @@
                     });
                     let job = &mut self.jobs[position];
                     if end.is_none() {
-                        job.offered_to = domain;
+                        job.offered_to = domain.map(|domain| (domain, now));
                         job.is_remote |= domain != Some(job.local_domain);
+                        if let Some(domain) = domain.filter(|domain| *domain != local_domain) {
+                            self.ledgers[local_domain][caller_process].record_sent(
+                                &self.names[domain],
+                                job.arrival.offer.spec.ready_cpu_millis(),
+                                now,
+                            );
+                        }
                         return;
                     }
                     job.plan.record_end(end.as_ref(), now);
@@ -287,7 +416,7 @@
             age,
             time_to_deadline: job.arrival.offer.time_to_deadline.saturating_sub(age),
             may_have_started: job.plan.may_have_started(),
-            source: Arc::clone(&self.names[job.local_domain]),
+            source: Arc::from(format!("{}-{}", self.names[job.local_domain], job.process)),
             ..job.arrival.offer.clone()
         };
         let simulation = &mut self.simulations[domain];
@@ -335,19 +464,25 @@
     }
 
     fn summarise(&self) -> DomainReport {
-        let mut offered = vec![0.0; self.simulations.len()];
-        let mut earned = vec![0.0; self.simulations.len()];
+        let mut totals = vec![DomainTotals::default(); self.simulations.len()];
         for job in &self.jobs {
-            offered[job.local_domain] += job.arrival.worth;
-            earned[job.local_domain] += job.answer.as_ref().map_or(0.0, |answer| {
+            let earned_worth = job.answer.as_ref().map_or(0.0, |answer| {
                 replay_report::earned_worth(&job.arrival, answer, WARM_UP_TIME)
             });
+            let total = &mut totals[job.local_domain];
+            total.offered_worth += job.arrival.worth;
+            total.earned_worth += earned_worth;
+            total.jobs += 1.0;
+            total.served_jobs += if earned_worth > 0.0 { 1.0 } else { 0.0 };
         }
         DomainReport {
-            worth_shares: earned
+            worth_shares: totals
+                .iter()
+                .map(|total| total.earned_worth / total.offered_worth.max(f64::MIN_POSITIVE))
+                .collect(),
+            served_shares: totals
                 .iter()
-                .zip(&offered)
-                .map(|(earned, offered)| earned / offered.max(f64::MIN_POSITIVE))
+                .map(|total| total.served_jobs / total.jobs.max(1.0))
                 .collect(),
             remote_jobs: self.jobs.iter().filter(|job| job.is_remote).count(),
             violations: self
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -177,6 +177,13 @@
         self.execute_actions(pool_index);
     }
 
+    /// Tells a pool that its failure domain is evacuated.
+    pub fn evacuate(&mut self, pool_index: usize) {
+        let start = pool::EvacuationStart::LearntAt(self.now);
+        self.pools[pool_index].set_evacuation(Some(start), self.now);
+        self.execute_actions(pool_index);
+    }
+
     /// Makes a pool step down: it releases all servers.
     pub fn step_down(&mut self, pool_index: usize) {
         self.pools[pool_index].step_down(self.now, "test");
