--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -230,7 +230,9 @@
     for (name, values, expected) in cases {
         let history: Vec<store::KeyedRecord> = values
             .iter()
-            .map(|value| store::KeyedRecord {
+            .zip(0..)
+            .map(|(value, offset)| store::KeyedRecord {
+                offset,
                 key: Arc::from("s1"),
                 value: (!value.is_empty()).then(|| value.as_bytes().to_vec().into()),
             })
