Spread the state of evacuations to all processes and their pools

No process knew which failure domains are evacuated. The accepting side sends a change at once and not with the next status, which may be a second away. A set that the peer has sent itself is not sent back to it. States of the same offset that differ are not answered, or two processes without the store would send them to each other with each status.

The pool is told of changes of the local domain by an event, in the order in which they became known; the published status then has no free processor. Peers without a frame of format 4 get the reasons of earlier releases. Lines evacuation_changed, evacuation_unreadable, evacuation_unknown_domain; gauge cuminkeel_evacuated_domains.

--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -5,7 +5,11 @@
 //! of an unknown format are skipped, so that two releases can communicate during a
 //! rolling update.
 
-use std::{io, sync::Arc, time};
+use std::{
+    io,
+    sync::{Arc, atomic},
+    time,
+};
 
 use cuminkeel_dispatch::{evacuation, job_model, leadership, pool_room};
 use derive_more::{Display, Error};
@@ -121,6 +125,32 @@
     Room(pool_room::PoolRoom),
 }
 
+/// Whether the peer at the other end of a connection understands the refusal reasons of this release,
+/// which it shows by a frame of the format that came with them.
+#[derive(Debug, Default)]
+pub struct PeerRelease {
+    has_domain_news: atomic::AtomicBool,
+}
+
+impl PeerRelease {
+    /// Records a frame that the peer has sent over the connection.
+    pub fn record_frame(&self, frame: &LinkFrame) {
+        if matches!(frame, LinkFrame::Evacuations(_) | LinkFrame::Room(_)) {
+            self.has_domain_news.store(true, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the frame that tells the peer the end of its job.
+    pub fn end_frame(&self, submission_id: u64, end: job_model::JobEnd) -> LinkFrame {
+        let end = if self.has_domain_news.load(atomic::Ordering::Relaxed) {
+            end
+        } else {
+            end_for_earlier_release(end)
+        };
+        LinkFrame::End { submission_id, end }
+    }
+}
+
 /// Returns the end of a job in a form that releases before [`LinkFrame::Evacuations`] can decode. Its
 /// reason makes them treat the job as the original one would.
 pub fn end_for_earlier_release(end: job_model::JobEnd) -> job_model::JobEnd {
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -67,12 +67,15 @@
         return Err(link_frame::LinkError::NoHello);
     };
     let peer_name = Arc::clone(&hello.name);
+    let mut status_changes = node.status_changes();
     let mut sent_state = sent_state::SentState::default();
     let mut send_times = send_time::SendTimes::default();
-    // The leaders precede the status because the peer counts this process as probed when the
-    // status arrives.
-    let first_frames: SmallVec<[link_frame::LinkFrame; 4]> = [
+    let peer_release = Arc::new(link_frame::PeerRelease::default());
+    // The evacuations and the leaders precede the status because the peer counts this process as
+    // probed when the status arrives.
+    let first_frames: SmallVec<[link_frame::LinkFrame; 5]> = [
         Some(link_frame::LinkFrame::Hello(node.hello.clone())),
+        sent_state.evacuation_change(node),
         sent_state.leader_change(node),
         Some(send_times.frame(node.now())),
         Some(link_frame::LinkFrame::Status(node.own_status())),
@@ -82,24 +85,29 @@
     .collect();
     link_frame::write_frames(&mut writer, &first_frames).await?;
     node_state::upsert_peer(node, hello);
-    let (frame_sender, mut frame_receiver) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
-    let writer_task = tokio::spawn(async move {
-        while let Some(frame) = frame_receiver.recv().await {
-            let mut frames = vec![frame];
-            while let Ok(frame) = frame_receiver.try_recv() {
-                frames.push(frame);
-            }
-            if link_frame::write_frames(&mut writer, &frames)
-                .await
-                .is_err()
-            {
-                return;
-            }
-        }
-    });
+    let (frame_sender, frame_receiver) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
+    let writer_task = tokio::spawn(write_queued_frames(writer, frame_receiver));
     let max_silence = node.settings.resend_delay * MAX_SILENCE_PERCENT / 100;
     let result = loop {
-        match next_frame(&mut reader, job_tasks, max_silence).await {
+        let frame = {
+            let frame = next_frame(&mut reader, job_tasks, max_silence);
+            tokio::pin!(frame);
+            loop {
+                tokio::select! {
+                    frame = frame.as_mut() => break frame,
+                    // The peer's next status may be a second away.
+                    Ok(()) = status_changes.changed() => {
+                        if let Some(change) = sent_state.evacuation_change(node) {
+                            let _closed = frame_sender.send(change);
+                        }
+                    }
+                }
+            }
+        };
+        if let Ok(frame) = &frame {
+            peer_release.record_frame(frame);
+        }
+        match frame {
             Ok(link_frame::LinkFrame::Status(status)) => {
                 let now = node.now();
                 peer_update::apply_status(node, &peer_name, status, send_times.sent_at(now));
@@ -108,6 +116,7 @@
                     Some(link_frame::LinkFrame::Status(node.own_status())),
                     sent_state.newer_config(node, &status),
                     sent_state.leader_change(node),
+                    sent_state.evacuation_change(node),
                 ];
                 for response in responses.into_iter().flatten() {
                     // Sending fails only after the writer has stopped on a lost connection,
@@ -119,6 +128,11 @@
                 sender_clock,
                 receiver_clock,
             }) => send_times.apply(sender_clock, receiver_clock, node.now()),
+            Ok(link_frame::LinkFrame::Evacuations(state)) => {
+                if let Some(correction) = sent_state.apply_peer_evacuations(node, state) {
+                    let _closed = frame_sender.send(correction);
+                }
+            }
             Ok(link_frame::LinkFrame::Submit {
                 submission_id,
                 mut offer,
@@ -130,7 +144,12 @@
                 let frame_sender = frame_sender.clone();
                 job_tasks.insert(
                     submission_id,
-                    tokio::spawn(send_job_end(job, submission_id, frame_sender)),
+                    tokio::spawn(send_job_end(
+                        job,
+                        submission_id,
+                        Arc::clone(&peer_release),
+                        frame_sender,
+                    )),
                 );
             }
             Ok(frame) => apply_frame(node, &peer_name, frame, job_tasks),
@@ -141,6 +160,24 @@
     result
 }
 
+async fn write_queued_frames(
+    mut writer: net::tcp::OwnedWriteHalf,
+    mut frame_receiver: mpsc::UnboundedReceiver<link_frame::LinkFrame>,
+) {
+    while let Some(frame) = frame_receiver.recv().await {
+        let mut frames = vec![frame];
+        while let Ok(frame) = frame_receiver.try_recv() {
+            frames.push(frame);
+        }
+        if link_frame::write_frames(&mut writer, &frames)
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
 /// Reads the next frame. Returns an error if none arrives for `max_silence` while jobs of the peer are
 /// in progress.
 async fn next_frame<R>(
@@ -194,8 +231,9 @@
 async fn send_job_end(
     mut job: pool_driver::PoolJob,
     submission_id: u64,
+    peer_release: Arc<link_frame::PeerRelease>,
     frame_sender: mpsc::UnboundedSender<link_frame::LinkFrame>,
 ) {
     let end = job.wait_for_end().await;
-    let _closed = frame_sender.send(link_frame::LinkFrame::End { submission_id, end });
+    let _closed = frame_sender.send(peer_release.end_frame(submission_id, end));
 }
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -59,6 +59,7 @@
     free_cpu_millis: gauge::Gauge,
     queued_jobs: gauge::Gauge,
     config_version: gauge::Gauge,
+    evacuated_domains: gauge::Gauge,
 }
 
 impl StateGauges {
@@ -94,6 +95,11 @@
                 "Version of the configuration in force",
                 &self.config_version,
             ),
+            (
+                "evacuated_domains",
+                "Failure domains that are evacuated, as far as this process knows",
+                &self.evacuated_domains,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -242,6 +248,13 @@
             .set(to_gauge_value(version));
     }
 
+    /// Sets the gauge for the evacuated failure domains.
+    pub fn set_evacuation_gauge(&self, domains: usize) {
+        self.state_gauges
+            .evacuated_domains
+            .set(to_gauge_value(domains));
+    }
+
     /// Counts a connection of a caller as open until the returned guard is dropped.
     pub fn track_connection(&self) -> ConnectionGuard {
         self.caller_connections.inc();
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -41,7 +41,7 @@
     started_at: time::Duration,
     peers: Mutex<peer_table::PeerTable>,
     config: Mutex<Option<ActiveConfig>>,
-    evacuations: Mutex<evacuation::EvacuationState>,
+    evacuations: Mutex<evacuation::EvacuationTracker>,
     /// Status of the pool, of which `config_version` and `leaving` are unused.
     pool_status: Mutex<link_frame::PeerStatus>,
     leaving: atomic::AtomicBool,
@@ -64,6 +64,7 @@
         logger: slog::Logger,
         pool: pool_driver::PoolHandle,
     ) -> Self {
+        let evacuations = evacuation::EvacuationTracker::new(Arc::clone(&hello.failure_domain));
         Self {
             settings,
             tuning,
@@ -74,7 +75,7 @@
             started_at: boot_time(),
             peers: Mutex::new(peer_table::PeerTable::default()),
             config: Mutex::new(None),
-            evacuations: Mutex::default(),
+            evacuations: Mutex::new(evacuations),
             pool_status: Mutex::new(link_frame::PeerStatus::default()),
             leaving: atomic::AtomicBool::new(false),
             peer_list_read: atomic::AtomicBool::new(false),
@@ -132,19 +133,115 @@
 
     /// Returns whether `failure_domain` is evacuated, as far as this process knows.
     pub fn is_evacuated(&self, failure_domain: &str) -> bool {
+        self.lock_evacuations().state().contains(failure_domain)
+    }
+
+    /// Returns the newest known state of evacuations.
+    pub fn evacuations(&self) -> evacuation::EvacuationState {
+        self.lock_evacuations().state().clone()
+    }
+
+    /// Adopts the evacuations of a snapshot of the operator's log if it is newer than the known
+    /// state. `as_of` is the end of the log when its first page was read.
+    pub fn adopt_evacuation_snapshot(&self, as_of: u64, records: &[evacuation::EvacuationRecord]) {
+        self.log_undecodable_values(records);
+        let now = self.now();
+        self.update_evacuations("store", |tracker| {
+            tracker.apply_snapshot(as_of, records, now)
+        });
+    }
+
+    /// Applies records of the operator's log, read up to before `next_offset`, to the known state of
+    /// evacuations.
+    pub fn apply_evacuation_records(
+        &self,
+        records: &[evacuation::EvacuationRecord],
+        next_offset: u64,
+    ) {
+        self.log_undecodable_values(records);
+        let now = self.now();
+        self.update_evacuations("store", |tracker| {
+            tracker.apply_records(records, next_offset, now)
+        });
+    }
+
+    /// Adopts the state of evacuations that a peer sent if it is newer than the known one.
+    pub fn adopt_peer_evacuations(&self, state: evacuation::EvacuationState) {
+        let now = self.now();
+        self.update_evacuations("peer", |tracker| tracker.apply_peer_state(state, now));
+    }
+
+    fn lock_evacuations(&self) -> MutexGuard<'_, evacuation::EvacuationTracker> {
         self.evacuations
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .contains(failure_domain)
     }
 
-    /// Returns the status of this process as peers receive it.
+    /// Logs the values that can't be decoded, except those of records that the known state includes.
+    fn log_undecodable_values(&self, records: &[evacuation::EvacuationRecord]) {
+        let known_as_of = self.lock_evacuations().state().as_of;
+        let undecodable = records
+            .iter()
+            .filter(|record| !record.is_decodable && record.offset >= known_as_of);
+        for record in undecodable {
+            slog::warn!(self.logger, "evacuation_unreadable"; "domain" => &*record.domain,
+                "outcome" => "evacuated", "offset" => record.offset);
+        }
+    }
+
+    /// Changes the known state of evacuations by `update`, tells the pool of this process if the local
+    /// failure domain is affected, and notifies the links if any is.
+    fn update_evacuations(
+        &self,
+        origin: &'static str,
+        update: impl FnOnce(&mut evacuation::EvacuationTracker) -> Vec<evacuation::DomainChange>,
+    ) {
+        let mut tracker = self.lock_evacuations();
+        let earlier_start = tracker.local_start();
+        let changes = update(&mut tracker);
+        let (start, as_of) = (tracker.local_start(), tracker.state().as_of);
+        self.metrics
+            .set_evacuation_gauge(tracker.state().domains.len());
+        if start != earlier_start {
+            // Sent under the lock, so that the pool gets all changes in their order.
+            self.pool.set_evacuation(start);
+        }
+        drop(tracker);
+        for change in &changes {
+            let outcome = if change.is_evacuated {
+                "evacuated"
+            } else {
+                "cancelled"
+            };
+            slog::info!(self.logger, "evacuation_changed"; "domain" => &*change.domain,
+                "outcome" => outcome, "origin" => origin, "as_of" => as_of);
+            // Settings without regions name no failure domain but that of the process.
+            let is_unknown = !self.settings.regions.is_empty()
+                && !self.settings.regions.contains_key(&change.domain);
+            if change.is_evacuated && is_unknown {
+                slog::warn!(self.logger, "evacuation_unknown_domain";
+                    "domain" => &*change.domain, "origin" => origin, "as_of" => as_of);
+            }
+        }
+        if !changes.is_empty() {
+            self.notify_status_change();
+        }
+    }
+
+    /// Returns the status of this process as peers receive it. A pool whose failure domain is
+    /// evacuated starts nothing, so it reports no free processor capacity.
     pub fn own_status(&self) -> link_frame::PeerStatus {
         let status = *self
             .pool_status
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
+        let free_cpu_millis = if self.lock_evacuations().local_start().is_some() {
+            0
+        } else {
+            status.free_cpu_millis
+        };
         link_frame::PeerStatus {
+            free_cpu_millis,
             config_version: self.config().map_or(0, |current| current.config.version),
             leaving: self.is_leaving(),
             ..status
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -183,10 +183,10 @@
         let mut consecutive_failures = 0;
         while let Some(node) = self.node.upgrade() {
             let error = match self.dial(&node).await {
-                Ok(stream) => {
+                Ok((stream, sent_state)) => {
                     delay = MIN_DIAL_BACKOFF;
                     consecutive_failures = 0;
-                    self.run_session(&node, stream).await
+                    self.run_session(&node, stream, sent_state).await
                 }
                 Err(error) => error,
             };
@@ -207,20 +207,28 @@
         }
     }
 
+    /// Connects to the peer and exchanges hellos. Returns the connection and what was sent over it.
     async fn dial(
         &self,
         node: &node_state::NodeState,
-    ) -> Result<net::TcpStream, link_frame::LinkError> {
+    ) -> Result<(net::TcpStream, sent_state::SentState), link_frame::LinkError> {
         let exchange = async {
             let mut stream = net::TcpStream::connect(&*self.address).await?;
             stream.set_nodelay(true)?;
-            let frames = [
-                link_frame::LinkFrame::Hello(node.hello.clone()),
-                link_frame::LinkFrame::Status(node.own_status()),
-            ];
+            let mut sent_state = sent_state::SentState::default();
+            let frames: Vec<link_frame::LinkFrame> = [
+                Some(link_frame::LinkFrame::Hello(node.hello.clone())),
+                sent_state.evacuation_change(node),
+                Some(link_frame::LinkFrame::Status(node.own_status())),
+            ]
+            .into_iter()
+            .flatten()
+            .collect();
             link_frame::write_frames(&mut stream, &frames).await?;
             match link_frame::read_frame(&mut stream).await? {
-                link_frame::LinkFrame::Hello(hello) if hello.name == self.name => Ok(stream),
+                link_frame::LinkFrame::Hello(hello) if hello.name == self.name => {
+                    Ok((stream, sent_state))
+                }
                 _ => Err(link_frame::LinkError::NoHello),
             }
         };
@@ -291,6 +299,7 @@
         &mut self,
         node: &Arc<node_state::NodeState>,
         stream: net::TcpStream,
+        sent_state: sent_state::SentState,
     ) -> link_frame::LinkError {
         let (reader, mut writer) = stream.into_split();
         let (frame_sender, mut frame_receiver) = mpsc::channel(64);
@@ -300,7 +309,7 @@
             last_frame_at: node.now(),
             interval: self.interval(node, false),
             last_job_at: None,
-            sent_state: sent_state::SentState::default(),
+            sent_state,
             send_times: send_time::SendTimes::default(),
             has_status: false,
         };
@@ -371,6 +380,7 @@
         session.set_interval(interval, now);
         outgoing.push(link_frame::LinkFrame::Status(node.own_status()));
         outgoing.extend(session.sent_state.leader_change(node));
+        outgoing.extend(session.sent_state.evacuation_change(node));
     }
 
     /// Returns the status interval of this link, which depends on the purpose of the statuses.
@@ -432,8 +442,10 @@
                 }
             }
             link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
-            link_frame::LinkFrame::Evacuations(_)
-            | link_frame::LinkFrame::Hello(_)
+            link_frame::LinkFrame::Evacuations(state) => {
+                outgoing.extend(session.sent_state.apply_peer_evacuations(node, state));
+            }
+            link_frame::LinkFrame::Hello(_)
             | link_frame::LinkFrame::Room(_)
             | link_frame::LinkFrame::Submit { .. }
             | link_frame::LinkFrame::Withdraw { .. } => {}
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -61,6 +61,8 @@
     },
     /// Epoch of the fencing tokens of a peer.
     PeerEpoch(u64),
+    /// Start of the evacuation of the local failure domain, or `None` after its end.
+    Evacuation(Option<pool::EvacuationStart>),
 }
 
 /// Handle by which other tasks reach the pool of this process.
@@ -160,6 +162,11 @@
         }
     }
 
+    /// Tells the pool since when the local failure domain is evacuated, or `None` that it isn't.
+    pub fn set_evacuation(&self, start: Option<pool::EvacuationStart>) {
+        self.send(PoolEvent::Evacuation(start));
+    }
+
     fn send(&self, event: PoolEvent) {
         // Sending fails only while the process ends, as the pool runs until then.
         let _closed = self.event_sender.send(event);
@@ -281,6 +288,7 @@
                 let _dropped = reply.send(self.pool.pending_job_count(&route));
             }
             PoolEvent::PeerEpoch(epoch) => self.pool.observe_epoch(epoch),
+            PoolEvent::Evacuation(start) => self.pool.set_evacuation(start, now),
         }
     }
 
--- a/crates/cuminkeel_node/src/sent_state.rs
+++ b/crates/cuminkeel_node/src/sent_state.rs
@@ -1,15 +1,25 @@
-//! Configurations and leaders, which are sent over a connection only when they have changed.
+//! Configurations, leaders and evacuations, which are sent over a connection only when they have
+//! changed.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use cuminkeel_dispatch::evacuation;
 
 use crate::{link_frame, node_state};
 
-/// Configuration version and leaders that were last sent over one connection.
+/// Configuration version, leaders and evacuated failure domains that were last sent over one
+/// connection.
 #[derive(Debug, Default)]
 pub struct SentState {
-    sent_config_version: u64,
+    config_version: u64,
     /// Names of the leaders that the peer was told of, with their boot numbers.
-    sent_leaders: BTreeMap<Arc<str>, u64>,
+    leaders: BTreeMap<Arc<str>, u64>,
+    /// Evacuated failure domains that the peer was told of, or that it reported itself; `None` before
+    /// the first frame.
+    evacuations: Option<BTreeSet<Arc<str>>>,
 }
 
 impl SentState {
@@ -23,13 +33,49 @@
         let current = node
             .config()
             .filter(|current| current.config.version > status.config_version)
-            .filter(|current| current.config.version > self.sent_config_version)?;
-        self.sent_config_version = current.config.version;
+            .filter(|current| current.config.version > self.config_version)?;
+        self.config_version = current.config.version;
         Some(link_frame::LinkFrame::Config {
             body: current.body.to_vec(),
         })
     }
 
+    /// Returns the state of evacuations if its set has changed since the last call, or at the first
+    /// call.
+    pub fn evacuation_change(
+        &mut self,
+        node: &node_state::NodeState,
+    ) -> Option<link_frame::LinkFrame> {
+        let state = node.evacuations();
+        if self.evacuations.as_ref() == Some(&state.domains) {
+            return None;
+        }
+        self.evacuations = Some(state.domains.clone());
+        Some(link_frame::LinkFrame::Evacuations(state))
+    }
+
+    /// Adopts the state of evacuations that the peer sent if it is newer than the known one. Returns
+    /// the frame that corrects the peer if its state is older and differs.
+    pub fn apply_peer_evacuations(
+        &mut self,
+        node: &node_state::NodeState,
+        peer_state: evacuation::EvacuationState,
+    ) -> Option<link_frame::LinkFrame> {
+        node.adopt_peer_evacuations(peer_state.clone());
+        let state = node.evacuations();
+        let is_older = peer_state.as_of < state.as_of;
+        // Two snapshots of one offset may differ, as both were read in pages. Neither process has
+        // anything to tell the other until one of them reads on.
+        if is_older || peer_state == state {
+            self.evacuations = Some(peer_state.domains);
+        }
+        if is_older {
+            self.evacuation_change(node)
+        } else {
+            None
+        }
+    }
+
     /// Returns the change of the leaders among the peers since the last call, if there is one.
     ///
     /// A leader that has restarted counts as added.
@@ -39,17 +85,17 @@
             .iter()
             .map(|leader| (Arc::clone(&leader.name), leader.boot))
             .collect();
-        if current == self.sent_leaders {
+        if current == self.leaders {
             return None;
         }
-        leaders.retain(|leader| self.sent_leaders.get(&leader.name) != Some(&leader.boot));
+        leaders.retain(|leader| self.leaders.get(&leader.name) != Some(&leader.boot));
         let removed = self
-            .sent_leaders
+            .leaders
             .keys()
             .filter(|name| !current.contains_key(*name))
             .cloned()
             .collect();
-        self.sent_leaders = current;
+        self.leaders = current;
         Some(link_frame::LinkFrame::Leaders(link_frame::LeaderChange {
             added: leaders,
             removed,
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -73,7 +73,8 @@
     *consecutive_failures = 0;
 }
 
-/// Adopts each new configuration from the store until the process ends.
+/// Adopts each new configuration and each change of the evacuations from the store until the process
+/// ends.
 pub async fn follow_config(node: Arc<node_state::NodeState>) {
     let store = client(&node);
     let wait = node.settings.config_apply * CONFIG_READ_WAIT_PERCENT / 100;
@@ -87,6 +88,15 @@
         match batch {
             Ok(batch) => {
                 record_success(&node, "config", &mut consecutive_failures, &batch);
+                let evacuation_records = batch.evacuation_records();
+                match offset {
+                    None => {
+                        node.adopt_evacuation_snapshot(batch.next_offset, &evacuation_records);
+                    }
+                    Some(_) => {
+                        node.apply_evacuation_records(&evacuation_records, batch.next_offset);
+                    }
+                }
                 offset = Some(batch.next_offset);
                 for record in batch.records {
                     if &*record.key == store::CONFIG_KEY
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -2,6 +2,7 @@
 //! single components of a process.
 
 mod components;
+mod evacuation;
 mod frontend;
 mod logs;
 mod peers;
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -124,7 +124,8 @@
     }
 }
 
-fn hello(name: &str, address: &str) -> link_frame::PeerHello {
+/// Returns the hello of a process of the domain `north`.
+pub fn hello(name: &str, address: &str) -> link_frame::PeerHello {
     link_frame::PeerHello {
         name: Arc::from(name),
         failure_domain: Arc::from("north"),
@@ -269,7 +270,8 @@
         self.send(&[send_time, submission(offer)]).await;
     }
 
-    async fn send(&mut self, frames: &[link_frame::LinkFrame]) {
+    /// Sends frames as they are.
+    pub async fn send(&mut self, frames: &[link_frame::LinkFrame]) {
         link_frame::write_frames(&mut self.stream, frames)
             .await
             .expect("frames should be sent");
@@ -285,6 +287,21 @@
         self.read_end().await
     }
 
+    /// Reads frames until `select` returns a value for one.
+    pub async fn read_until<T>(
+        &mut self,
+        mut select: impl FnMut(link_frame::LinkFrame) -> Option<T>,
+    ) -> T {
+        loop {
+            let frame = link_frame::read_frame(&mut self.stream)
+                .await
+                .expect("process should send more frames");
+            if let Some(selected) = select(frame) {
+                return selected;
+            }
+        }
+    }
+
     async fn read_end(&mut self) -> job_model::JobEnd {
         loop {
             let frame = link_frame::read_frame(&mut self.stream)
