Name evacuation as a cause in explain

A job that moved, was refused or was ended because of an evacuation was explained by its run elsewhere or by the reason of the last pool. find_cause now finds the pool's line with outcome `evacuated` or, without that pool's log, the `offered` line of the process that asked it.

Run: clippy; tests request_causes (three new cases).

--- a/crates/cuminkeel_node/src/request_cause.rs
+++ b/crates/cuminkeel_node/src/request_cause.rs
@@ -33,6 +33,17 @@
         /// Logged reason of the refusal.
         reason: String,
     },
+    /// A pool refused the request or ended it because its failure domain was evacuated. Another pool
+    /// may have run the request.
+    #[display(
+        "refused or ended by {pool} because its failure domain was evacuated; answer or last refusal: {outcome}"
+    )]
+    Evacuated {
+        /// Name of the VM on which that pool ran.
+        pool: String,
+        /// Answer to the caller, or the logged reason of the last refusal.
+        outcome: String,
+    },
     /// A task was placed on two servers, and no line shows that the first run ended before the
     /// second was placed.
     #[display(
@@ -122,8 +133,9 @@
 }
 
 /// Finds the cause of a request's outcome in its lines, which are in order of time. Overlapping
-/// runs of a task take precedence over a refusal or a lost pool, then an incomplete run, then a slow
-/// run, then a late placement. Each outcome other than completed has a cause.
+/// runs of a task take precedence over a refusal or a lost pool, then an evacuation, then an incomplete
+/// run, then a slow run, then a late placement. A refusal by all pools is due to the evacuation if one
+/// of them refused for it. Each outcome other than completed has a cause.
 pub fn find_cause(lines: &[explain::ExplainedLine]) -> RequestCause {
     overlapping_runs(lines).unwrap_or_else(|| find_cause_without_overlap(lines))
 }
@@ -173,6 +185,7 @@
     let pool_loss = lines.iter().find(|line| {
         line.message == "offered" && (line.outcome == "None" || line.outcome.contains("PoolLost"))
     });
+    let evacuated_pool = evacuated_pool(lines);
     let incomplete_run = lines
         .iter()
         .find(|line| line.message == "run_ended" && line.outcome != "done");
@@ -189,30 +202,48 @@
         }),
         Some(answer) if answer.outcome.starts_with("Refused") => {
             let refusal = refusal_line().unwrap_or(answer);
-            RequestCause::Refused {
-                node: refusal.node.clone(),
-                reason: refusal.outcome.clone(),
+            let (node, reason) = (refusal.node.clone(), refusal.outcome.clone());
+            match evacuated_pool {
+                Some(pool) => RequestCause::Evacuated {
+                    pool,
+                    outcome: reason,
+                },
+                None => RequestCause::Refused { node, reason },
             }
         }
-        Some(answer) => match (pool_loss, incomplete_run, slow_run) {
+        Some(answer) => match (pool_loss, evacuated_pool, incomplete_run, slow_run) {
             (Some(line), ..) => RequestCause::PoolLost {
                 pool: string_field(line, "pool"),
             },
-            (None, Some(line), _) => RequestCause::RunIncomplete {
+            (None, Some(pool), ..) => RequestCause::Evacuated {
+                pool,
+                outcome: answer.outcome.clone(),
+            },
+            (None, None, Some(line), _) => RequestCause::RunIncomplete {
                 server: string_field(line, "server"),
                 outcome: line.outcome.clone(),
                 elapsed_ms: u64_field(line, "elapsed_ms"),
             },
-            (None, None, Some(line)) => RequestCause::SlowRun {
+            (None, None, None, Some(line)) => RequestCause::SlowRun {
                 server: string_field(line, "server"),
                 elapsed_ms: u64_field(line, "elapsed_ms"),
                 expected_ms: u64_field(line, "expected_ms"),
             },
-            (None, None, None) => placement_cause(lines, answer),
+            (None, None, None, None) => placement_cause(lines, answer),
         },
     }
 }
 
+/// Returns the VM of the first pool that refused the request, or ended it, because of an evacuation. Its
+/// own line says so; without its log, the line of the process that offered the request does.
+fn evacuated_pool(lines: &[explain::ExplainedLine]) -> Option<String> {
+    lines.iter().find_map(|line| match &*line.message {
+        "refused" | "job_ended" if line.outcome == "evacuated" => Some(line.node.clone()),
+        "offered" if line.outcome.contains("reason: Evacuated") => Some(string_field(line, "pool")),
+        _ => None,
+    })
+}
+
 fn placement_cause(
     lines: &[explain::ExplainedLine],
     answer: &explain::ExplainedLine,
--- a/crates/cuminkeel_node/tests/node/request_causes.rs
+++ b/crates/cuminkeel_node/tests/node/request_causes.rs
@@ -113,7 +113,7 @@
 const ANSWERED: &str = r#"{"msg":"answered","node":"n1","outcome":"completed"}"#;
 
 /// Name of each case, its log lines, and the start of the cause that is found in them.
-const CAUSE_CASES: [(&str, &[&str], &str); 14] = [
+const CAUSE_CASES: [(&str, &[&str], &str); 17] = [
     (
         "no log line",
         &[],
@@ -132,6 +132,34 @@
         ],
         "refused by n1: Refused { reason: NoPool }",
     ),
+    (
+        "run elsewhere because of an evacuation",
+        &[
+            r#"{"msg":"refused","outcome":"evacuated","node":"n2"}"#,
+            r#"{"msg":"run_ended","outcome":"done","server":"s1","elapsed_ms":900,"expected_ms":300}"#,
+            ANSWERED,
+        ],
+        "refused or ended by n2 because its failure domain was evacuated; answer or last refusal: completed",
+    ),
+    (
+        "ended because of an evacuation",
+        &[
+            r#"{"msg":"placed","outcome":"ordered","wait_ms":5}"#,
+            r#"{"msg":"job_ended","outcome":"evacuated","node":"n2"}"#,
+            r#"{"msg":"run_ended","outcome":"stopped","server":"s1"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Failed(OutOfTime)"}"#,
+        ],
+        "refused or ended by n2 because its failure domain was evacuated; answer or last refusal: Failed(OutOfTime)",
+    ),
+    (
+        "refused by all pools during an evacuation, without the log of the evacuated one",
+        &[
+            r#"{"msg":"offered","node":"n1","pool":"n2","outcome":"Some(Refused { reason: Evacuated, retry_after: 1s })"}"#,
+            r#"{"msg":"refused","outcome":"queue_too_long","node":"n3"}"#,
+            r#"{"msg":"answered","node":"n1","outcome":"Refused { reason: QueueTooLong }"}"#,
+        ],
+        "refused or ended by n2 because its failure domain was evacuated; answer or last refusal: queue_too_long",
+    ),
     (
         "slow server",
         &[
