--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -287,19 +287,24 @@
         self.read_end().await
     }
 
-    /// Reads frames until `select` returns a value for one.
+    /// Reads frames until `select` returns a value for one; panics after `TEST_TIMEOUT`.
     pub async fn read_until<T>(
         &mut self,
         mut select: impl FnMut(link_frame::LinkFrame) -> Option<T>,
     ) -> T {
-        loop {
-            let frame = link_frame::read_frame(&mut self.stream)
-                .await
-                .expect("process should send more frames");
-            if let Some(selected) = select(frame) {
-                return selected;
+        let read = async {
+            loop {
+                let frame = link_frame::read_frame(&mut self.stream)
+                    .await
+                    .expect("process should send more frames");
+                if let Some(selected) = select(frame) {
+                    return selected;
+                }
             }
-        }
+        };
+        tokio::time::timeout(test_platform::TEST_TIMEOUT, read)
+            .await
+            .expect("process should send the expected frame in time")
     }
 
     async fn read_end(&mut self) -> job_model::JobEnd {
