Start nothing in a pool whose failure domain is evacuated

Cause: ServerPool::set_evacuation only recorded the evacuation. The pool went on starting queued jobs and admitting new ones.

Change: pool/evacuated.rs decides which tasks may start and which jobs move or fail; schedule() asks it before it places anything. New offers get Evacuated unless they adopt runs; queued jobs of which nothing has started get it at once, and of several waiters only the first may move the job, as copies could otherwise run in several pools. Jobs with a started task go on for a quarter of the bound. Jobs of lost pools start nothing. No run is stopped because of an evacuation: a job with waiting tasks fails once none of its runs is in progress, or at its deadline, and overdue runs aren't stopped. While a takeover is unresolved, no job moves.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod claims;
+mod evacuated;
 mod inherited_runs;
 mod jobs;
 mod reports;
@@ -101,7 +102,8 @@
 pub struct PoolLoad {
     /// Number of servers that this pool holds.
     pub held_servers: u32,
-    /// Free processor capacity of usable servers, in thousandths of a core.
+    /// Free processor capacity of usable servers, in thousandths of a core; 0 while the failure domain
+    /// is evacuated.
     pub free_cpu_millis: u32,
     /// Total processor capacity of usable servers, in thousandths of a core.
     pub total_cpu_millis: u32,
@@ -226,16 +228,13 @@
                 load.total_cpu_millis += slot.entry.cpu_millis;
             }
         }
+        if self.evacuation.is_some() {
+            load.free_cpu_millis = 0;
+        }
         load.queued_jobs = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         load
     }
 
-    /// Sets the start of the evacuation of the pool's failure domain, or `None` when it ends.
-    pub fn set_evacuation(&mut self, evacuation: Option<EvacuationStart>, now: time::Duration) {
-        self.step_down_after_pause(now);
-        self.evacuation = evacuation;
-    }
-
     /// Returns what the pool could start at `now`.
     pub fn room(&self, now: time::Duration) -> pool_room::PoolRoom {
         if self.evacuation.is_some() {
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -110,7 +110,7 @@
     /// Returns the refusal of a job offered while runs of previous leaders may be unknown. A copy of
     /// the job may run here, so the reason is one after which no other pool is tried. A job that
     /// another pool may have started is admitted if any server could run it, as its runs may be found.
-    fn refusal_during_takeover(
+    pub(super) fn refusal_during_takeover(
         &self,
         job: &JobEntry,
         now: time::Duration,
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -48,9 +48,12 @@
             .tasks
             .iter()
             .any(|task| task.phase != TaskPhase::Waiting);
-        if !has_adopted_tasks
-            && let Some((reason, wait)) = self.predicted_refusal(&job, offer.terms, now)
-        {
+        let refusal = match () {
+            () if has_adopted_tasks => None,
+            () if self.evacuation.is_some() => self.refusal_while_evacuated(&job, now),
+            () => self.predicted_refusal(&job, offer.terms, now),
+        };
+        if let Some((reason, wait)) = refusal {
             self.refuse(offer, waiter, reason, wait);
             return;
         }
@@ -403,7 +406,7 @@
 
     /// Ends expired jobs, and demotes jobs that have missed their latest start. A job with waiting
     /// tasks has expired when its whole critical path, completed steps included, no longer fits
-    /// before `expires_at`; any other job at its deadline.
+    /// before `expires_at`; any other job at its deadline, also one whose runs an evacuation keeps.
     pub(super) fn expire_jobs(&mut self, now: time::Duration) {
         let mut expired = Vec::new();
         let mut late = Vec::new();
@@ -412,7 +415,7 @@
                 .tasks
                 .iter()
                 .any(|task| task.phase == TaskPhase::Waiting);
-            let is_expired = if has_waiting_tasks {
+            let is_expired = if has_waiting_tasks && !self.keeps_runs(job) {
                 now + job.critical_path >= job.expires_at
             } else {
                 now >= job.deadline_at
@@ -451,6 +454,9 @@
                     retry_after: retry_advice::jittered_retry_after(&id, time::Duration::ZERO),
                 }
             };
+            if may_have_run {
+                self.record_evacuation_failure(&id, now);
+            }
             self.end_job(&id, &end, now);
         }
         for position in late {
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -318,6 +318,10 @@
         report: &server_model::HoldReport,
         now: time::Duration,
     ) {
+        // The tasks might not be allowed to start again.
+        if self.evacuation.is_some() {
+            return;
+        }
         for reported in &report.running {
             let Some(slot) = self.servers.get_mut(id) else {
                 return;
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -18,6 +18,7 @@
     /// placed while servers may have inherited runs that this pool does not know: its caller may have
     /// sent it again, and the run of the first copy may go on there.
     pub(super) fn schedule(&mut self, now: time::Duration) {
+        self.end_evacuated_jobs(now);
         let mut max_free_cpu_millis = self.max_free_cpu_millis(now);
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
@@ -28,7 +29,8 @@
                 return;
             }
             let must_wait = self.jobs.get(&position.job).is_some_and(|job| {
-                job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now)
+                (job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now))
+                    || !self.may_start_tasks(job, now)
             });
             if !must_wait && self.place_job(&position, max_free_cpu_millis, now) {
                 max_free_cpu_millis = self.max_free_cpu_millis(now);
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -89,6 +89,10 @@
     ServerUnregistered,
     /// The pool stepped down and released its servers.
     Released,
+    /// The evacuation of the pool's failure domain began or ended.
+    Evacuation,
+    /// Because of an evacuation, a job was refused so that another pool can have it, or failed.
+    JobEvacuated,
 }
 
 /// Number of places for the inputs of a decision.
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -55,6 +55,9 @@
     pub stop_time: time::Duration,
     /// Longest time for which a server delays its response to a hold; two fit into a lease.
     pub hold_wait: time::Duration,
+    /// Time within which no task may start any more in an evacuated failure domain; `None` in
+    /// deployments without evacuations.
+    pub evacuation_bound: Option<time::Duration>,
     /// Policies for queueing, admission and placement.
     pub policies: PoolPolicies,
 }
@@ -67,7 +70,7 @@
 
 impl PoolSettings {
     /// Creates settings for servers that grant leases of up to `max_lease` and stop runs within
-    /// `stop_time`, with the default policies.
+    /// `stop_time`, with the default policies and without evacuations.
     pub fn new(max_lease: time::Duration, stop_time: time::Duration) -> Self {
         let lease = max_lease * LEASE_PERCENT / 100;
         Self {
@@ -75,6 +78,7 @@
             lease,
             stop_time,
             hold_wait: lease / HOLDS_PER_LEASE,
+            evacuation_bound: None,
             policies: PoolPolicies::default(),
         }
     }
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -21,6 +21,9 @@
 /// hold's wait of 400 ms plus the process's default hold time-out of 80 ms.
 const PAUSED_HOLD_TIMEOUT: time::Duration = time::Duration::from_millis(480);
 
+/// Time within which no task may start any more in an evacuated failure domain.
+pub const EVACUATION_BOUND: time::Duration = time::Duration::from_secs(5);
+
 /// Simulated event; each `usize` is the index of the pool concerned.
 #[derive(Debug)]
 enum Event {
@@ -126,6 +129,7 @@
     ) -> Self {
         let pool_settings = settings::PoolSettings {
             policies,
+            evacuation_bound: Some(EVACUATION_BOUND),
             // Longest lease that a server grants, and time within which a stopped run ends.
             ..settings::PoolSettings::new(
                 time::Duration::from_secs(1),
@@ -249,6 +253,12 @@
         self.execute_actions(pool_index);
     }
 
+    /// Tells a pool that its failure domain is evacuated since `evacuation`, or no longer.
+    pub fn set_evacuation(&mut self, pool_index: usize, evacuation: Option<pool::EvacuationStart>) {
+        self.pools[pool_index].set_evacuation(evacuation, self.now);
+        self.execute_actions(pool_index);
+    }
+
     /// Returns the load of a pool.
     pub fn load(&self, pool_index: usize) -> pool::PoolLoad {
         self.pools[pool_index].load(self.now)
