Give cold servers one task at a time, and prefer warm ones

Cause: cold_remaining_ms of the registry entry was read nowhere. A domain that is taken back with all of its servers cold, under full load, gave each server as many tasks as fit, all of them slow.

ServerSlot keeps the time from which the server is warm, counted from the first read of an entry. Placement ranks warm servers first and lets a cold one run one task at a time; the forecast of admission, the status and the room count it so. No scan is added.

With is_cold() always false, three tests of promises/cold_servers.rs failed; warm_servers_are_treated_as_before passes with and without the change.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -224,7 +224,7 @@
                 load.held_servers += 1;
             }
             if slot.is_usable(now) {
-                load.free_cpu_millis += slot.free_cpu_millis();
+                load.free_cpu_millis += slot.startable_cpu_millis(now);
                 load.total_cpu_millis += slot.entry.cpu_millis;
             }
         }
@@ -244,7 +244,7 @@
             .servers
             .values()
             .filter(|slot| slot.is_usable(now))
-            .map(|slot| (slot.free_cpu_millis(), slot.entry.cpu_millis));
+            .map(|slot| (slot.startable_cpu_millis(now), slot.entry.cpu_millis));
         pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
     }
 
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -165,7 +165,7 @@
                 continue;
             }
             min_slowdown = min_slowdown.min(slowdown);
-            for _ in 0..slot.free_cpu_millis() / max_task_cpu_millis {
+            for _ in 0..slot.startable_tasks(max_task_cpu_millis, now) {
                 forecast.add_capacity(time::Duration::ZERO);
             }
             for run in slot.runs.values().filter(|run| run.has_job) {
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -55,7 +55,7 @@
         let has_restarted = slot.incarnation != 0 && entry.incarnation > slot.incarnation;
         slot.incarnation = slot.incarnation.max(entry.incarnation);
         slot.registered = true;
-        slot.entry = entry;
+        slot.replace_entry(entry, now);
         if slot.claim_state != server_slot::ClaimState::Unclaimed
             && (address_changed || has_restarted)
         {
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -43,7 +43,7 @@
         self.servers
             .values()
             .filter(|slot| slot.is_usable(now))
-            .map(server_slot::ServerSlot::free_cpu_millis)
+            .map(|slot| slot.startable_cpu_millis(now))
             .max()
             .unwrap_or(0)
     }
@@ -199,8 +199,8 @@
         Some(order)
     }
 
-    /// Returns the server with the lowest placement cost for a task, with its slowdown factor, or
-    /// `None` if no server fits or the task should wait for a faster one.
+    /// Returns the server with the lowest placement cost for a task, a cold one only if no warm one fits,
+    /// with its slowdown factor, or `None` if no server fits or the task should wait for a faster one.
     fn choose_server(
         &self,
         job_id: &Arc<str>,
@@ -211,7 +211,7 @@
         let job = self.jobs.get(job_id)?;
         let task = job.tasks.get(task_index)?;
         let step = job.spec.steps.get(usize::from(task.name.step))?;
-        let mut cheapest: Option<(f64, &Arc<str>, f64)> = None;
+        let mut cheapest: Option<((bool, f64), &Arc<str>, f64)> = None;
         let mut min_slowdown = f64::MAX;
         for (id, slot) in &self.servers {
             if slot.entry.service != job.spec.service || !slot.is_usable(now) {
@@ -220,6 +220,7 @@
             let slowdown = self.slowdown_factor(slot, now);
             min_slowdown = min_slowdown.min(slowdown);
             let is_excluded = !slot.fits(step)
+                || !slot.accepts_task_while_cold(now)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
                 || (task.failures > 0 && slot.health.is_on_probation())
@@ -243,8 +244,9 @@
                 ),
                 settings::PlacementPolicy::FirstFit => 0.0,
             };
-            if cheapest.is_none_or(|(lowest_cost, ..)| cost < lowest_cost) {
-                cheapest = Some((cost, id, slowdown));
+            let rank = (slot.is_cold(now), cost);
+            if cheapest.is_none_or(|(lowest_rank, ..)| rank < lowest_rank) {
+                cheapest = Some((rank, id, slowdown));
             }
         }
         let (_, id, slowdown) = cheapest?;
--- a/crates/cuminkeel_dispatch/src/server_model.rs
+++ b/crates/cuminkeel_dispatch/src/server_model.rs
@@ -33,6 +33,9 @@
     pub incarnation: u64,
     /// Sequence number of the entry within the incarnation.
     pub sequence: u64,
+    /// Time for which the server was still slow after its start when it wrote the entry; zero if it was
+    /// warm or the entry does not have it.
+    pub cold_remaining: time::Duration,
 }
 
 /// Outcome of a run.
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -153,6 +153,9 @@
     /// Incarnation of the server that `processed_end_sequence`, `clock` and `runs` belong to; 0 if
     /// unknown.
     pub incarnation: u64,
+    /// Time from which the server is warm, as of the first read of its latest registry entry; `None`
+    /// before that. When an entry is read again, its remaining time has partly passed.
+    warm_at: Option<time::Duration>,
 }
 
 impl ServerSlot {
@@ -182,6 +185,7 @@
             reported_at: time::Duration::ZERO,
             may_have_inherited_runs: true,
             is_lost: false,
+            warm_at: None,
         }
     }
 
@@ -194,6 +198,47 @@
             && self.health.accepts_run(now, self.runs.len())
     }
 
+    /// Replaces the registry entry by `entry`, which was read at `now`.
+    pub fn replace_entry(&mut self, entry: server_model::ServerEntry, now: time::Duration) {
+        let warm_at = now + entry.cold_remaining;
+        let is_read_again =
+            (entry.incarnation, entry.sequence) == (self.entry.incarnation, self.entry.sequence);
+        self.warm_at = match self.warm_at {
+            Some(earlier) if is_read_again => Some(earlier.min(warm_at)),
+            _ => Some(warm_at),
+        };
+        self.entry = entry;
+    }
+
+    /// Whether the server is still slow after its start.
+    pub fn is_cold(&self, now: time::Duration) -> bool {
+        self.warm_at.is_some_and(|warm_at| now < warm_at)
+    }
+
+    /// Whether the server may start one more task beside its runs: a cold one runs one at a time.
+    ///
+    /// Load pattern: a failure domain is taken back with all of its servers cold, while its callers are at
+    /// full load. Every server would get as many tasks as fit within milliseconds, and all of them would
+    /// be slow.
+    pub fn accepts_task_while_cold(&self, now: time::Duration) -> bool {
+        self.runs.is_empty() || !self.is_cold(now)
+    }
+
+    /// Returns the free processor that a new task may use, in thousandths of a core.
+    pub fn startable_cpu_millis(&self, now: time::Duration) -> u32 {
+        if self.accepts_task_while_cold(now) {
+            self.free_cpu_millis()
+        } else {
+            0
+        }
+    }
+
+    /// Returns the number of tasks of `cpu_millis` thousandths of a core that could start now.
+    pub fn startable_tasks(&self, cpu_millis: u32, now: time::Duration) -> u32 {
+        let max_tasks = if self.is_cold(now) { 1 } else { u32::MAX };
+        (self.startable_cpu_millis(now) / cpu_millis.max(1)).min(max_tasks)
+    }
+
     /// Returns the free processor, in thousandths of a core.
     pub fn free_cpu_millis(&self) -> u32 {
         let used = self.runs.values().map(|run| u64::from(run.cpu_millis));
--- a/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
+++ b/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
@@ -35,6 +35,7 @@
         labels: SmallVec::new(),
         incarnation: 1,
         sequence: 1,
+        cold_remaining: time::Duration::ZERO,
     };
     pool.apply_registry_entry(entry, ms(1));
     pool.reconcile_claims(&BTreeSet::from([id]), leadership::ShardSet::ALL, ms(1));
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -112,6 +112,7 @@
                 labels,
                 incarnation: 1,
                 sequence: 1,
+                cold_remaining: time::Duration::ZERO,
             },
             mode: ServerMode::Healthy,
             slowdown_factor,
--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -1,6 +1,7 @@
 //! Invariants of pools and answers to their callers, with and without faults, simulated in virtual
 //! time.
 
+mod cold_servers;
 mod evacuations;
 mod fixtures;
 mod jobs;
