Refuse a copy of a job that its first coordinator offers elsewhere

Change: a pool records the id and the source of each offer that it refuses with a reason after which other pools are tried, for 80% of the time after which callers send a job again. Within that time it answers offers from other sources with CopyElsewhere. Each waiter of a job has its source; when a queued job is refused for other pools, the first waiter gets the reason and the others CopyElsewhere.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod inherited_runs;
 mod jobs;
+mod released_jobs;
 mod reports;
 mod run_ends;
 mod schedule;
@@ -64,7 +65,7 @@
 #[derive(Clone, Debug)]
 struct JobEntry {
     spec: Arc<job_model::JobSpec>,
-    waiters: SmallVec<[pool_action::WaiterId; 1]>,
+    waiters: SmallVec<[released_jobs::JobWaiter; 1]>,
     tasks: Vec<TaskEntry>,
     queue_position: job_order::QueuePosition,
     /// Nominal run time of a task, for each step.
@@ -147,6 +148,8 @@
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
     /// may still resubmit the job.
     inherited_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
+    /// Refused jobs that may be offered to other pools.
+    released_jobs: released_jobs::ReleasedJobs,
     /// Moving average of the processor demand of a task over the steps of admitted jobs, in
     /// thousandths of a core.
     typical_cpu_millis: u32,
@@ -181,6 +184,7 @@
             registry_read_at: time::Duration::ZERO,
             leading_since: None,
             inherited_ends: HashMap::new(),
+            released_jobs: released_jobs::ReleasedJobs::default(),
             typical_cpu_millis: 0,
             placement_scans: 0,
             evacuation: None,
@@ -298,6 +302,7 @@
         self.expire_inherited_runs(now);
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
+        self.released_jobs.prune(now);
         self.expire_jobs(now);
         self.schedule(now);
     }
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -4,7 +4,7 @@
 
 use smallvec::{SmallVec, smallvec};
 
-use super::{JobEntry, ServerPool, TaskEntry, TaskPhase, claims};
+use super::{JobEntry, ServerPool, TaskEntry, TaskPhase, claims, released_jobs};
 use crate::{job_model, job_order, pool_action, retry_advice, server_model, settings};
 
 /// Multiple of the response time objective after which an answer has no value to the caller.
@@ -28,7 +28,10 @@
         let id = Arc::clone(&offer.spec.id);
         let was_paused = self.step_down_after_pause(now);
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.waiters.push(waiter);
+            job.waiters.push(released_jobs::JobWaiter {
+                id: waiter,
+                source: Arc::clone(&offer.source),
+            });
             job.may_run_elsewhere |= offer.may_have_started;
             self.record_decision(
                 pool_action::DecisionKind::Attached,
@@ -43,6 +46,14 @@
             self.turn_away_outdated(offer, waiter, now);
             return;
         }
+        if self
+            .released_jobs
+            .is_with_another_source(&id, &offer.source, now)
+        {
+            let reason = job_model::RefusalReason::CopyElsewhere;
+            self.refuse(offer, waiter, reason, time::Duration::ZERO, now);
+            return;
+        }
         let job = self.new_job(offer, waiter, now);
         let has_adopted_tasks = job
             .tasks
@@ -51,9 +62,10 @@
         if !has_adopted_tasks
             && let Some((reason, wait)) = self.predicted_refusal(&job, offer.terms, now)
         {
-            self.refuse(offer, waiter, reason, wait);
+            self.refuse(offer, waiter, reason, wait, now);
             return;
         }
+        self.released_jobs.remove(&id);
         self.record_cpu_demand(&offer.spec);
         let inputs = [
             ("tasks", claims::count_input(job.tasks.len())),
@@ -88,6 +100,7 @@
         waiter: pool_action::WaiterId,
         reason: job_model::RefusalReason,
         wait: time::Duration,
+        now: time::Duration,
     ) {
         let inputs = [
             ("queued", claims::count_input(self.queue.len())),
@@ -105,6 +118,7 @@
             reason,
             retry_after: retry_advice::jittered_retry_after(&offer.spec.id, wait),
         };
+        let end = self.release_job(&offer.spec.id, &offer.source, end, now);
         self.actions
             .push(pool_action::PoolAction::AnswerWaiter { waiter, end });
     }
@@ -203,7 +217,10 @@
         let has_started = tasks.iter().any(|task| task.phase != TaskPhase::Waiting);
         JobEntry {
             spec: Arc::clone(spec),
-            waiters: smallvec![waiter],
+            waiters: smallvec![released_jobs::JobWaiter {
+                id: waiter,
+                source: Arc::clone(&offer.source),
+            }],
             tasks,
             queue_position,
             nominal_run_times,
@@ -308,7 +325,7 @@
         let Some(entry) = self.jobs.get_mut(job) else {
             return;
         };
-        entry.waiters.retain(|other| *other != waiter);
+        entry.waiters.retain(|other| other.id != waiter);
         if entry.waiters.is_empty() {
             self.end_job(
                 job,
@@ -393,10 +410,20 @@
             job_end_label(end),
             inputs,
         );
-        for waiter in &job.waiters {
+        // After a refusal, one of the coordinators may offer the job to other pools. A second one could
+        // start a copy in another pool.
+        let mut waiters = job.waiters.iter();
+        if let Some(first) = waiters.next() {
+            let end = self.release_job(id, &first.source, end.clone(), now);
+            self.actions.push(pool_action::PoolAction::AnswerWaiter {
+                waiter: first.id,
+                end,
+            });
+        }
+        for waiter in waiters {
             self.actions.push(pool_action::PoolAction::AnswerWaiter {
-                waiter: *waiter,
-                end: end.clone(),
+                waiter: waiter.id,
+                end: released_jobs::end_for_other_waiters(end),
             });
         }
     }
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -55,6 +55,9 @@
     pub stop_time: time::Duration,
     /// Longest time for which a server delays its response to a hold; two fit into a lease.
     pub hold_wait: time::Duration,
+    /// Time for which an offer of a refused job from another process is refused, as the first process may
+    /// be offering it to other pools.
+    pub release_time: time::Duration,
     /// Policies for queueing, admission and placement.
     pub policies: PoolPolicies,
 }
@@ -62,19 +65,28 @@
 /// Number of longest hold waits per lease: after one, half of the lease is left for a late or
 /// repeated renewal.
 const HOLDS_PER_LEASE: u32 = 2;
+/// Time for which a refused job may be offered by its source only, in percent of the time after which
+/// callers send a job again. By then, the jobs of a lost source have ended, and its caller is not back.
+const RELEASE_PERCENT: u32 = 80;
 /// Share of the longest lease that is requested, in percent.
 const LEASE_PERCENT: u32 = 80;
 
 impl PoolSettings {
     /// Creates settings for servers that grant leases of up to `max_lease` and stop runs within
-    /// `stop_time`, with the default policies.
-    pub fn new(max_lease: time::Duration, stop_time: time::Duration) -> Self {
+    /// `stop_time`, and for callers that send a job again `resend_delay` after a lost answer, with the
+    /// default policies.
+    pub fn new(
+        max_lease: time::Duration,
+        stop_time: time::Duration,
+        resend_delay: time::Duration,
+    ) -> Self {
         let lease = max_lease * LEASE_PERCENT / 100;
         Self {
             max_lease,
             lease,
             stop_time,
             hold_wait: lease / HOLDS_PER_LEASE,
+            release_time: resend_delay * RELEASE_PERCENT / 100,
             policies: PoolPolicies::default(),
         }
     }
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -180,8 +180,11 @@
 /// Runs the pool until the process ends.
 pub async fn run_pool(node: Arc<node_state::NodeState>, inbox: PoolInbox) {
     let PoolInbox(mut event_receiver) = inbox;
-    let pool_settings =
-        settings::PoolSettings::new(node.settings.max_lease, node.settings.stop_time);
+    let pool_settings = settings::PoolSettings::new(
+        node.settings.max_lease,
+        node.settings.stop_time,
+        node.settings.resend_delay,
+    );
     let mut driver = PoolDriver {
         pool: pool::ServerPool::new(pool_settings, rand::random()),
         claim_targets: claim_targets::ClaimTargets::new(Arc::clone(&node.hello.name)),
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -126,10 +126,12 @@
     ) -> Self {
         let pool_settings = settings::PoolSettings {
             policies,
-            // Longest lease that a server grants, and time within which a stopped run ends.
+            // Longest lease that a server grants, time within which a stopped run ends, and time after
+            // which callers send a job again.
             ..settings::PoolSettings::new(
                 time::Duration::from_secs(1),
                 time::Duration::from_millis(50),
+                time::Duration::from_millis(1_300),
             )
         };
         let mut simulation = Self {
