Start no copy on what a pool knew of servers before it lost them

Change: a task gets the run that another server reported instead of a new one. A job that another pool may have started waits until all servers have reported, or for 1.4 s from its admission on; while a server is left to another pool, it is not started. A server that left an attempt of a claim unanswered gets no run for 0.5 s, the longest wait of a hold and 0.1 s, unless it is the only one held. The flag for a lost server is no longer needed.

Cost: such a server is used again 0.5 s later; marked jobs wait for up to 1.4 s beside a server that does not respond.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -155,6 +155,7 @@
             slot.claim_state = server_slot::ClaimState::Claiming;
             slot.claim_started_at = now;
             slot.claim_attempts = 0;
+            slot.claim_unanswered = false;
             slot.processed_end_sequence = 0;
             slot.clock = None;
             slot.lease_expiry_ms = 0;
@@ -241,6 +242,7 @@
                 self.send_claim_attempt(id, now);
             }
             server_slot::ClaimState::Claiming | server_slot::ClaimState::Suspect => {
+                slot.claim_unanswered = true;
                 let backoff = CLAIM_BACKOFF_UNIT * 2_u32.saturating_pow(slot.claim_attempts.min(6));
                 slot.next_claim_at = Some(now + backoff.min(MAX_CLAIM_BACKOFF));
             }
@@ -268,9 +270,6 @@
             | server_slot::ClaimState::Held
             | server_slot::ClaimState::Suspect => {
                 self.release_server(id, now, "fenced");
-                if let Some(slot) = self.servers.get_mut(id) {
-                    slot.is_lost = true;
-                }
                 self.record_foreign_claim(now);
                 // Another pool has claimed the server and may run any job that is queued here.
                 for job in self.jobs.values_mut() {
@@ -304,7 +303,7 @@
         );
         let jobs: BTreeSet<Arc<str>> = runs.keys().map(|task| Arc::clone(&task.job)).collect();
         for task in runs.keys() {
-            self.run_servers.remove(task);
+            self.remove_run_server(id, task);
         }
         for job in jobs {
             self.abandon_job(&job, now);
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -11,6 +11,20 @@
 /// Time in which claims and a read of the registry are answered unless a server, or the store, is
 /// unresponsive: the time limits of both are shorter.
 pub(super) const TAKEOVER_TIME: time::Duration = time::Duration::from_millis(200);
+/// Added to the longest wait of a hold for the time within which a response to it arrives or its server
+/// counts as unresponsive.
+const HOLD_RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(100);
+
+/// What a pool knows of the runs on the servers of its shards.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RunKnowledge {
+    /// All servers are known, and each has reported its runs since another pool last claimed one.
+    Complete,
+    /// A server may have runs that it has not reported to this pool.
+    Incomplete,
+    /// A server is left to another pool, which may start runs there and renew their leases.
+    HeldElsewhere,
+}
 
 impl ServerPool {
     /// Sets the shards that this pool leads. Begins a takeover if it led none before, if it gains some, or
@@ -87,6 +101,19 @@
         registry_resolved && claims_resolved
     }
 
+    /// Lets server `id`, which responds again, get no runs until each hold that waits at another server has
+    /// been answered. Another pool may have claimed the other servers meanwhile and started jobs there
+    /// that are queued here, too, and this pool may have outbid its claim on server `id`.
+    pub(super) fn settle_server(&mut self, id: &Arc<str>, now: time::Duration) {
+        let holds_others = self
+            .servers
+            .iter()
+            .any(|(other, slot)| other != id && slot.claim_state == server_slot::ClaimState::Held);
+        if holds_others && let Some(slot) = self.servers.get_mut(id) {
+            slot.settles_at = now + self.settings.hold_wait + HOLD_RESPONSE_MARGIN;
+        }
+    }
+
     /// Returns the time until tasks can probably be started after a takeover: zero while the claims and
     /// the read of the registry that began it have had no time to be answered, then the time until
     /// unknown runs have expired.
@@ -99,24 +126,46 @@
         }
     }
 
+    /// Returns what is known of the runs on the registered servers of the shards that this pool leads.
+    pub(super) fn run_knowledge(&self, now: time::Duration) -> RunKnowledge {
+        let mut knows_all = self.knows_all_servers(now);
+        for (id, slot) in &self.servers {
+            if !slot.registered || !self.shards.contains_id(id) {
+                continue;
+            }
+            match slot.claim_state {
+                server_slot::ClaimState::Unclaimed => return RunKnowledge::HeldElsewhere,
+                server_slot::ClaimState::Held if slot.reported_at >= self.foreign_claim_at => {}
+                // Another pool may have claimed a server that does not respond to this one.
+                server_slot::ClaimState::Held
+                | server_slot::ClaimState::Claiming
+                | server_slot::ClaimState::Suspect => knows_all = false,
+            }
+        }
+        if knows_all {
+            RunKnowledge::Complete
+        } else {
+            RunKnowledge::Incomplete
+        }
+    }
+
     /// Returns whether a job admitted at `admitted_at` may be started although another pool may have
     /// started it. In addition to [`Self::takeover_resolved`], all registered servers have reported, also
-    /// those added later, or the runs there have expired; if another pool holds one of them, the runs that
-    /// it had at `admitted_at` have.
+    /// those added later, or the runs there have expired. While another pool holds one of them, it can
+    /// renew the leases of its runs, so the job is not started.
     pub(super) fn lost_job_resolved(
         &self,
+        knowledge: RunKnowledge,
         admitted_at: time::Duration,
         now: time::Duration,
     ) -> bool {
-        let is_any_lost = self
-            .servers
-            .iter()
-            .any(|(id, slot)| slot.registered && slot.is_lost && self.shards.contains_id(id));
-        if is_any_lost {
-            return now >= self.inherited_expiry(admitted_at);
+        match knowledge {
+            RunKnowledge::Complete => true,
+            RunKnowledge::Incomplete => {
+                now >= self.inherited_expiry(admitted_at.max(self.foreign_claim_at))
+            }
+            RunKnowledge::HeldElsewhere => false,
         }
-        now >= self.inherited_unresolved_until
-            || (self.knows_all_servers(now) && self.unreported_servers().next().is_none())
     }
 
     /// Whether the registry was read since this pool began to lead, so that servers which registered
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -131,7 +131,6 @@
             slot.lease_expiry_ms = slot.lease_expiry_ms.max(reading.clock_ms + max_lease_ms);
         }
         slot.claim_state = server_slot::ClaimState::Held;
-        slot.is_lost = false;
         let inputs = [
             ("tries", i64::from(slot.claim_attempts)),
             (
@@ -141,6 +140,7 @@
             ("running", claims::count_input(running)),
         ];
         slot.claim_attempts = 0;
+        let was_unresponsive = std::mem::take(&mut slot.claim_unanswered);
         let epoch = slot.token >> super::TOKEN_PROCESS_BITS;
         self.epoch = self.epoch.max(epoch);
         self.record_decision(
@@ -153,6 +153,9 @@
         if is_late_first_claim {
             self.record_foreign_claim(sent_at);
         }
+        if was_unresponsive {
+            self.settle_server(id, now);
+        }
     }
 
     fn apply_reported_ends(
--- a/crates/cuminkeel_dispatch/src/pool/run_ends.rs
+++ b/crates/cuminkeel_dispatch/src/pool/run_ends.rs
@@ -16,7 +16,7 @@
         end: server_model::RunEnd,
         now: time::Duration,
     ) {
-        self.run_servers.remove(task);
+        self.remove_run_server(id, task);
         let elapsed = now.saturating_sub(run.ordered_at);
         let inputs = [
             ("elapsed_ms", pool_action::whole_ms(elapsed)),
@@ -42,7 +42,7 @@
             server_model::RunEnd::Stopped
             | server_model::RunEnd::Lost
             | server_model::RunEnd::GangBroken => {
-                self.requeue(id, task, run.run_id, 0);
+                self.requeue(id, task, run.run_id, 0, now);
             }
         }
     }
@@ -126,18 +126,28 @@
                 now,
             );
         } else {
-            self.requeue(server, name, run_id, 0);
+            self.requeue(server, name, run_id, 0, now);
+        }
+    }
+
+    /// Removes the record that `server` has the run of `task`. Another server may have reported a run of
+    /// the task meanwhile, which stays recorded.
+    pub(super) fn remove_run_server(&mut self, server: &Arc<str>, task: &job_model::TaskName) {
+        if self.run_servers.get(task) == Some(server) {
+            self.run_servers.remove(task);
         }
     }
 
     /// Puts a task whose run has ended or whose start was rejected back into the queue, and skips
-    /// `skipped_run_ids` run ids.
+    /// `skipped_run_ids` run ids. If another server has reported a run of the task, which another pool
+    /// started, the task gets that run instead.
     pub(super) fn requeue(
         &mut self,
         server: &Arc<str>,
         name: &job_model::TaskName,
         run_id: u64,
         skipped_run_ids: u64,
+        now: time::Duration,
     ) {
         let Some(task) = self.placed_task(server, name, run_id) else {
             return;
@@ -147,6 +157,7 @@
         if let Some(job) = self.jobs.get(&name.job) {
             self.queue.insert(job.queue_position.clone());
         }
+        self.adopt_reported_run(name, now);
     }
 
     /// Returns the task if its present run is `run_id` on `server`. Pools that don't know of each
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -22,13 +22,18 @@
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
         }
+        // Reads all servers, so only if a job needs it.
+        let mut run_knowledge = None;
         let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
         for position in positions {
             if max_free_cpu_millis == 0 {
                 return;
             }
             let must_wait = self.jobs.get(&position.job).is_some_and(|job| {
-                job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now)
+                job.may_run_elsewhere && {
+                    let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
+                    !self.lost_job_resolved(knowledge, job.admitted_at, now)
+                }
             });
             if !must_wait && self.place_job(&position, max_free_cpu_millis, now) {
                 max_free_cpu_millis = self.max_free_cpu_millis(now);
@@ -40,7 +45,7 @@
     fn max_free_cpu_millis(&self, now: time::Duration) -> u32 {
         self.servers
             .values()
-            .filter(|slot| slot.is_usable(now))
+            .filter(|slot| slot.is_usable(now) && now >= slot.settles_at)
             .map(server_slot::ServerSlot::free_cpu_millis)
             .max()
             .unwrap_or(0)
@@ -217,7 +222,8 @@
             }
             let slowdown = self.slowdown_factor(slot, now);
             min_slowdown = min_slowdown.min(slowdown);
-            let is_excluded = !slot.fits(step)
+            let is_excluded = now < slot.settles_at
+                || !slot.fits(step)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
                 || (task.failures > 0 && slot.health.is_on_probation())
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -85,7 +85,7 @@
             server_model::StartOutcome::Malformed => "malformed",
             _ => "fenced_by_newer_claim",
         };
-        self.run_servers.remove(&order.task);
+        self.remove_run_server(&order.server, &order.task);
         let request = Some(Arc::from(order.task.to_string()));
         let server = Some(Arc::clone(&order.server));
         self.record_decision(
@@ -103,7 +103,13 @@
         if outcome == server_model::StartOutcome::Malformed {
             self.fail_task(&order.server, &order.task, order.run_id, now);
         } else {
-            self.requeue(&order.server, &order.task, order.run_id, skipped_run_ids);
+            self.requeue(
+                &order.server,
+                &order.task,
+                order.run_id,
+                skipped_run_ids,
+                now,
+            );
         }
         self.schedule(now);
     }
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -138,6 +138,10 @@
     pub claim_started_at: time::Duration,
     /// Number of attempts of the current claim.
     pub claim_attempts: u32,
+    /// Whether an attempt of the current claim got no response.
+    pub claim_unanswered: bool,
+    /// Time until which no run is started on the server, as it did not respond for a while.
+    pub settles_at: time::Duration,
     /// Time of the next attempt of the claim; `None` while an attempt is outstanding or none is
     /// needed.
     pub next_claim_at: Option<time::Duration>,
@@ -148,8 +152,6 @@
     /// Whether the server may have inherited runs that make all jobs wait: it was registered when this
     /// pool took over, or lost to another pool since, and the leases have not expired.
     pub may_have_inherited_runs: bool,
-    /// Whether another pool claimed the server from this one and has not been fenced since.
-    pub is_lost: bool,
     /// Incarnation of the server that `processed_end_sequence`, `clock` and `runs` belong to; 0 if
     /// unknown.
     pub incarnation: u64,
@@ -177,11 +179,12 @@
             health: health::ServerHealth::default(),
             claim_started_at: time::Duration::ZERO,
             claim_attempts: 0,
+            claim_unanswered: false,
+            settles_at: time::Duration::ZERO,
             next_claim_at: None,
             hold_sent_at: time::Duration::ZERO,
             reported_at: time::Duration::ZERO,
             may_have_inherited_runs: true,
-            is_lost: false,
         }
     }
 
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -386,6 +386,47 @@
     );
 }
 
+/// The next leader claims a server that the previous one could not reach, with a lower epoch than the
+/// previous leader's unanswered claims. That leader lives and takes the server back with its next claim,
+/// while the holds that wait at the other servers don't show yet that these are lost. It would start a
+/// copy on the regained server beside the run that the next leader started on another one.
+#[test]
+fn resent_job_is_not_started_on_a_regained_server_while_other_holds_wait() {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+    simulation.run_until(fixtures::ms(2_000));
+    simulation.server_mut("s1").mode = fake_server::ServerMode::Unreachable;
+    // The hold at `s2` has just begun to wait when the next leader claims both servers.
+    simulation.run_until(fixtures::ms(4_520));
+    simulation.server_mut("s1").mode = fake_server::ServerMode::Healthy;
+    simulation.lead(1);
+    simulation.run_until(fixtures::ms(4_525));
+    let blocker_run = fixtures::ms(50);
+    let blocker = fixtures::offer("blocker", 2, blocker_run);
+    submit(&mut simulation, 1, &blocker, blocker_run);
+    let job = fixtures::offer("job", 1, fixtures::LONG_RUN);
+    submit(&mut simulation, 1, &job, fixtures::LONG_RUN);
+    let mut regained_at = None;
+    for step in 0..400 {
+        simulation.run_until(fixtures::ms(4_530 + step));
+        if regained_at.is_none()
+            && simulation.pools[0].claim_state("s1") == Some(server_slot::ClaimState::Held)
+        {
+            regained_at = Some(simulation.now());
+            submit(&mut simulation, 0, &job, fixtures::LONG_RUN);
+        }
+    }
+    assert!(
+        regained_at.is_some(),
+        "the previous leader should regain s1"
+    );
+    simulation.run_until(fixtures::ms(8_000));
+    assert!(
+        !has_overlapping_runs(&simulation),
+        "{regained_at:?}: {:?}",
+        simulation.violations
+    );
+}
+
 /// Runs a random schedule of two pools and four servers: jobs, second copies from callers and from
 /// coordinators whose pool was lost, changes of the leader, pauses and unreachable servers. A caller
 /// sends a job again 300 ms after the first copy at the earliest; the leader at that time gets it.
@@ -480,6 +521,29 @@
     has_overlapping_runs(&simulation)
 }
 
+/// Random schedules in which tasks ran twice. In 1230, a task whose run was lost was started again although
+/// another server had reported a run of it. In 3324, a job of a lost pool was started while a server that
+/// did not respond belonged to another pool. In the others, a pool started a job on a server that it had
+/// just regained, before it learnt that it had lost the others.
+#[test]
+fn schedules_that_had_overlapping_runs_have_none() {
+    let failed_schedules: Vec<(u64, bool)> = [
+        (1230, false),
+        (3324, false),
+        (4566, false),
+        (1156, true),
+        (2059, true),
+        (2091, true),
+        (4988, true),
+    ]
+    .into_iter()
+    .filter(|(seed, with_caller_copies)| {
+        random_schedule_has_overlapping_runs(*seed, *with_caller_copies)
+    })
+    .collect();
+    assert_eq!(failed_schedules, []);
+}
+
 /// Two pools take over from each other, are paused and lose contact with servers, in random order,
 /// while callers and coordinators send jobs again.
 #[test]
