--- a/crates/cuminkeel_dispatch/src/pool/evacuated.rs
+++ b/crates/cuminkeel_dispatch/src/pool/evacuated.rs
@@ -133,7 +133,9 @@
     fn review_evacuated(&self, job: &JobEntry, now: time::Duration) -> EvacuatedJob {
         match () {
             () if !has_waiting_task(job) => EvacuatedJob::Placed,
-            () if job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now) => {
+            () if job.may_run_elsewhere
+                && !self.lost_job_resolved(self.run_knowledge(now), job.admitted_at, now) =>
+            {
                 EvacuatedJob::Kept
             }
             () if !job.has_started && !job.may_run_elsewhere => EvacuatedJob::Moved,
@@ -142,25 +144,14 @@
         }
     }
 
-    /// Refuses a job of which nothing has started. Only the first waiter may offer it to other pools: if
-    /// all did, copies of the job could run in several of them.
+    /// Refuses a job of which nothing has started, so that its coordinator offers it to other pools.
     fn move_job(&mut self, id: &Arc<str>, now: time::Duration) {
         self.record_evacuated_job(id, "moved", now);
-        let retry_after = retry_advice::jittered_retry_after(id, time::Duration::ZERO);
-        let refused = |reason| job_model::JobEnd::Refused {
-            reason,
-            retry_after,
+        let end = job_model::JobEnd::Refused {
+            reason: job_model::RefusalReason::Evacuated,
+            retry_after: retry_advice::jittered_retry_after(id, time::Duration::ZERO),
         };
-        if let Some(job) = self.jobs.get_mut(id) {
-            let first_count = job.waiters.len().min(1);
-            for waiter in job.waiters.drain(first_count..) {
-                self.actions.push(pool_action::PoolAction::AnswerWaiter {
-                    waiter,
-                    end: refused(job_model::RefusalReason::CopyElsewhere),
-                });
-            }
-        }
-        self.end_job(id, &refused(job_model::RefusalReason::Evacuated), now);
+        self.end_job(id, &end, now);
     }
 
     /// Records that a job fails because the evacuation keeps its waiting tasks from starting, if it does.
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -23,14 +23,19 @@
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
         }
+        // Reads all servers, so only if a job needs it.
+        let mut run_knowledge = None;
         let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
         for position in positions {
             if max_free_cpu_millis == 0 {
                 return;
             }
             let must_wait = self.jobs.get(&position.job).is_some_and(|job| {
-                (job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now))
-                    || !self.may_start_tasks(job, now)
+                let waits_for_reports = job.may_run_elsewhere && {
+                    let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
+                    !self.lost_job_resolved(knowledge, job.admitted_at, now)
+                };
+                waits_for_reports || !self.may_start_tasks(job, now)
             });
             if !must_wait && self.place_job(&position, max_free_cpu_millis, now) {
                 max_free_cpu_millis = self.max_free_cpu_millis(now);
@@ -42,7 +47,7 @@
     fn max_free_cpu_millis(&self, now: time::Duration) -> u32 {
         self.servers
             .values()
-            .filter(|slot| slot.is_usable(now))
+            .filter(|slot| slot.is_usable(now) && now >= slot.settles_at)
             .map(|slot| slot.startable_cpu_millis(now))
             .max()
             .unwrap_or(0)
@@ -219,7 +224,8 @@
             }
             let slowdown = self.slowdown_factor(slot, now);
             min_slowdown = min_slowdown.min(slowdown);
-            let is_excluded = !slot.fits(step)
+            let is_excluded = now < slot.settles_at
+                || !slot.fits(step)
                 || !slot.accepts_task_while_cold(now)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -189,7 +189,11 @@
     let PoolInbox(mut event_receiver) = inbox;
     let pool_settings = settings::PoolSettings {
         evacuation_bound: node.settings.evacuation_bound,
-        ..settings::PoolSettings::new(node.settings.max_lease, node.settings.stop_time)
+        ..settings::PoolSettings::new(
+            node.settings.max_lease,
+            node.settings.stop_time,
+            node.settings.resend_delay,
+        )
     };
     let mut driver = PoolDriver {
         pool: pool::ServerPool::new(pool_settings, rand::random()),
--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -2,6 +2,7 @@
 //! time.
 
 mod cold_servers;
+mod copies;
 mod evacuations;
 mod fixtures;
 mod jobs;
