Add load patterns with a shortage, and counts of how jobs end

Cause: the patterns of `bench worst-load` leave enough processor for all jobs, so they show neither jobs that are held to their end without a start nor what a shortage costs.

A pattern has its servers, and a fake server draws long runs by task and run id. `bench worst-load` prints how the jobs of each pattern ended with the default policies.

--- a/crates/cuminkeel/src/commands/bench.rs
+++ b/crates/cuminkeel/src/commands/bench.rs
@@ -1,6 +1,6 @@
 //! `cuminkeel bench`: simulates load patterns in virtual time, without processes or sockets.
 
-use std::process;
+use std::{process, time};
 
 use argh::FromArgs;
 use cuminkeel_replay::replay_report;
@@ -22,16 +22,22 @@
 }
 
 pub(crate) fn run(command: &BenchCommand) -> Result<process::ExitCode, error::CommandError> {
-    let specs = replay_report::worst_pattern_specs(command.seed);
+    let patterns = replay_report::draw_all(
+        &replay_report::worst_pattern_specs(command.seed),
+        &replay_report::shortage_specs(command.seed),
+    );
     let selected: Vec<_> = match &*command.pattern {
         "list" => {
-            for spec in specs {
-                println!("{}", spec.name);
+            for pattern in patterns {
+                println!("{}", pattern.name);
             }
             return Ok(process::ExitCode::SUCCESS);
         }
-        "worst-load" => specs,
-        name => specs.into_iter().filter(|spec| spec.name == name).collect(),
+        "worst-load" => patterns,
+        name => patterns
+            .into_iter()
+            .filter(|pattern| pattern.name == name)
+            .collect(),
     };
     if selected.is_empty() {
         return Err(error::CommandError::UnknownPattern {
@@ -43,12 +49,33 @@
         print!("  {name:>13}");
     }
     println!("  {:>13}", "bound");
-    for row in replay_report::compare(&selected) {
+    let rows = replay_report::compare(&selected);
+    for row in &rows {
         print!("{:20}", row.pattern);
         for worth_share in &row.worth_shares {
             print!("  {worth_share:>13.3}");
         }
         println!("  {:>13.3}", row.bound);
     }
+    println!();
+    println!(
+        "{:20}  {:>8}  {:>8}  {:>8}  {:>8}  {:>8}  {:>8}  {:>8}",
+        "jobs (cuminkeel)", "in time", "late", "refused", "of them*", "held", "held s", "given up"
+    );
+    for row in &rows {
+        let counts = &row.end_counts;
+        println!(
+            "{:20}  {:>8}  {:>8}  {:>8}  {:>8}  {:>8}  {:>8.1}  {:>8}",
+            row.pattern,
+            counts.in_time,
+            counts.late,
+            counts.refused,
+            counts.refused_with_room,
+            counts.held,
+            time::Duration::from_millis(counts.held_ms).as_secs_f64(),
+            counts.given_up
+        );
+    }
+    println!("* while healthy servers had room for all of their tasks");
     Ok(process::ExitCode::SUCCESS)
 }
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -1,11 +1,19 @@
 //! A backend server that follows the platform's rules for orders, leases and fencing tokens,
 //! without a socket.
 
-use std::{collections::BTreeMap, sync::Arc, time};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time,
+};
 
 use cuminkeel_dispatch::{job_model, server_model};
 use smallvec::{SmallVec, smallvec};
 
+/// Factor on the run time of long runs, as the first of the two customers with a shortage has it.
+pub const LONG_RUN_FACTOR: f64 = 7.0;
+
 /// Behaviour of a server: healthy or with one kind of fault. `Slow`, `Hanging` and `Failing` apply
 /// to runs that start in this mode; a run in progress keeps its end when the mode changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -78,6 +86,8 @@
     pub mode: ServerMode,
     /// Run time as a multiple of the nominal run time.
     pub slowdown_factor: f64,
+    /// Share of the runs that take [`LONG_RUN_FACTOR`] times as long, drawn by task and run id.
+    pub long_run_share: f64,
     /// Runs in progress, by task.
     pub runs: BTreeMap<job_model::TaskName, FakeRun>,
     /// Highest fencing token that an order had.
@@ -115,6 +125,7 @@
             },
             mode: ServerMode::Healthy,
             slowdown_factor,
+            long_run_share: 0.0,
             runs: BTreeMap::new(),
             highest_token: 0,
             lease_expiry_ms: 0,
@@ -242,6 +253,11 @@
             | ServerMode::DelayedStarts(_)
             | ServerMode::StartAnswersLost => (self.slowdown_factor, profile.always_fails),
         };
+        let slowdown_factor = if self.is_long_run(order) {
+            slowdown_factor * LONG_RUN_FACTOR
+        } else {
+            slowdown_factor
+        };
         self.runs.insert(
             order.task.clone(),
             FakeRun {
@@ -256,6 +272,13 @@
         server_model::StartOutcome::Started { clock_ms }
     }
 
+    fn is_long_run(&self, order: &server_model::StartOrder) -> bool {
+        let mut hasher = DefaultHasher::new();
+        (&order.task, order.run_id).hash(&mut hasher);
+        let draw = f64::from(u32::try_from(hasher.finish() >> 32).unwrap_or(u32::MAX));
+        draw < self.long_run_share * f64::from(u32::MAX)
+    }
+
     /// Carries out a stop order; ignores it if its fencing token is too low or if it names
     /// another run.
     pub fn stop(&mut self, order: &server_model::StopOrder, now: time::Duration) {
--- a/crates/cuminkeel_replay/src/load_bound.rs
+++ b/crates/cuminkeel_replay/src/load_bound.rs
@@ -103,7 +103,7 @@
 
 /// Returns the work on successful runs that all servers together can do in each slot.
 fn slot_capacity(pattern: &load_pattern::LoadPattern, horizon: usize) -> Vec<f64> {
-    let servers = load_pattern::domain_servers();
+    let servers = &pattern.servers;
     let mut modes: BTreeMap<usize, fake_server::ServerMode> = BTreeMap::new();
     let mut mode_changes = pattern.mode_changes.iter().peekable();
     (0..horizon)
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -1,6 +1,6 @@
 //! Load patterns drawn from a seed: arrivals of jobs and faults of servers.
 
-use std::{sync::Arc, time};
+use std::{ops, sync::Arc, time};
 
 use cuminkeel_dispatch::job_model;
 use rand::{RngExt, SeedableRng, rngs};
@@ -93,6 +93,8 @@
     pub arrivals: Vec<JobArrival>,
     /// Changes of servers' modes in order of time.
     pub mode_changes: Vec<ServerModeChange>,
+    /// Servers of the failure domain.
+    pub servers: Vec<fake_server::FakeServer>,
 }
 
 /// Parameters from which a pattern is drawn.
@@ -195,9 +197,63 @@
         name: spec.name,
         arrivals,
         mode_changes,
+        servers: domain_servers(),
     }
 }
 
+/// Parameters of a shortage, which lasts for the whole pattern. They change the pattern of `base`,
+/// which has no faults of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct ShortageSpec {
+    /// Arrivals and their seed.
+    pub base: PatternSpec,
+    /// Number of servers that are unreachable.
+    pub lost_servers: usize,
+    /// Whether tasks use [`WIDE_TASK_CPU_MILLIS`] and servers have four times the usual processor.
+    pub wide_tasks: bool,
+    /// Share of the runs that take [`LONG_RUN_FACTOR`](fake_server::LONG_RUN_FACTOR) times as long.
+    pub long_run_share: f64,
+    /// Divisor of the callers' estimates.
+    pub estimate_divisor: u32,
+}
+
+/// Range of the processor of wide tasks, in thousandths of a core. One to three fit on a server.
+pub const WIDE_TASK_CPU_MILLIS: ops::RangeInclusive<u32> = 26_000..=38_000;
+/// Factor on the processor of the servers of [`domain_servers`] when tasks are wide: 64 and 96 cores.
+const WIDE_SERVER_FACTOR: u32 = 4;
+
+/// Draws a pattern with a shortage; the same `spec` gives the same pattern each time.
+pub fn draw_shortage(spec: &ShortageSpec) -> LoadPattern {
+    let mut pattern = draw(&spec.base);
+    let mut rng = rngs::StdRng::seed_from_u64(spec.base.seed);
+    for arrival in &mut pattern.arrivals {
+        let mut job_spec = (*arrival.offer.spec).clone();
+        let wide_cpu_millis = rng.random_range(WIDE_TASK_CPU_MILLIS);
+        for step in &mut job_spec.steps {
+            step.estimate_ms = (step.estimate_ms / spec.estimate_divisor).max(1);
+            if spec.wide_tasks {
+                step.cpu_millis = wide_cpu_millis;
+                arrival.task_profile.cpu_millis = wide_cpu_millis;
+            }
+        }
+        arrival.offer.spec = Arc::new(job_spec);
+    }
+    for server in &mut pattern.servers {
+        server.long_run_share = spec.long_run_share;
+        if spec.wide_tasks {
+            server.entry.cpu_millis *= WIDE_SERVER_FACTOR;
+        }
+    }
+    pattern
+        .mode_changes
+        .extend((0..spec.lost_servers).map(|number| ServerModeChange {
+            at: time::Duration::ZERO,
+            server: number * 5 % 16,
+            mode: fake_server::ServerMode::Unreachable,
+        }));
+    pattern
+}
+
 fn draw_job(
     rng: &mut rngs::StdRng,
     number: usize,
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -112,6 +112,8 @@
     pub violations: Vec<InvariantViolation>,
     /// Decisions of all pools, in order of time.
     pub decisions: Vec<(time::Duration, pool_action::DecisionRecord)>,
+    /// Jobs refused while healthy servers had room for all of their tasks, in order of time.
+    pub refused_with_room: Vec<Arc<str>>,
     /// Servers lost to another pool's claim, with the index of the pool that lost them.
     pub lost_servers: Vec<(usize, Arc<str>)>,
 }
@@ -152,6 +154,7 @@
             answers: Vec::new(),
             violations: Vec::new(),
             decisions: Vec::new(),
+            refused_with_room: Vec::new(),
             lost_servers: Vec::new(),
         };
         for pool_index in 0..pool_count {
@@ -224,7 +227,31 @@
         let waiter = pool_action::WaiterId(self.last_sequence);
         self.waiters.insert(waiter, Arc::clone(&offer.spec.id));
         self.pools[pool_index].submit(offer, waiter, self.now);
+        let had_room = self.free_task_count(profile.cpu_millis) >= offer.spec.task_count();
+        let answers_before = self.answers.len();
         self.execute_actions(pool_index);
+        let is_refused = self.answers[answers_before..].iter().any(|answer| {
+            answer.job == offer.spec.id && matches!(answer.end, job_model::JobEnd::Refused { .. })
+        });
+        if had_room && is_refused {
+            self.refused_with_room.push(Arc::clone(&offer.spec.id));
+        }
+    }
+
+    /// Returns how many tasks that use `cpu_millis` each the free processor of healthy servers has room
+    /// for.
+    fn free_task_count(&self, cpu_millis: u32) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.mode == fake_server::ServerMode::Healthy)
+            .map(|server| {
+                server
+                    .entry
+                    .cpu_millis
+                    .saturating_sub(server.used_cpu_millis())
+            })
+            .map(|free_millis| usize::try_from(free_millis / cpu_millis.max(1)).unwrap_or(0))
+            .sum()
     }
 
     /// Withdraws `job` from a pool: none of its callers waits for an answer any more.
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -12,6 +12,8 @@
 const LATE_OBJECTIVE_MULTIPLE: u32 = 3;
 /// Virtual time before the first arrival, in which the pool claims all servers.
 const WARM_UP_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time after which a refused caller counts as held: it was not told at once.
+pub const HELD_AFTER: time::Duration = time::Duration::from_millis(50);
 /// Time after the end of a pattern, in which the remaining jobs end.
 const COOL_DOWN_TIME: time::Duration = time::Duration::from_secs(5);
 
@@ -100,6 +102,59 @@
     ]
 }
 
+/// Returns the specs of the shortages, modelled on the days of the two customers with hard load:
+/// shared overload of 2.2 times with an eighth of the servers gone; wide tasks; these with a long tail
+/// of run times; and estimates that are five times too short.
+pub fn shortage_specs(seed: u64) -> [load_pattern::ShortageSpec; 4] {
+    let overload = |name, load_factor: f64| load_pattern::PatternSpec {
+        name,
+        seed,
+        jobs_per_s: 47.0 * load_factor,
+        burst: None,
+        faulty_servers: None,
+        always_failing_share: 0.0,
+    };
+    let shared_overload = load_pattern::ShortageSpec {
+        base: overload("shared overload", 2.2),
+        lost_servers: 2,
+        wide_tasks: false,
+        long_run_share: 0.0,
+        estimate_divisor: 1,
+    };
+    [
+        shared_overload,
+        load_pattern::ShortageSpec {
+            base: overload("wide tasks", 1.5),
+            lost_servers: 0,
+            wide_tasks: true,
+            ..shared_overload
+        },
+        load_pattern::ShortageSpec {
+            base: overload("long tail", 2.2),
+            wide_tasks: true,
+            long_run_share: 0.03,
+            ..shared_overload
+        },
+        load_pattern::ShortageSpec {
+            base: overload("short estimates", 1.5),
+            lost_servers: 0,
+            estimate_divisor: 5,
+            ..shared_overload
+        },
+    ]
+}
+
+/// Draws the patterns of `specs` and `shortages`, in this order.
+pub fn draw_all(
+    specs: &[load_pattern::PatternSpec],
+    shortages: &[load_pattern::ShortageSpec],
+) -> Vec<load_pattern::LoadPattern> {
+    let drawn = specs.iter().map(load_pattern::draw);
+    drawn
+        .chain(shortages.iter().map(load_pattern::draw_shortage))
+        .collect()
+}
+
 /// Worth earned under one pattern by all compared policies.
 #[derive(Clone, Debug)]
 pub struct PatternRow {
@@ -109,22 +164,46 @@
     pub worth_shares: Vec<f64>,
     /// Upper bound on the share of the worth that any policies can earn.
     pub bound: f64,
+    /// Ends of the jobs with the default policies.
+    pub end_counts: EndCounts,
 }
 
-/// Draws the pattern of each of `specs` and replays it with all compared policies.
-pub fn compare(specs: &[load_pattern::PatternSpec]) -> Vec<PatternRow> {
-    specs
+/// Numbers of jobs by how they ended.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndCounts {
+    /// Answered within their objective.
+    pub in_time: usize,
+    /// Answered after their objective.
+    pub late: usize,
+    /// Refused on arrival, or within [`HELD_AFTER`] of it.
+    pub refused: usize,
+    /// Refused on arrival while healthy servers had room for all of their tasks.
+    pub refused_with_room: usize,
+    /// Admitted, and refused later than [`HELD_AFTER`] without a start.
+    pub held: usize,
+    /// Sum of the times for which the held jobs waited, in ms.
+    pub held_ms: u64,
+    /// Started and not completed.
+    pub given_up: usize,
+}
+
+/// Replays each of `patterns` with all compared policies.
+pub fn compare(patterns: &[load_pattern::LoadPattern]) -> Vec<PatternRow> {
+    patterns
         .iter()
-        .map(|spec| {
-            let pattern = load_pattern::draw(spec);
+        .map(|pattern| {
             let reports: Vec<ReplayReport> = compared_policies()
                 .into_iter()
-                .map(|(_, policies)| replay(&pattern, policies))
+                .map(|(_, policies)| replay(pattern, policies))
                 .collect();
             PatternRow {
-                pattern: spec.name,
+                pattern: pattern.name,
                 worth_shares: reports.iter().map(|report| report.worth_share).collect(),
-                bound: worth_bound(&pattern),
+                bound: worth_bound(pattern),
+                end_counts: reports
+                    .first()
+                    .map(|report| report.end_counts)
+                    .unwrap_or_default(),
             }
         })
         .collect()
@@ -152,6 +231,8 @@
     pub class_worth_shares: [f64; 3],
     /// Refused jobs as a share of all jobs, including those without an answer.
     pub refused_share: f64,
+    /// Numbers of jobs by how they ended.
+    pub end_counts: EndCounts,
     /// Invariant violations in the replay.
     pub violations: Vec<pool_simulation::InvariantViolation>,
 }
@@ -199,7 +280,7 @@
     pattern: &load_pattern::LoadPattern,
     policies: settings::PoolPolicies,
 ) -> pool_simulation::PoolSimulation {
-    let servers = load_pattern::domain_servers();
+    let servers = pattern.servers.clone();
     let server_ids: Vec<_> = servers
         .iter()
         .map(|server| server.entry.id.clone())
@@ -233,6 +314,10 @@
     let mut offered = [0.0; 3];
     let mut earned = [0.0; 3];
     let mut refused_count = 0_usize;
+    let mut end_counts = EndCounts {
+        refused_with_room: simulation.refused_with_room.len(),
+        ..EndCounts::default()
+    };
     for arrival in &pattern.arrivals {
         let Some(answer) = answers_by_job.get(&*arrival.offer.spec.id) else {
             continue;
@@ -242,6 +327,19 @@
         if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
             refused_count += 1;
         }
+        let response_time = answer.at.saturating_sub(warm_up_time + arrival.at);
+        let nominal_run_time = arrival.task_profile.nominal_run_time;
+        let is_late = response_time > arrival.offer.spec.objective(nominal_run_time);
+        match &answer.end {
+            job_model::JobEnd::Completed if is_late => end_counts.late += 1,
+            job_model::JobEnd::Completed => end_counts.in_time += 1,
+            job_model::JobEnd::Refused { .. } if response_time > HELD_AFTER => {
+                end_counts.held += 1;
+                end_counts.held_ms += u64::try_from(response_time.as_millis()).unwrap_or(u64::MAX);
+            }
+            job_model::JobEnd::Refused { .. } => end_counts.refused += 1,
+            _ => end_counts.given_up += 1,
+        }
     }
     let total_offered: f64 = offered.iter().sum();
     ReplayReport {
@@ -250,6 +348,7 @@
             earned[class] / offered[class].max(f64::MIN_POSITIVE)
         }),
         refused_share: refused_count as f64 / pattern.arrivals.len().max(1) as f64,
+        end_counts,
         violations: simulation.violations.clone(),
     }
 }
