--- a/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
+++ b/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
@@ -19,7 +19,7 @@
 ) -> pool::ServerPool {
     let pool_settings = settings::PoolSettings {
         evacuation_bound,
-        ..settings::PoolSettings::new(ms(1_000), ms(50))
+        ..settings::PoolSettings::new(ms(1_000), ms(50), ms(1_300))
     };
     let mut pool = pool::ServerPool::new(pool_settings, 1);
     let id: Arc<str> = Arc::from("s1");
