--- a/crates/cuminkeel/src/load_test/local_deployment.rs
+++ b/crates/cuminkeel/src/load_test/local_deployment.rs
@@ -1,6 +1,6 @@
 //! Deployment on loopback for load tests: processes, a store and backend servers.
 
-use std::{fs, io::Write, path, sync::Arc, time};
+use std::{collections::BTreeMap, fs, io::Write, path, sync::Arc, time};
 
 use cuminkeel_node::{embedded_process, process_log};
 use cuminkeel_replay::{fake_server, load_pattern};
@@ -210,5 +210,7 @@
         stop_time: time::Duration::from_millis(50),
         stop_grace: time::Duration::from_secs(3),
         config_apply: time::Duration::from_secs(2),
+        regions: BTreeMap::new(),
+        evacuation_bound: None,
     }
 }
--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -6,15 +6,18 @@
 //! monotonic clock.
 
 pub mod capacity_forecast;
+pub mod evacuation;
 pub mod health;
 pub mod job_model;
 pub mod job_order;
 pub mod leadership;
 pub mod link_plan;
 pub mod message_delay;
+pub mod offer_plan;
 pub mod overdue_run;
 pub mod pool;
 pub mod pool_action;
+pub mod pool_room;
 pub mod retry_advice;
 pub mod run_time_model;
 pub mod server_model;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -5,8 +5,10 @@
 
 mod admission;
 mod claims;
+mod evacuated;
 mod inherited_runs;
 mod jobs;
+mod released_jobs;
 mod reports;
 mod run_ends;
 mod schedule;
@@ -21,7 +23,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    health, job_model, job_order, leadership, pool_action, run_time_model, server_model,
+    health, job_model, job_order, leadership, pool_action, pool_room, run_time_model, server_model,
     server_slot, settings,
 };
 
@@ -64,7 +66,7 @@
 #[derive(Clone, Debug)]
 struct JobEntry {
     spec: Arc<job_model::JobSpec>,
-    waiters: SmallVec<[pool_action::WaiterId; 1]>,
+    waiters: SmallVec<[released_jobs::JobWaiter; 1]>,
     tasks: Vec<TaskEntry>,
     queue_position: job_order::QueuePosition,
     /// Nominal run time of a task, for each step.
@@ -87,12 +89,22 @@
     may_run_elsewhere: bool,
 }
 
+/// Time since which the failure domain of a pool has been evacuated, as far as its process knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EvacuationStart {
+    /// The process learnt of the evacuation at this time, soon after the operator's request.
+    LearntAt(time::Duration),
+    /// The evacuation was in force when the process first read the log, so it may be of any age.
+    Unknown,
+}
+
 /// Load of a pool, as reported to other processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolLoad {
     /// Number of servers that this pool holds.
     pub held_servers: u32,
-    /// Free processor capacity of usable servers, in thousandths of a core.
+    /// Free processor capacity of usable servers, in thousandths of a core; 0 while the failure domain
+    /// is evacuated.
     pub free_cpu_millis: u32,
     /// Total processor capacity of usable servers, in thousandths of a core.
     pub total_cpu_millis: u32,
@@ -138,11 +150,15 @@
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
     /// may still resubmit the job.
     inherited_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
+    /// Refused jobs that may be offered to other pools.
+    released_jobs: released_jobs::ReleasedJobs,
     /// Moving average of the processor demand of a task over the steps of admitted jobs, in
     /// thousandths of a core.
     typical_cpu_millis: u32,
     /// Number of scans of all servers for the placement of a task.
     placement_scans: u64,
+    /// Start of the evacuation of the pool's failure domain, or `None` if it isn't evacuated.
+    evacuation: Option<EvacuationStart>,
     /// Time of the last call that checked for a pause.
     last_active_at: time::Duration,
     actions: Vec<pool_action::PoolAction>,
@@ -170,8 +186,10 @@
             registry_read_at: time::Duration::ZERO,
             leading_since: None,
             inherited_ends: HashMap::new(),
+            released_jobs: released_jobs::ReleasedJobs::default(),
             typical_cpu_millis: 0,
             placement_scans: 0,
+            evacuation: None,
             last_active_at: time::Duration::ZERO,
             actions: Vec::new(),
         }
@@ -210,14 +228,30 @@
                 load.held_servers += 1;
             }
             if slot.is_usable(now) {
-                load.free_cpu_millis += slot.free_cpu_millis();
+                load.free_cpu_millis += slot.startable_cpu_millis(now);
                 load.total_cpu_millis += slot.entry.cpu_millis;
             }
         }
+        if self.evacuation.is_some() {
+            load.free_cpu_millis = 0;
+        }
         load.queued_jobs = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         load
     }
 
+    /// Returns what the pool could start at `now`.
+    pub fn room(&self, now: time::Duration) -> pool_room::PoolRoom {
+        if self.evacuation.is_some() {
+            return pool_room::PoolRoom::default();
+        }
+        let servers = self
+            .servers
+            .values()
+            .filter(|slot| slot.is_usable(now))
+            .map(|slot| (slot.startable_cpu_millis(now), slot.entry.cpu_millis));
+        pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
+    }
+
     /// Returns the number of jobs of `route` of which no task has started.
     pub fn pending_job_count(&self, route: &str) -> usize {
         self.jobs
@@ -267,6 +301,7 @@
         self.expire_inherited_runs(now);
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
+        self.released_jobs.prune(now);
         self.expire_jobs(now);
         self.schedule(now);
     }
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -110,7 +110,7 @@
     /// Returns the refusal of a job offered while runs of previous leaders may be unknown. A copy of
     /// the job may run here, so the reason is one after which no other pool is tried. A job that
     /// another pool may have started is admitted if any server could run it, as its runs may be found.
-    fn refusal_during_takeover(
+    pub(super) fn refusal_during_takeover(
         &self,
         job: &JobEntry,
         now: time::Duration,
@@ -165,7 +165,7 @@
                 continue;
             }
             min_slowdown = min_slowdown.min(slowdown);
-            for _ in 0..slot.free_cpu_millis() / max_task_cpu_millis {
+            for _ in 0..slot.startable_tasks(max_task_cpu_millis, now) {
                 forecast.add_capacity(time::Duration::ZERO);
             }
             for run in slot.runs.values().filter(|run| run.has_job) {
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -5,14 +5,14 @@
     time,
 };
 
-use cuminkeel_dispatch::pool_action;
+use cuminkeel_dispatch::{offer_plan, pool_action};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter, family, gauge, histogram},
     registry,
 };
 
-use crate::{coordinator, link_frame};
+use crate::link_frame;
 
 /// Upper bounds of the buckets for response times, in seconds: from one network hop to
 /// twice the default time to a caller's deadline.
@@ -59,6 +59,7 @@
     free_cpu_millis: gauge::Gauge,
     queued_jobs: gauge::Gauge,
     config_version: gauge::Gauge,
+    evacuated_domains: gauge::Gauge,
 }
 
 impl StateGauges {
@@ -94,6 +95,11 @@
                 "Version of the configuration in force",
                 &self.config_version,
             ),
+            (
+                "evacuated_domains",
+                "Failure domains that are evacuated, as far as this process knows",
+                &self.evacuated_domains,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -172,13 +178,13 @@
     pub fn count_answer(
         &self,
         route: &Arc<str>,
-        answer: &coordinator::JobAnswer,
+        answer: &offer_plan::JobAnswer,
         elapsed: time::Duration,
     ) {
         let outcome = match answer {
-            coordinator::JobAnswer::Completed => "completed",
-            coordinator::JobAnswer::Failed(_) => "failed",
-            coordinator::JobAnswer::Refused { .. } => "refused",
+            offer_plan::JobAnswer::Completed => "completed",
+            offer_plan::JobAnswer::CopyElsewhere | offer_plan::JobAnswer::Failed(_) => "failed",
+            offer_plan::JobAnswer::Refused { .. } => "refused",
         };
         let labels = AnswerLabels {
             route: String::from(&**route),
@@ -242,6 +248,13 @@
             .set(to_gauge_value(version));
     }
 
+    /// Sets the gauge for the evacuated failure domains.
+    pub fn set_evacuation_gauge(&self, domains: usize) {
+        self.state_gauges
+            .evacuated_domains
+            .set(to_gauge_value(domains));
+    }
+
     /// Counts a connection of a caller as open until the returned guard is dropped.
     pub fn track_connection(&self) -> ConnectionGuard {
         self.caller_connections.inc();
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -61,6 +61,8 @@
     },
     /// Epoch of the fencing tokens of a peer.
     PeerEpoch(u64),
+    /// Start of the evacuation of the local failure domain, or `None` after its end.
+    Evacuation(Option<pool::EvacuationStart>),
 }
 
 /// Handle by which other tasks reach the pool of this process.
@@ -160,6 +162,11 @@
         }
     }
 
+    /// Tells the pool since when the local failure domain is evacuated, or `None` that it isn't.
+    pub fn set_evacuation(&self, start: Option<pool::EvacuationStart>) {
+        self.send(PoolEvent::Evacuation(start));
+    }
+
     fn send(&self, event: PoolEvent) {
         // Sending fails only while the process ends, as the pool runs until then.
         let _closed = self.event_sender.send(event);
@@ -180,8 +187,14 @@
 /// Runs the pool until the process ends.
 pub async fn run_pool(node: Arc<node_state::NodeState>, inbox: PoolInbox) {
     let PoolInbox(mut event_receiver) = inbox;
-    let pool_settings =
-        settings::PoolSettings::new(node.settings.max_lease, node.settings.stop_time);
+    let pool_settings = settings::PoolSettings {
+        evacuation_bound: node.settings.evacuation_bound,
+        ..settings::PoolSettings::new(
+            node.settings.max_lease,
+            node.settings.stop_time,
+            node.settings.resend_delay,
+        )
+    };
     let mut driver = PoolDriver {
         pool: pool::ServerPool::new(pool_settings, rand::random()),
         claim_targets: claim_targets::ClaimTargets::new(Arc::clone(&node.hello.name)),
@@ -281,6 +294,7 @@
                 let _dropped = reply.send(self.pool.pending_job_count(&route));
             }
             PoolEvent::PeerEpoch(epoch) => self.pool.observe_epoch(epoch),
+            PoolEvent::Evacuation(start) => self.pool.set_evacuation(start, now),
         }
     }
 
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -124,7 +124,8 @@
     }
 }
 
-fn hello(name: &str, address: &str) -> link_frame::PeerHello {
+/// Returns the hello of a process of the domain `north`.
+pub fn hello(name: &str, address: &str) -> link_frame::PeerHello {
     link_frame::PeerHello {
         name: Arc::from(name),
         failure_domain: Arc::from("north"),
@@ -220,6 +221,7 @@
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
+        source: Arc::from("north-1"),
     });
     let end = job
         .wait_for_end()
@@ -268,7 +270,8 @@
         self.send(&[send_time, submission(offer)]).await;
     }
 
-    async fn send(&mut self, frames: &[link_frame::LinkFrame]) {
+    /// Sends frames as they are.
+    pub async fn send(&mut self, frames: &[link_frame::LinkFrame]) {
         link_frame::write_frames(&mut self.stream, frames)
             .await
             .expect("frames should be sent");
@@ -284,6 +287,26 @@
         self.read_end().await
     }
 
+    /// Reads frames until `select` returns a value for one; panics after `TEST_TIMEOUT`.
+    pub async fn read_until<T>(
+        &mut self,
+        mut select: impl FnMut(link_frame::LinkFrame) -> Option<T>,
+    ) -> T {
+        let read = async {
+            loop {
+                let frame = link_frame::read_frame(&mut self.stream)
+                    .await
+                    .expect("process should send more frames");
+                if let Some(selected) = select(frame) {
+                    return selected;
+                }
+            }
+        };
+        tokio::time::timeout(test_platform::TEST_TIMEOUT, read)
+            .await
+            .expect("process should send the expected frame in time")
+    }
+
     async fn read_end(&mut self) -> job_model::JobEnd {
         loop {
             let frame = link_frame::read_frame(&mut self.stream)
@@ -333,6 +356,7 @@
         may_have_started: false,
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
+        source: Arc::from("north-1"),
     }
 }
 
