--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -5,9 +5,11 @@
 
 mod admission;
 mod claims;
+mod evacuated;
 mod inherited_runs;
 mod jobs;
 mod queue_wait;
+mod released_jobs;
 mod reports;
 mod run_ends;
 mod schedule;
@@ -65,7 +67,7 @@
 #[derive(Clone, Debug)]
 struct JobEntry {
     spec: Arc<job_model::JobSpec>,
-    waiters: SmallVec<[pool_action::WaiterId; 1]>,
+    waiters: SmallVec<[released_jobs::JobWaiter; 1]>,
     tasks: Vec<TaskEntry>,
     queue_position: job_order::QueuePosition,
     /// Nominal run time of a task, for each step.
@@ -102,7 +104,8 @@
 pub struct PoolLoad {
     /// Number of servers that this pool holds.
     pub held_servers: u32,
-    /// Free processor capacity of usable servers, in thousandths of a core.
+    /// Free processor capacity of usable servers, in thousandths of a core; 0 while the failure domain
+    /// is evacuated.
     pub free_cpu_millis: u32,
     /// Total processor capacity of usable servers, in thousandths of a core.
     pub total_cpu_millis: u32,
@@ -148,6 +151,8 @@
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
     /// may still resubmit the job.
     inherited_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
+    /// Refused jobs that may be offered to other pools.
+    released_jobs: released_jobs::ReleasedJobs,
     /// Moving average of the processor demand of a task over the steps of admitted jobs, in
     /// thousandths of a core.
     typical_cpu_millis: u32,
@@ -182,6 +187,7 @@
             registry_read_at: time::Duration::ZERO,
             leading_since: None,
             inherited_ends: HashMap::new(),
+            released_jobs: released_jobs::ReleasedJobs::default(),
             typical_cpu_millis: 0,
             placement_scans: 0,
             evacuation: None,
@@ -223,20 +229,17 @@
                 load.held_servers += 1;
             }
             if slot.is_usable(now) {
-                load.free_cpu_millis += slot.free_cpu_millis();
+                load.free_cpu_millis += slot.startable_cpu_millis(now);
                 load.total_cpu_millis += slot.entry.cpu_millis;
             }
         }
+        if self.evacuation.is_some() {
+            load.free_cpu_millis = 0;
+        }
         load.queued_jobs = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         load
     }
 
-    /// Sets the start of the evacuation of the pool's failure domain, or `None` when it ends.
-    pub fn set_evacuation(&mut self, evacuation: Option<EvacuationStart>, now: time::Duration) {
-        self.step_down_after_pause(now);
-        self.evacuation = evacuation;
-    }
-
     /// Returns what the pool could start at `now`.
     pub fn room(&self, now: time::Duration) -> pool_room::PoolRoom {
         if self.evacuation.is_some() {
@@ -246,7 +249,7 @@
             .servers
             .values()
             .filter(|slot| slot.is_usable(now))
-            .map(|slot| (slot.free_cpu_millis(), slot.entry.cpu_millis));
+            .map(|slot| (slot.startable_cpu_millis(now), slot.entry.cpu_millis));
         pool_room::PoolRoom::from_servers(servers, self.typical_wait(now))
     }
 
@@ -299,6 +302,7 @@
         self.expire_inherited_runs(now);
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
+        self.released_jobs.prune(now);
         self.expire_jobs(now);
         self.schedule(now);
     }
--- a/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
@@ -14,14 +14,14 @@
     pub(super) fn typical_wait(&self, now: time::Duration) -> time::Duration {
         let typical_cpu_millis = self.typical_cpu_millis.max(1);
         let has_room = |slot: &server_slot::ServerSlot| {
-            slot.is_usable(now) && slot.free_cpu_millis() >= typical_cpu_millis
+            slot.is_usable(now) && slot.startable_tasks(typical_cpu_millis, now) > 0
         };
         if self.queue.is_empty() && self.servers.values().any(has_room) {
             return time::Duration::ZERO;
         }
         let mut forecast = capacity_forecast::CapacityForecast::default();
         for slot in self.servers.values().filter(|slot| slot.is_usable(now)) {
-            for _ in 0..slot.free_cpu_millis() / typical_cpu_millis {
+            for _ in 0..slot.startable_tasks(typical_cpu_millis, now) {
                 forecast.add_capacity(time::Duration::ZERO);
             }
             for run in slot.runs.values().filter(|run| run.has_job) {
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -18,17 +18,24 @@
     /// placed while servers may have inherited runs that this pool does not know: its caller may have
     /// sent it again, and the run of the first copy may go on there.
     pub(super) fn schedule(&mut self, now: time::Duration) {
+        self.end_evacuated_jobs(now);
         let mut max_free_cpu_millis = self.max_free_cpu_millis(now);
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
         }
+        // Reads all servers, so only if a job needs it.
+        let mut run_knowledge = None;
         let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
         for position in positions {
             if max_free_cpu_millis == 0 {
                 return;
             }
             let must_wait = self.jobs.get(&position.job).is_some_and(|job| {
-                job.may_run_elsewhere && !self.lost_job_resolved(job.admitted_at, now)
+                let waits_for_reports = job.may_run_elsewhere && {
+                    let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
+                    !self.lost_job_resolved(knowledge, job.admitted_at, now)
+                };
+                waits_for_reports || !self.may_start_tasks(job, now)
             });
             if !must_wait && self.place_job(&position, max_free_cpu_millis, now) {
                 max_free_cpu_millis = self.max_free_cpu_millis(now);
@@ -40,8 +47,8 @@
     fn max_free_cpu_millis(&self, now: time::Duration) -> u32 {
         self.servers
             .values()
-            .filter(|slot| slot.is_usable(now))
-            .map(server_slot::ServerSlot::free_cpu_millis)
+            .filter(|slot| slot.is_usable(now) && now >= slot.settles_at)
+            .map(|slot| slot.startable_cpu_millis(now))
             .max()
             .unwrap_or(0)
     }
@@ -197,8 +204,8 @@
         Some(order)
     }
 
-    /// Returns the server with the lowest placement cost for a task, with its slowdown factor, or
-    /// `None` if no server fits or the task should wait for a faster one.
+    /// Returns the server with the lowest placement cost for a task, a cold one only if no warm one fits,
+    /// with its slowdown factor, or `None` if no server fits or the task should wait for a faster one.
     fn choose_server(
         &self,
         job_id: &Arc<str>,
@@ -209,7 +216,7 @@
         let job = self.jobs.get(job_id)?;
         let task = job.tasks.get(task_index)?;
         let step = job.spec.steps.get(usize::from(task.name.step))?;
-        let mut cheapest: Option<(f64, &Arc<str>, f64)> = None;
+        let mut cheapest: Option<((bool, f64), &Arc<str>, f64)> = None;
         let mut min_slowdown = f64::MAX;
         for (id, slot) in &self.servers {
             if slot.entry.service != job.spec.service || !slot.is_usable(now) {
@@ -217,7 +224,9 @@
             }
             let slowdown = self.slowdown_factor(slot, now);
             min_slowdown = min_slowdown.min(slowdown);
-            let is_excluded = !slot.fits(step)
+            let is_excluded = now < slot.settles_at
+                || !slot.fits(step)
+                || !slot.accepts_task_while_cold(now)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
                 || (task.failures > 0 && slot.health.is_on_probation())
@@ -241,8 +250,9 @@
                 ),
                 settings::PlacementPolicy::FirstFit => 0.0,
             };
-            if cheapest.is_none_or(|(lowest_cost, ..)| cost < lowest_cost) {
-                cheapest = Some((cost, id, slowdown));
+            let rank = (slot.is_cold(now), cost);
+            if cheapest.is_none_or(|(lowest_rank, ..)| rank < lowest_rank) {
+                cheapest = Some((rank, id, slowdown));
             }
         }
         let (_, id, slowdown) = cheapest?;
