--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -7,7 +7,7 @@
 };
 
 use cuminkeel_dispatch::{
-    job_model, leadership, offer_plan, pool, pool_room, room_ledger, settings,
+    job_model, leadership, offer_plan, pool, pool_action, pool_room, room_ledger, settings,
 };
 use smallvec::SmallVec;
 
@@ -37,6 +37,9 @@
     pub served_shares: Vec<f64>,
     /// Number of jobs that were admitted in a remote domain.
     pub remote_jobs: usize,
+    /// Number of tasks that each domain started when its evacuation had been known to its pool for longer
+    /// than jobs in progress may go on.
+    pub late_starts: Vec<usize>,
     /// Invariant violations in all domains.
     pub violations: Vec<pool_simulation::InvariantViolation>,
 }
@@ -51,6 +54,10 @@
 /// Number of processes in a domain that offer jobs; each knows only what it has sent itself.
 const PROCESSES_PER_DOMAIN: usize = 3;
 
+/// Time for which a pool whose domain is evacuated may start further tasks of jobs in progress: a quarter
+/// of the bound of 5 s.
+const EVACUATION_GRACE: time::Duration = time::Duration::from_millis(1_250);
+
 /// Failure domain with its callers and servers.
 #[derive(Clone, Debug)]
 pub struct DomainSpec {
@@ -463,6 +470,20 @@
         self.jobs[position].answer = Some(caller_answer);
     }
 
+    fn late_starts(&self, domain: usize) -> usize {
+        let Some(evacuated_at) = self.evacuations[domain] else {
+            return 0;
+        };
+        self.simulations[domain]
+            .decisions
+            .iter()
+            .filter(|(at, decision)| {
+                decision.kind == pool_action::DecisionKind::Placed
+                    && *at > evacuated_at + EVACUATION_GRACE
+            })
+            .count()
+    }
+
     fn summarise(&self) -> DomainReport {
         let mut totals = vec![DomainTotals::default(); self.simulations.len()];
         for job in &self.jobs {
@@ -485,6 +506,9 @@
                 .map(|total| total.served_jobs / total.jobs.max(1.0))
                 .collect(),
             remote_jobs: self.jobs.iter().filter(|job| job.is_remote).count(),
+            late_starts: (0..self.simulations.len())
+                .map(|domain| self.late_starts(domain))
+                .collect(),
             violations: self
                 .simulations
                 .iter()
--- a/crates/cuminkeel_replay/tests/offers.rs
+++ b/crates/cuminkeel_replay/tests/offers.rs
@@ -62,6 +62,11 @@
             .map(|domain| domain.pattern.arrivals.len())
             .sum::<usize>(),
     );
+    assert!(
+        report.late_starts.iter().all(|count| *count == 0),
+        "{name}, seed {seed}: {:?} tasks started in evacuated domains",
+        report.late_starts
+    );
     report.served_shares
 }
 
@@ -97,7 +102,7 @@
 }
 
 /// Guards against callers of an evacuated domain that are served worse than others while there is
-/// room.
+/// room, and against tasks that start in it.
 #[test]
 fn callers_of_an_evacuated_domain_are_served_like_others() {
     for seed in SEEDS {
