Publish status and room at once when an evacuation begins or ends

Cause: the pool's status and room were published at its next reconciliation, up to 100 ms after it learnt of the end of an evacuation. Until then other domains saw no room in it.

Change: the event of an evacuation is followed by a reconciliation, which also computes the room anew.

--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -300,7 +300,12 @@
                 let _dropped = reply.send(self.pool.pending_job_count(&route));
             }
             PoolEvent::PeerEpoch(epoch) => self.pool.observe_epoch(epoch),
-            PoolEvent::Evacuation(start) => self.pool.set_evacuation(start, now),
+            PoolEvent::Evacuation(start) => {
+                self.pool.set_evacuation(start, now);
+                // Publishes the changed room at once, as the domain is used again from now on.
+                self.room_computed_at = None;
+                self.reconcile_leadership();
+            }
         }
     }
 
