Offer jobs of an evacuated domain at once also where a part of them fits

Cause: with the rule that a pool needs room for all ready tasks, most jobs of an evacuated domain were offered only on the terms Useful, behind all jobs in time.

Change: after Evacuated, pools without room for the whole job are also asked on the terms AtOnce, behind those with room, up to two in all. Their admission decides by its forecast.

The new test of the table was not run without the change.

--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -520,8 +520,9 @@
     }
 
     /// Returns up to `MAX_SPILLOVER_OFFERS` other pools that have room for the job, the first choice last.
-    /// They are drawn in proportion to their room by a hash of the job's id; if the home domain is
-    /// evacuated, near ones come first.
+    /// They are drawn in proportion to their room by a hash of the job's id. If the home domain is
+    /// evacuated, near ones come first, and pools without room for the whole job follow: they may start
+    /// it almost at once, which the home pool can't.
     fn drawn_pools(&self, pools: &dyn PoolDirectory) -> ProcessStack {
         let is_evacuated = self.is_home_evacuated();
         let mut ranked: SmallVec<[_; 4]> = pools
@@ -529,10 +530,16 @@
             .into_iter()
             .filter(|pool| self.is_candidate(pool))
             .map(|pool| (self.startable_jobs(&pool), pool))
-            .filter(|(room, _)| *room >= 1.0)
+            .filter(|(room, _)| *room >= 1.0 || is_evacuated)
             .map(|(room, pool)| {
                 let rank = self.draw_rank(&pool.process, room);
-                (is_evacuated && !pool.is_near, rank, pool.process)
+                let lacks_room = room < 1.0;
+                (
+                    lacks_room,
+                    is_evacuated && !pool.is_near,
+                    rank,
+                    pool.process,
+                )
             })
             .collect();
         ranked.sort_unstable();
--- a/crates/cuminkeel_dispatch/tests/offers.rs
+++ b/crates/cuminkeel_dispatch/tests/offers.rs
@@ -533,6 +533,30 @@
     );
 }
 
+/// Guards against jobs of an evacuated domain that are only offered on the terms for late jobs, because
+/// no pool has room for all their tasks at the moment.
+#[test]
+fn job_of_an_evacuated_domain_is_offered_at_once_also_where_a_part_of_it_fits() {
+    use job_model::{
+        OfferTerms::AtOnce,
+        RefusalReason::{Evacuated, QueueTooLong},
+    };
+    let pools = pools_with(vec![
+        other_pool("part", true, 3),
+        other_pool("whole", false, 4),
+    ]);
+    let (offers, ..) = run_plan(&mut new_plan("00f1"), &pools, |process, _| {
+        let reason = if process == HOME {
+            Evacuated
+        } else {
+            QueueTooLong
+        };
+        Some(refused(reason, 100))
+    });
+    let expected = owned(&[(HOME, AtOnce), ("whole", AtOnce), ("part", AtOnce)]);
+    assert_eq!(offers[..3], expected);
+}
+
 /// Guards against callers that wait while nothing can start anywhere.
 #[test]
 fn job_is_refused_at_once_if_all_domains_are_evacuated() {
