--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-/// Format number of all frames but [`LinkFrame::SendTime`].
+/// Format number of all frames without a format number of their own.
 const FRAME_FORMAT: u8 = 2;
 /// Format number of [`LinkFrame::SendTime`], which releases that don't know it skip.
 const SEND_TIME_FORMAT: u8 = 3;
@@ -129,20 +129,21 @@
 /// which it shows by a frame of the format that came with them.
 #[derive(Debug, Default)]
 pub struct PeerRelease {
-    has_domain_news: atomic::AtomicBool,
+    knows_new_reasons: atomic::AtomicBool,
 }
 
 impl PeerRelease {
     /// Records a frame that the peer has sent over the connection.
     pub fn record_frame(&self, frame: &LinkFrame) {
         if matches!(frame, LinkFrame::Evacuations(_) | LinkFrame::Room(_)) {
-            self.has_domain_news.store(true, atomic::Ordering::Relaxed);
+            self.knows_new_reasons
+                .store(true, atomic::Ordering::Relaxed);
         }
     }
 
     /// Returns the frame that tells the peer the end of its job.
     pub fn end_frame(&self, submission_id: u64, end: job_model::JobEnd) -> LinkFrame {
-        let end = if self.has_domain_news.load(atomic::Ordering::Relaxed) {
+        let end = if self.knows_new_reasons.load(atomic::Ordering::Relaxed) {
             end
         } else {
             end_for_earlier_release(end)
