Divide the jobs between leaders that hold servers of the same shards

Change: while servers are left to another pool, a hash of the job's id makes one registered server its arbiter, and only the pool that holds the arbiter starts the job. Fencing decides who holds it, so no message is needed. Jobs whose arbiter has been left to another pool for 0.4 s are ended: a queued one is refused with NoPool, the runs of a started one are stopped and it fails with PoolLost. The other pool starts nothing for 1.4 s after its claim. With all servers claimed, decisions are unchanged.

--- a/crates/cuminkeel_dispatch/src/leadership.rs
+++ b/crates/cuminkeel_dispatch/src/leadership.rs
@@ -80,6 +80,21 @@
     blake3::hash(id.as_bytes()).as_bytes()[0] % SHARD_COUNT
 }
 
+/// Returns a hash of the server or job `id`, from which [`shard_of_hash`] derives its shard.
+pub(crate) fn id_hash(id: &str) -> u64 {
+    let mut first_bytes = [0; 8];
+    blake3::Hasher::new()
+        .update(id.as_bytes())
+        .finalize_xof()
+        .fill(&mut first_bytes);
+    u64::from_le_bytes(first_bytes)
+}
+
+/// Returns the shard of the id with the hash `id_hash`.
+pub(crate) fn shard_of_hash(id_hash: u64) -> u8 {
+    id_hash.to_le_bytes()[0] % SHARD_COUNT
+}
+
 /// Returns the number of leaders that a domain with `registered_servers` needs while it has
 /// `acting_leaders` acting leaders.
 pub fn required_leader_count(registered_servers: usize, acting_leaders: usize) -> usize {
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod claims;
+mod divided_domain;
 mod inherited_runs;
 mod jobs;
 mod released_jobs;
@@ -303,6 +304,7 @@
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
         self.released_jobs.prune(now);
+        self.end_jobs_of_other_pools(now);
         self.expire_jobs(now);
         self.schedule(now);
     }
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -125,6 +125,7 @@
         for id in released {
             self.release_server(&id, now, "given_up");
         }
+        self.update_left_servers(wanted, now);
         let in_flight = self
             .servers
             .values()
@@ -270,6 +271,9 @@
             | server_slot::ClaimState::Held
             | server_slot::ClaimState::Suspect => {
                 self.release_server(id, now, "fenced");
+                if let Some(slot) = self.servers.get_mut(id) {
+                    slot.left_since = Some(now);
+                }
                 self.record_foreign_claim(now);
                 // Another pool has claimed the server and may run any job that is queued here.
                 for job in self.jobs.values_mut() {
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -464,7 +464,7 @@
             }
         }
         // While a copy of the job may run here, no other pool is to be tried.
-        let expiry_reason = if self.takeover_resolved(now) {
+        let expiry_reason = if self.takeover_resolved(now) && !self.is_divided() {
             job_model::RefusalReason::ExpiredInQueue
         } else {
             job_model::RefusalReason::NoPool
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -22,6 +22,7 @@
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
         }
+        let is_divided = self.is_divided();
         // Reads all servers, so only if a job needs it.
         let mut run_knowledge = None;
         let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
@@ -29,13 +30,17 @@
             if max_free_cpu_millis == 0 {
                 return;
             }
+            let is_of_another_pool = is_divided && !self.holds_arbiter(&position.job);
             let must_wait = self.jobs.get(&position.job).is_some_and(|job| {
                 job.may_run_elsewhere && {
                     let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
                     !self.lost_job_resolved(knowledge, job.admitted_at, now)
                 }
             });
-            if !must_wait && self.place_job(&position, max_free_cpu_millis, now) {
+            if !must_wait
+                && !is_of_another_pool
+                && self.place_job(&position, max_free_cpu_millis, now)
+            {
                 max_free_cpu_millis = self.max_free_cpu_millis(now);
             }
         }
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time};
 
-use crate::{health, job_model, server_model};
+use crate::{health, job_model, leadership, server_model};
 
 /// Largest drift of a server's monotonic clock that the platform allows, in percent.
 const MAX_CLOCK_DRIFT_PERCENT: u32 = 2;
@@ -115,6 +115,8 @@
 /// Backend server in a pool.
 #[derive(Clone, Debug)]
 pub struct ServerSlot {
+    /// Hash of the server's id.
+    pub id_hash: u64,
     /// Latest registry entry of the server.
     pub entry: server_model::ServerEntry,
     /// Whether the server is registered.
@@ -140,6 +142,8 @@
     pub claim_attempts: u32,
     /// Whether an attempt of the current claim got no response.
     pub claim_unanswered: bool,
+    /// Time since which the server has been left to another pool, or `None` if this pool claims it.
+    pub left_since: Option<time::Duration>,
     /// Time until which no run is started on the server, as it did not respond for a while.
     pub settles_at: time::Duration,
     /// Time of the next attempt of the claim; `None` while an attempt is outstanding or none is
@@ -168,6 +172,7 @@
     pub fn new(entry: server_model::ServerEntry) -> Self {
         Self {
             incarnation: entry.incarnation,
+            id_hash: leadership::id_hash(&entry.id),
             entry,
             registered: true,
             claim_state: ClaimState::Unclaimed,
@@ -180,6 +185,7 @@
             claim_started_at: time::Duration::ZERO,
             claim_attempts: 0,
             claim_unanswered: false,
+            left_since: None,
             settles_at: time::Duration::ZERO,
             next_claim_at: None,
             hold_sent_at: time::Duration::ZERO,
@@ -188,6 +194,11 @@
         }
     }
 
+    /// Returns the shard of the server.
+    pub fn shard(&self) -> u8 {
+        leadership::shard_of_hash(self.id_hash)
+    }
+
     /// Whether new runs may be ordered on the server.
     pub fn is_usable(&self, now: time::Duration) -> bool {
         self.claim_state == ClaimState::Held
--- a/crates/cuminkeel_replay/tests/promises/copies.rs
+++ b/crates/cuminkeel_replay/tests/promises/copies.rs
@@ -14,6 +14,43 @@
 /// 80% of the time after which callers send a job again in the replays.
 const RELEASE_TIME: time::Duration = time::Duration::from_millis(1_040);
 
+/// Number of jobs in the test of a divided domain.
+const JOB_COUNT: usize = 24;
+
+/// Lets a pool that leads all shards claim the servers `wanted` and leave all others.
+fn claim(simulation: &mut pool_simulation::PoolSimulation, pool_index: usize, wanted: &[&str]) {
+    let wanted: BTreeSet<Arc<str>> = wanted.iter().map(|server| Arc::from(*server)).collect();
+    let now = simulation.now();
+    simulation.pools[pool_index].reconcile_claims(&wanted, leadership::ShardSet::ALL, now);
+    simulation.pools[pool_index].record_registry_read(now);
+    // Withdrawing an unknown job changes nothing; it makes the simulation send the claims.
+    simulation.withdraw(pool_index, "no such job");
+}
+
+fn overlapping_run_count(simulation: &pool_simulation::PoolSimulation) -> usize {
+    simulation
+        .violations
+        .iter()
+        .filter(|violation| {
+            matches!(
+                violation,
+                pool_simulation::InvariantViolation::OverlappingRuns(_)
+            )
+        })
+        .count()
+}
+
+/// Creates a failure domain in which both pools lead and hold two of four servers each, at 6 s.
+fn divided_domain() -> pool_simulation::PoolSimulation {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2", "s3", "s4"]);
+    simulation.run_until(fixtures::ms(2_000));
+    claim(&mut simulation, 1, &["s3", "s4"]);
+    simulation.run_until(fixtures::ms(2_500));
+    claim(&mut simulation, 0, &["s1", "s2"]);
+    simulation.run_until(fixtures::ms(6_000));
+    simulation
+}
+
 /// Creates a simulation of two failure domains, each with a pool and a server, at 100 ms.
 fn two_domains() -> pool_simulation::PoolSimulation {
     let mut simulation = pool_simulation::PoolSimulation::new(
@@ -23,11 +60,7 @@
     );
     for (pool_index, own, foreign) in [(HOME_POOL, "n1", "s1"), (OTHER_POOL, "s1", "n1")] {
         simulation.pools[pool_index].remove_registry_entry(foreign);
-        let wanted = BTreeSet::from([Arc::from(own)]);
-        let now = simulation.now();
-        simulation.pools[pool_index].reconcile_claims(&wanted, leadership::ShardSet::ALL, now);
-        simulation.pools[pool_index].record_registry_read(now);
-        simulation.withdraw(pool_index, "no such job");
+        claim(&mut simulation, pool_index, &[own]);
     }
     simulation.run_until(fixtures::ms(100));
     simulation
@@ -102,13 +135,7 @@
         job_model::OfferTerms::AtOnce,
     );
     simulation.run_until(fixtures::ms(3_000));
-    let overlaps = simulation.violations.iter().any(|violation| {
-        matches!(
-            violation,
-            pool_simulation::InvariantViolation::OverlappingRuns(_)
-        )
-    });
-    assert!(!overlaps, "{:?}", simulation.violations);
+    assert_eq!(overlapping_run_count(&simulation), 0);
     assert_eq!(
         refusal_reasons(&simulation),
         [
@@ -239,3 +266,66 @@
         (recorded_count, 1)
     );
 }
+
+/// Two copies of each job arrive at the two leaders of a divided domain at the same instant
+/// (`docs/findings/soak-seed-3107-split-domain.txt`). Both would start theirs.
+#[test]
+fn copies_that_arrive_at_both_leaders_of_a_divided_domain_run_once() {
+    let mut simulation = divided_domain();
+    let mut served = [0, 0];
+    for number in 0..JOB_COUNT {
+        let id = format!("job{number}");
+        let offer = fixtures::offer(&id, 1, fixtures::SHORT_RUN);
+        for (pool_index, served) in served.iter_mut().enumerate() {
+            let profile = fixtures::task_profile(fixtures::SHORT_RUN);
+            simulation.submit(pool_index, &offer, profile);
+            // The copy of the other leader waits in its queue until it is refused.
+            *served += usize::from(simulation.load(pool_index).queued_jobs == 0);
+        }
+        let next = simulation.now() + fixtures::ms(900);
+        simulation.run_until(next);
+        let mut ends = fixtures::job_ends(&simulation, &id);
+        ends.sort_by_key(|end| *end != job_model::JobEnd::Completed);
+        assert!(
+            matches!(
+                ends[..],
+                [
+                    job_model::JobEnd::Completed,
+                    job_model::JobEnd::Refused {
+                        reason: job_model::RefusalReason::NoPool,
+                        ..
+                    }
+                ]
+            ),
+            "{id}: {ends:?}"
+        );
+    }
+    assert_eq!(overlapping_run_count(&simulation), 0);
+    assert!(
+        served.iter().all(|count| *count >= JOB_COUNT / 4),
+        "each leader should serve its share: {served:?}"
+    );
+}
+
+/// A leader loses servers for good while it runs jobs on its other servers. Callers send these jobs again
+/// to the other leader, which would start them as soon as it takes the unknown runs for expired.
+#[test]
+fn runs_of_jobs_that_another_leader_may_start_are_stopped() {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2", "s3", "s4"]);
+    simulation.run_until(fixtures::ms(2_000));
+    let run_time = fixtures::ms(3_000);
+    // They fill `s1` and `s2`, as servers are filled one after the other.
+    let offers: Vec<job_model::JobOffer> = (0..4)
+        .map(|number| fixtures::offer(&format!("job{number}"), 1, run_time))
+        .collect();
+    for offer in &offers {
+        simulation.submit(0, offer, fixtures::task_profile(run_time));
+    }
+    simulation.run_until(fixtures::ms(2_010));
+    claim(&mut simulation, 1, &["s3", "s4"]);
+    for offer in &offers {
+        simulation.submit(1, offer, fixtures::task_profile(run_time));
+    }
+    simulation.run_until(fixtures::ms(8_000));
+    assert_eq!(overlapping_run_count(&simulation), 0);
+}
