--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// Largest stretch factor that counts, so that a sum of times from a damaged offer does not overflow.
+const MAX_STRETCH_FACTOR: f64 = 1_000.0;
+
 /// Step of a job: its tasks and what they require of a server.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StepSpec {
@@ -132,7 +135,12 @@
     /// Returns the response time objective for a job with this critical path:
     /// `critical_path * stretch_factor + target_latency_ms`.
     pub fn objective(&self, critical_path: time::Duration) -> time::Duration {
-        critical_path.mul_f64(self.stretch_factor.max(1.0))
+        // Not a number counts as 1.
+        let stretch_factor = match self.stretch_factor {
+            factor if factor >= 1.0 => factor.min(MAX_STRETCH_FACTOR),
+            _ => 1.0,
+        };
+        critical_path.mul_f64(stretch_factor)
             + time::Duration::from_millis(u64::from(self.target_latency_ms))
     }
 
--- a/crates/cuminkeel_replay/tests/promises/jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/jobs.rs
@@ -1,6 +1,6 @@
 //! Admission, refusal and end of jobs.
 
-use std::sync::Arc;
+use std::{panic, sync::Arc, time};
 
 use cuminkeel_dispatch::{job_model, leadership, pool_action, settings};
 use cuminkeel_replay::{fake_server, load_pattern, pool_simulation};
@@ -387,3 +387,46 @@
         [job_model::JobEnd::Completed]
     );
 }
+
+/// An offer with times and factors at their limits, as from a damaged frame. An overflow in a sum of times
+/// panics, which would end the pool's task and with it the process.
+#[test]
+fn offers_with_extreme_values_do_not_panic() {
+    let usual = fixtures::offer("job", 1, fixtures::SHORT_RUN);
+    let with_spec = |change: &dyn Fn(&mut job_model::JobSpec)| {
+        let mut spec = (*usual.spec).clone();
+        change(&mut spec);
+        job_model::JobOffer {
+            spec: Arc::new(spec),
+            ..usual.clone()
+        }
+    };
+    let offers = [
+        job_model::JobOffer {
+            time_to_deadline: time::Duration::MAX,
+            ..usual.clone()
+        },
+        job_model::JobOffer {
+            age: time::Duration::MAX,
+            ..usual.clone()
+        },
+        with_spec(&|spec| spec.stretch_factor = f64::INFINITY),
+        with_spec(&|spec| spec.stretch_factor = f64::NAN),
+        with_spec(&|spec| spec.stretch_factor = f64::MAX),
+        with_spec(&|spec| spec.target_latency_ms = u32::MAX),
+        with_spec(&|spec| spec.steps[0].estimate_ms = u32::MAX),
+        with_spec(&|spec| spec.steps[0].cpu_millis = u32::MAX),
+        with_spec(&|spec| spec.steps[0].memory_mb = u32::MAX),
+        with_spec(&|spec| spec.steps[0].depends_on.push(0)),
+        with_spec(&|spec| spec.steps[0].depends_on.push(u16::MAX)),
+        with_spec(&|spec| spec.steps.clear()),
+    ];
+    for (number, offer) in offers.into_iter().enumerate() {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+        let result = panic::catch_unwind(panic::AssertUnwindSafe(|| {
+            simulation.submit(0, &offer, fixtures::task_profile(fixtures::SHORT_RUN));
+            simulation.run_until(fixtures::ms(3_000));
+        }));
+        assert!(result.is_ok(), "offer {number} should not panic");
+    }
+}
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -464,3 +464,27 @@
         );
     }
 }
+
+/// A server does not respond for less than its leases last. Its running task would be started a second time
+/// elsewhere, or its job given up, if silence counted as the loss of the server.
+#[test]
+fn run_of_a_server_that_is_silent_for_a_while_goes_on() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+    let run_time = fixtures::ms(2_000);
+    let job = fixtures::offer("job", 1, run_time);
+    simulation.submit(0, &job, fixtures::task_profile(run_time));
+    simulation.run_until(fixtures::ms(700));
+    simulation.server_mut("s1").mode = fake_server::ServerMode::Unreachable;
+    simulation.run_until(fixtures::ms(1_100));
+    simulation.server_mut("s1").mode = fake_server::ServerMode::Healthy;
+    simulation.run_until(fixtures::ms(5_000));
+    assert_eq!(simulation.violations, []);
+    assert_eq!(
+        fixtures::job_ends(&simulation, "job"),
+        [job_model::JobEnd::Completed]
+    );
+    assert_eq!(
+        fixtures::decision_count(&simulation, pool_action::DecisionKind::Placed),
+        1
+    );
+}
