--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -10,7 +10,7 @@
 /// Multiple of the response time objective after which an answer has no value to the caller.
 const EXPIRY_OBJECTIVE_FACTOR: u32 = 3;
 /// Longest time to a deadline that counts, so that a sum of times from a damaged offer does not overflow.
-const MAX_TIME_TO_DEADLINE: time::Duration = time::Duration::from_secs(86_400);
+const MAX_TIME_TO_DEADLINE: time::Duration = time::Duration::from_hours(24);
 /// First run id of a task that another pool may have started with lower ones. If a server rejects
 /// it as stale, `starts::SKIPPED_RUN_IDS` more are skipped.
 const FIRST_RUN_ID_AFTER_OTHER_POOL: u64 = 16;
