Let all servers report again after a fenced order

Cause: after an order was fenced, only the lost server had to report again before jobs that were not marked started. The other pool may have claimed further servers, which the holds that wait there don't show (seeds 6708, 11006, 12312, 19574 and 20394 of resent jobs, each placed with unreported=1).

Change: all servers have to report once more, or 1.4 s pass. A server's next hold is sent without a wait, so it takes 0.4 s at most if all respond.

The five seeds are in the test of traced schedules, which fails at them without the change.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -262,7 +262,7 @@
                 if slot.claim_attempts < MAX_FENCED_CLAIM_ATTEMPTS =>
             {
                 if !self.is_taking_over(now) {
-                    self.record_foreign_claim(now);
+                    self.record_fenced_order(now);
                 }
                 self.send_claim_attempt(id, now);
             }
@@ -274,7 +274,7 @@
                 if let Some(slot) = self.servers.get_mut(id) {
                     slot.left_since = Some(now);
                 }
-                self.record_foreign_claim(now);
+                self.record_fenced_order(now);
                 // Another pool has claimed the server and may run any job that is queued here.
                 for job in self.jobs.values_mut() {
                     job.may_run_elsewhere = true;
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -74,6 +74,16 @@
         self.foreign_claim_at = self.foreign_claim_at.max(at);
     }
 
+    /// Records that an order of this pool was fenced at `now`. The other pool may have claimed further
+    /// servers and run copies of any job there, so all servers have to report again.
+    pub(super) fn record_fenced_order(&mut self, now: time::Duration) {
+        self.record_foreign_claim(now);
+        self.mark_inherited_unresolved(now);
+        for slot in self.servers.values_mut() {
+            slot.may_have_inherited_runs = true;
+        }
+    }
+
     /// Whether a takeover began less than [`TAKEOVER_TIME`] ago, so that the claims of all its servers
     /// were sent at about the same time.
     pub(super) fn is_taking_over(&self, now: time::Duration) -> bool {
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -524,7 +524,8 @@
 /// Random schedules in which tasks ran twice. In 1230, a task whose run was lost was started again although
 /// another server had reported a run of it. In 3324, a job of a lost pool was started while a server that
 /// did not respond belonged to another pool. In the others, a pool started a job on a server that it had
-/// just regained, before it learnt that it had lost the others.
+/// just regained, before it learnt that it had lost the others; from 6708 on, it started a resent job beside
+/// a server that had not reported since another pool fenced this one.
 #[test]
 fn schedules_that_had_overlapping_runs_have_none() {
     let failed_schedules: Vec<(u64, bool)> = [
@@ -535,6 +536,11 @@
         (2059, true),
         (2091, true),
         (4988, true),
+        (6708, true),
+        (11006, true),
+        (12312, true),
+        (19574, true),
+        (20394, true),
     ]
     .into_iter()
     .filter(|(seed, with_caller_copies)| {
