--- a/crates/cuminkeel_node/tests/node/recovery.rs
+++ b/crates/cuminkeel_node/tests/node/recovery.rs
@@ -218,3 +218,22 @@
     })
     .await;
 }
+
+/// A server leaves the registry and still responds. A process that starts later must not take its old
+/// entries in the history of the store for a server that is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_left_is_not_used_after_a_restart() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let mut node = platform.start_ready_node("n1", "north").await;
+    platform.servers[0].drain(&platform.store);
+    platform.store.put("keyed.servers", "north-server-0", "");
+    node.kill();
+    let starts_before = platform.servers[0].started_runs().len();
+    let restarted = test_platform::TestNode::start(node.settings.clone());
+    restarted.wait_until_ready().await;
+    for number in 0..10_u64 {
+        let answer = restarted.submit(&format!("{number:016x}"), "5", 4).await;
+        assert_eq!(answer.0, 200);
+    }
+    assert_eq!(platform.servers[0].started_runs().len(), starts_before);
+}
