--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -9,6 +9,7 @@
 mod evacuated;
 mod inherited_runs;
 mod jobs;
+mod queue_wait;
 mod released_jobs;
 mod reports;
 mod run_ends;
@@ -250,7 +251,7 @@
             .values()
             .filter(|slot| slot.is_usable(now))
             .map(|slot| (slot.startable_cpu_millis(now), slot.entry.cpu_millis));
-        pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
+        pool_room::PoolRoom::from_servers(servers, self.typical_wait(now))
     }
 
     /// Returns the number of jobs of `route` of which no task has started.
--- a/crates/cuminkeel_node/src/sent_state.rs
+++ b/crates/cuminkeel_node/src/sent_state.rs
@@ -1,4 +1,4 @@
-//! Configurations, leaders and evacuations, which are sent over a connection only when they have
+//! Configurations, leaders, evacuations and room, which are sent over a connection only when they have
 //! changed.
 
 use std::{
@@ -6,11 +6,11 @@
     sync::Arc,
 };
 
-use cuminkeel_dispatch::evacuation;
+use cuminkeel_dispatch::{evacuation, leadership, pool_room};
 
 use crate::{link_frame, node_state};
 
-/// Configuration version, leaders and evacuated failure domains that were last sent over one
+/// Configuration version, leaders, evacuated failure domains and room that were last sent over one
 /// connection.
 #[derive(Debug, Default)]
 pub struct SentState {
@@ -20,6 +20,8 @@
     /// Evacuated failure domains that the peer was told of, or that it reported itself; `None` before
     /// the first frame.
     evacuations: Option<BTreeSet<Arc<str>>>,
+    /// Room in the pool of this process that was last sent; the default before the first frame.
+    room: pool_room::PoolRoom,
 }
 
 impl SentState {
@@ -40,6 +42,24 @@
         })
     }
 
+    /// Returns the room in the pool of this process if it has changed since the last call and the peer
+    /// may offer it jobs for which another pool is the home pool.
+    pub fn room_change(
+        &mut self,
+        node: &node_state::NodeState,
+        peer_domain: &str,
+    ) -> Option<link_frame::LinkFrame> {
+        let shards = node.own_status().shards;
+        let has_other_leaders = shards != leadership::ShardSet::ALL;
+        let room = node.pool_room();
+        let is_wanted = *peer_domain != *node.hello.failure_domain || has_other_leaders;
+        if !is_wanted || room == self.room {
+            return None;
+        }
+        self.room = room;
+        Some(link_frame::LinkFrame::Room(room))
+    }
+
     /// Returns the state of evacuations if its set has changed since the last call, or at the first
     /// call.
     pub fn evacuation_change(
