--- a/crates/cuminkeel_node/tests/node/evacuation.rs
+++ b/crates/cuminkeel_node/tests/node/evacuation.rs
@@ -134,7 +134,11 @@
     assert_eq!(node.readiness_status().await, 200);
     platform.store.cancel_evacuation("north");
     wait_for_evacuated_domains(&node, 0).await;
-    assert_eq!(current_status(&node).await.free_cpu_millis, 32_000);
+    // The pool publishes its free processor when it has applied the end of the evacuation.
+    test_platform::wait_until("both servers to be free again", async || {
+        current_status(&node).await.free_cpu_millis == 32_000
+    })
+    .await;
 }
 
 /// Guards against tasks that start in an evacuated domain because its leader is cut off from the
