--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -125,6 +125,7 @@
         for id in released {
             self.release_server(&id, now, "given_up");
         }
+        self.update_left_servers(wanted, now);
         let in_flight = self
             .servers
             .values()
@@ -261,7 +262,7 @@
                 if slot.claim_attempts < MAX_FENCED_CLAIM_ATTEMPTS =>
             {
                 if !self.is_taking_over(now) {
-                    self.record_foreign_claim(now);
+                    self.record_fenced_order(now);
                 }
                 self.send_claim_attempt(id, now);
             }
@@ -270,7 +271,10 @@
             | server_slot::ClaimState::Held
             | server_slot::ClaimState::Suspect => {
                 self.release_server(id, now, "fenced");
-                self.record_foreign_claim(now);
+                if let Some(slot) = self.servers.get_mut(id) {
+                    slot.left_since = Some(now);
+                }
+                self.record_fenced_order(now);
                 // Another pool has claimed the server and may run any job that is queued here.
                 for job in self.jobs.values_mut() {
                     job.may_run_elsewhere = true;
