Refuse waiting jobs that can no longer be served before they expire

Cause: in a shortage, jobs that could not be served any more were held until they expired, with a refusal at the end (`ExpiredInQueue`).

Change: `pool/queue_review.rs`, called from `tick` at most every 50 ms, passes over the queue in its order against the forecast capacity and refuses jobs without a start whose last task can't start in time for their expiry, with `QueueTooLong` and the forecast wait. Off during a takeover, while claims are about to begin, and with `AdmitAll`.

`waiting_jobs_that_cannot_be_served_are_refused_before_they_expire` fails without the review (run). `pool_below_capacity_decides_as_without_a_review` passes with and without.

--- a/crates/cuminkeel_dispatch/src/capacity_forecast.rs
+++ b/crates/cuminkeel_dispatch/src/capacity_forecast.rs
@@ -44,4 +44,19 @@
         }
         Some(last_start)
     }
+
+    /// Reserves as [`Self::reserve`] does if the last task starts by `latest`, and nothing otherwise.
+    /// Returns the time of its start in both cases.
+    pub fn reserve_by(
+        &mut self,
+        work: QueuedWork,
+        latest: time::Duration,
+    ) -> Option<time::Duration> {
+        let unchanged = self.free_times.clone();
+        let start = self.reserve(work);
+        if start.is_none_or(|start| start > latest) {
+            self.free_times = unchanged;
+        }
+        start
+    }
 }
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod inherited_runs;
 mod jobs;
+mod queue_review;
 mod reports;
 mod run_ends;
 mod schedule;
@@ -154,6 +155,8 @@
     placement_scans: u64,
     /// Start of the evacuation of the pool's failure domain, or `None` if it isn't evacuated.
     evacuation: Option<EvacuationStart>,
+    /// Time of the next review of the queue.
+    next_review_at: time::Duration,
     /// Time of the last call that checked for a pause.
     last_active_at: time::Duration,
     actions: Vec<pool_action::PoolAction>,
@@ -184,6 +187,7 @@
             typical_cpu_millis: 0,
             placement_scans: 0,
             evacuation: None,
+            next_review_at: time::Duration::ZERO,
             last_active_at: time::Duration::ZERO,
             actions: Vec::new(),
         }
@@ -289,8 +293,8 @@
     }
 
     /// Performs everything that is due at `now`: steps down after a pause, repeats claims, ends runs
-    /// with expired leases, stops runs without a job, ends expired jobs, demotes late ones and places
-    /// tasks.
+    /// with expired leases, stops runs without a job, ends expired jobs, demotes late ones, reviews the
+    /// queue and places tasks.
     pub fn tick(&mut self, now: time::Duration) {
         self.step_down_after_pause(now);
         self.retry_claims(now);
@@ -299,6 +303,7 @@
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
         self.expire_jobs(now);
+        self.review_queue(now);
         self.schedule(now);
     }
 
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -49,18 +49,7 @@
         // The forecast covers only usable servers, so it is too pessimistic while first claims of
         // other servers are in progress or about to begin. Until `inherited_unresolved_until`, the
         // job is then admitted without a forecast.
-        let awaits_claims = || {
-            self.servers.iter().any(|(id, slot)| {
-                slot.registered
-                    && slot.entry.service == job.spec.service
-                    && match slot.claim_state {
-                        server_slot::ClaimState::Claiming => true,
-                        server_slot::ClaimState::Unclaimed => self.shards.contains_id(id),
-                        server_slot::ClaimState::Held | server_slot::ClaimState::Suspect => false,
-                    }
-            })
-        };
-        if now < self.inherited_unresolved_until && awaits_claims() {
+        if now < self.inherited_unresolved_until && self.awaits_claims(&job.spec.service) {
             return None;
         }
         let (mut forecast, slowdown) = self.forecast(job, terms, now);
@@ -107,6 +96,19 @@
         Some((job_model::RefusalReason::QueueTooLong, wait))
     }
 
+    /// Whether first claims of registered servers of `service` are in progress or about to begin.
+    pub(super) fn awaits_claims(&self, service: &str) -> bool {
+        self.servers.iter().any(|(id, slot)| {
+            slot.registered
+                && &*slot.entry.service == service
+                && match slot.claim_state {
+                    server_slot::ClaimState::Claiming => true,
+                    server_slot::ClaimState::Unclaimed => self.shards.contains_id(id),
+                    server_slot::ClaimState::Held | server_slot::ClaimState::Suspect => false,
+                }
+        })
+    }
+
     /// Returns the refusal of a job offered while runs of previous leaders may be unknown. A copy of
     /// the job may run here, so the reason is one after which no other pool is tried. A job that
     /// another pool may have started is admitted if any server could run it, as its runs may be found.
@@ -181,7 +183,7 @@
 }
 
 /// Returns the tasks of `job` that have no run, with their mean nominal run time.
-fn queued_work(job: &JobEntry) -> capacity_forecast::QueuedWork {
+pub(super) fn queued_work(job: &JobEntry) -> capacity_forecast::QueuedWork {
     let mut task_count = 0;
     let mut total_run_time = time::Duration::ZERO;
     for task in &job.tasks {
--- a/crates/cuminkeel_replay/tests/shortages.rs
+++ b/crates/cuminkeel_replay/tests/shortages.rs
@@ -1,7 +1,9 @@
 //! Load patterns with a shortage for their whole duration, replayed with the default policies.
 
-use cuminkeel_dispatch::settings;
-use cuminkeel_replay::{load_pattern, replay_report};
+use std::{collections::BTreeSet, sync::Arc};
+
+use cuminkeel_dispatch::{pool_action, settings};
+use cuminkeel_replay::{load_pattern, pool_simulation, replay_report};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -24,6 +26,42 @@
     }
 }
 
+/// Returns the ids of the jobs that were refused after they had been queued, by the label of their end.
+fn refused_from_queue(
+    simulation: &pool_simulation::PoolSimulation,
+    label: &str,
+) -> BTreeSet<Arc<str>> {
+    simulation
+        .decisions
+        .iter()
+        .filter(|(_, record)| {
+            record.kind == pool_action::DecisionKind::JobEnded && record.outcome == label
+        })
+        .filter_map(|(_, record)| record.request.clone())
+        .collect()
+}
+
+/// Guards against callers that are held until their job expires, although the queue shows before that
+/// it can't be served.
+#[test]
+fn waiting_jobs_that_cannot_be_served_are_refused_before_they_expire() {
+    for seed in SEEDS {
+        for spec in replay_report::shortage_specs(seed) {
+            let pattern = load_pattern::draw_shortage(&spec);
+            let simulation =
+                replay_report::run_pattern(&pattern, settings::PoolPolicies::default());
+            let early_count = refused_from_queue(&simulation, "queue_too_long").len();
+            let expired_count = refused_from_queue(&simulation, "expired_in_queue").len();
+            assert!(
+                early_count > expired_count,
+                "pattern {} seed {seed}: {early_count} jobs refused by the review, {expired_count} \
+                 after their expiry",
+                pattern.name
+            );
+        }
+    }
+}
+
 /// Guards against a review that refuses jobs, or defers them, in a pool which has capacity for all: its
 /// decisions are those of a pool that admits everything and reviews nothing.
 #[test]
