--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -468,7 +468,11 @@
         let has_expired = self
             .home_refusal
             .is_some_and(|refusal| refusal.reason == job_model::RefusalReason::ExpiredInQueue);
+        // A job that is moved because of a queue has little time left: late in another pool, it would take
+        // capacity that a job in time needs there.
+        let is_moved_too_late = self.left_process.is_some() && !self.is_home_evacuated();
         match terms {
+            _ if is_moved_too_late => self.refuse(),
             job_model::OfferTerms::AtOnce if !has_expired => {
                 let home_wait = self.home_refusal.filter(|_| may_ask_home).map(|refusal| {
                     retry_advice::wait_before_jitter(&self.spec.id, refusal.retry_after)
