Count released servers with runs although the registry has lost their entries

A pool that stepped down released the server and its runs; if the registry had lost the server's entry (servers leave, the store forgets its history), nothing told the next takeover of the same process that the server exists. Shown by: the new replay fails without the change, in both orders of the removal and the release.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -280,6 +280,15 @@
             .map(|(id, _)| id)
     }
 
+    /// Returns the ids of the servers that a leader claims: the registered ones, and those without an entry
+    /// that may still have runs which this pool started.
+    pub fn claimable_servers(&self, now: time::Duration) -> impl Iterator<Item = &Arc<str>> {
+        self.servers
+            .iter()
+            .filter(move |(_, slot)| slot.counts_for_takeover(now))
+            .map(|(id, _)| id)
+    }
+
     /// Returns the claim state of `server`, or `None` for an unknown server.
     pub fn claim_state(&self, server: &str) -> Option<server_slot::ClaimState> {
         self.servers.get(server).map(|slot| slot.claim_state)
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -89,7 +89,7 @@
         slot.registered = false;
         let id = Arc::clone(&slot.entry.id);
         let inputs = [("runs", count_input(slot.runs.len())), ("", 0), ("", 0)];
-        if slot.runs.is_empty() {
+        if slot.runs.is_empty() && !slot.counts_for_takeover(self.last_active_at) {
             self.servers.remove(server);
         }
         self.record_decision(
@@ -289,6 +289,7 @@
     /// Releases server `id`, leaves its runs to the server's next leader and abandons their jobs.
     /// The decision is logged as `fenced`, whatever the cause.
     fn release_server(&mut self, id: &Arc<str>, now: time::Duration, cause: &'static str) {
+        let released_runs_until = self.inherited_expiry(now);
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
@@ -296,6 +297,9 @@
         slot.may_have_inherited_runs = true;
         slot.next_claim_at = None;
         let runs = std::mem::take(&mut slot.runs);
+        if !runs.is_empty() {
+            slot.released_runs_until = released_runs_until;
+        }
         self.mark_inherited_unresolved(now);
         let inputs = [("runs", count_input(runs.len())), ("", 0), ("", 0)];
         self.record_decision(
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -59,7 +59,12 @@
 
     /// Records that runs unknown to this pool have expired, so that claims which begin later don't make
     /// the servers count that still have not responded.
+    ///
+    /// Removes servers without an entry in the registry whose runs have expired, too.
     pub(super) fn expire_inherited_runs(&mut self, now: time::Duration) {
+        self.servers.retain(|_, slot| {
+            slot.counts_for_takeover(now) || !slot.runs.is_empty() || slot.claim_state.knows_runs()
+        });
         if now < self.inherited_unresolved_until {
             return;
         }
@@ -93,7 +98,7 @@
 
     /// Returns the time by which runs that are unknown at `since` have expired: their leases have, or
     /// the next leader of their server has stopped them.
-    fn inherited_expiry(&self, since: time::Duration) -> time::Duration {
+    pub(super) fn inherited_expiry(&self, since: time::Duration) -> time::Duration {
         since + self.settings.max_lease + INHERITED_RUN_GRACE
     }
 
@@ -106,7 +111,7 @@
             self.knows_all_servers(now) || self.leading_since.is_some_and(has_expired);
         let claims_resolved = now >= self.inherited_unresolved_until
             || self
-                .unreported_servers()
+                .unreported_servers(now)
                 .all(|(_, slot)| !slot.may_have_inherited_runs);
         registry_resolved && claims_resolved
     }
@@ -136,18 +141,21 @@
         }
     }
 
-    /// Returns what is known of the runs on the registered servers of the shards that this pool leads.
+    /// Returns what is known of the runs on the servers of the shards that this pool leads.
     pub(super) fn run_knowledge(&self, now: time::Duration) -> RunKnowledge {
         let mut knows_all = self.knows_all_servers(now);
         for (id, slot) in &self.servers {
-            if !slot.registered || !self.shards.contains_id(id) {
+            if !slot.counts_for_takeover(now) || !self.shards.contains_id(id) {
                 continue;
             }
             match slot.claim_state {
-                server_slot::ClaimState::Unclaimed => return RunKnowledge::HeldElsewhere,
+                server_slot::ClaimState::Unclaimed if slot.registered => {
+                    return RunKnowledge::HeldElsewhere;
+                }
                 server_slot::ClaimState::Held if slot.reported_at >= self.foreign_claim_at => {}
                 // Another pool may have claimed a server that does not respond to this one.
-                server_slot::ClaimState::Held
+                server_slot::ClaimState::Unclaimed
+                | server_slot::ClaimState::Held
                 | server_slot::ClaimState::Claiming
                 | server_slot::ClaimState::Suspect => knows_all = false,
             }
@@ -187,12 +195,16 @@
                 .is_some_and(|since| self.registry_read_at >= since)
     }
 
-    /// Returns the registered servers of the shards that this pool leads whose runs are unknown.
-    fn unreported_servers(&self) -> impl Iterator<Item = (&Arc<str>, &server_slot::ServerSlot)> {
-        self.servers.iter().filter(|(id, slot)| {
+    /// Returns the servers of the shards that this pool leads whose runs are unknown: registered ones, and
+    /// those that this pool released with runs after the registry had lost their entry.
+    fn unreported_servers(
+        &self,
+        now: time::Duration,
+    ) -> impl Iterator<Item = (&Arc<str>, &server_slot::ServerSlot)> {
+        self.servers.iter().filter(move |(id, slot)| {
             let is_reported =
                 slot.claim_state.knows_runs() && slot.reported_at >= self.foreign_claim_at;
-            slot.registered && !is_reported && self.shards.contains_id(id)
+            slot.counts_for_takeover(now) && !is_reported && self.shards.contains_id(id)
         })
     }
 
@@ -201,6 +213,6 @@
         if now >= self.inherited_unresolved_until {
             return 0;
         }
-        self.unreported_servers().count()
+        self.unreported_servers(now).count()
     }
 }
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -131,6 +131,7 @@
             slot.lease_expiry_ms = slot.lease_expiry_ms.max(reading.clock_ms + max_lease_ms);
         }
         slot.claim_state = server_slot::ClaimState::Held;
+        slot.released_runs_until = time::Duration::ZERO;
         let inputs = [
             ("tries", i64::from(slot.claim_attempts)),
             (
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -156,6 +156,9 @@
     /// Whether the server may have inherited runs that make all jobs wait: it was registered when this
     /// pool took over, or lost to another pool since, and the leases have not expired.
     pub may_have_inherited_runs: bool,
+    /// Time by which the runs have expired that the server had when this pool released it; zero if it had
+    /// none. Until then the server counts, even if the registry has lost its entry.
+    pub released_runs_until: time::Duration,
     /// Incarnation of the server that `processed_end_sequence`, `clock` and `runs` belong to; 0 if
     /// unknown.
     pub incarnation: u64,
@@ -194,6 +197,7 @@
             hold_sent_at: time::Duration::ZERO,
             reported_at: time::Duration::ZERO,
             may_have_inherited_runs: true,
+            released_runs_until: time::Duration::ZERO,
             warm_at: None,
         }
     }
@@ -203,6 +207,12 @@
         leadership::shard_of_hash(self.id_hash)
     }
 
+    /// Whether the server may have runs that a takeover has to find: it is registered, or had runs when
+    /// this pool released it.
+    pub fn counts_for_takeover(&self, now: time::Duration) -> bool {
+        self.registered || now < self.released_runs_until
+    }
+
     /// Whether new runs may be ordered on the server.
     pub fn is_usable(&self, now: time::Duration) -> bool {
         self.claim_state == ClaimState::Held
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -342,9 +342,10 @@
             }
         }
         if is_leader {
+            let claimable: Vec<Arc<str>> = self.pool.claimable_servers(now).cloned().collect();
             let wanted: BTreeSet<Arc<str>> =
                 self.claim_targets
-                    .wanted_servers(&members, shards, registered.iter(), now);
+                    .wanted_servers(&members, shards, claimable.iter(), now);
             self.pool.reconcile_claims(&wanted, shards, now);
         }
         self.publish_room(now);
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -159,6 +159,42 @@
     );
 }
 
+/// The registry has lost the entry of a server that lives and runs the job, and the leader then steps
+/// down and leads again. Nothing in the registry tells it that the server exists, so it would start the
+/// job beside the run that it ordered itself.
+#[test]
+fn job_is_not_started_again_by_its_own_leader_beside_a_run_on_a_server_whose_entry_is_missing() {
+    for removal_first in [true, false] {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+        let job = fixtures::offer("job", 1, VERY_LONG_RUN);
+        submit(&mut simulation, 0, &job, VERY_LONG_RUN);
+        simulation.run_until(fixtures::ms(200));
+        let server_with_run = ["s1", "s2"]
+            .into_iter()
+            .find(|server| has_run(&mut simulation, server, "job"))
+            .expect("the leader should have started the job");
+        let other_server = ["s2", "s1"]
+            .into_iter()
+            .find(|server| *server != server_with_run)
+            .expect("there are two servers");
+        if removal_first {
+            simulation.pools[0].remove_registry_entry(server_with_run);
+        }
+        simulation.step_down(0);
+        if !removal_first {
+            simulation.pools[0].remove_registry_entry(server_with_run);
+        }
+        claim(&mut simulation, 0, [other_server]);
+        let resubmitted = job_model::JobOffer {
+            may_have_started: true,
+            ..job
+        };
+        submit(&mut simulation, 0, &resubmitted, VERY_LONG_RUN);
+        simulation.run_until(fixtures::ms(8_000));
+        assert_eq!(simulation.violations, [], "removal first: {removal_first}");
+    }
+}
+
 /// The next leader can't reach the server that runs the job, so it can't learn of the run. A caller
 /// sends the job again, and it would be started on a server that the next leader holds.
 #[test]
