--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -37,7 +37,7 @@
     /// `SOAK_MAX_WORK_MS`: upper limit of the run time of a task, in ms.
     pub max_work_ms: u64,
     /// `SOAK_DUPLICATES`: probability that a job is sent to two random processes at once, if they
-    /// are of one failure domain. None by default, as they show an open fault (`KNOWN-RED.txt`).
+    /// are of one failure domain.
     pub duplicate_probability: f64,
     /// `SOAK_HANGUPS`: probability that a caller closes its connection before the answer.
     pub hangup_probability: f64,
@@ -60,7 +60,7 @@
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
-            duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.0),
+            duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
         }
     }
