--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// Largest stretch factor that counts, so that a sum of times from a damaged offer does not overflow.
+const MAX_STRETCH_FACTOR: f64 = 1_000.0;
+
 /// Step of a job: its tasks and what they require of a server.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StepSpec {
@@ -132,10 +135,24 @@
     /// Returns the response time objective for a job with this critical path:
     /// `critical_path * stretch_factor + target_latency_ms`.
     pub fn objective(&self, critical_path: time::Duration) -> time::Duration {
-        critical_path.mul_f64(self.stretch_factor.max(1.0))
+        // Not a number counts as 1.
+        let stretch_factor = match self.stretch_factor {
+            factor if factor >= 1.0 => factor.min(MAX_STRETCH_FACTOR),
+            _ => 1.0,
+        };
+        critical_path.mul_f64(stretch_factor)
             + time::Duration::from_millis(u64::from(self.target_latency_ms))
     }
 
+    /// Returns the processor of all tasks that depend on no others, in thousandths of a core.
+    pub fn ready_cpu_millis(&self) -> u32 {
+        self.steps
+            .iter()
+            .filter(|step| step.depends_on.is_empty())
+            .map(|step| step.cpu_millis.saturating_mul(u32::from(step.task_count)))
+            .fold(0, u32::saturating_add)
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn task_count(&self) -> usize {
         self.steps
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -5,9 +5,11 @@
 
 mod admission;
 mod claims;
+mod divided_domain;
 mod evacuated;
 mod inherited_runs;
 mod jobs;
+mod queue_wait;
 mod released_jobs;
 mod reports;
 mod run_ends;
@@ -249,7 +251,7 @@
             .values()
             .filter(|slot| slot.is_usable(now))
             .map(|slot| (slot.startable_cpu_millis(now), slot.entry.cpu_millis));
-        pool_room::PoolRoom::from_servers(servers, time::Duration::ZERO)
+        pool_room::PoolRoom::from_servers(servers, self.typical_wait(now))
     }
 
     /// Returns the number of jobs of `route` of which no task has started.
@@ -302,6 +304,7 @@
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
         self.released_jobs.prune(now);
+        self.end_jobs_of_other_pools(now);
         self.expire_jobs(now);
         self.schedule(now);
     }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -67,6 +67,7 @@
         return Err(link_frame::LinkError::NoHello);
     };
     let peer_name = Arc::clone(&hello.name);
+    let peer_domain = Arc::clone(&hello.failure_domain);
     let mut status_changes = node.status_changes();
     let mut sent_state = sent_state::SentState::default();
     let mut send_times = send_time::SendTimes::default();
@@ -79,6 +80,7 @@
         sent_state.leader_change(node),
         Some(send_times.frame(node.now())),
         Some(link_frame::LinkFrame::Status(node.own_status())),
+        sent_state.room_change(node, &peer_domain),
     ]
     .into_iter()
     .flatten()
@@ -114,6 +116,7 @@
                 let responses = [
                     Some(send_times.frame(now)),
                     Some(link_frame::LinkFrame::Status(node.own_status())),
+                    sent_state.room_change(node, &peer_domain),
                     sent_state.newer_config(node, &status),
                     sent_state.leader_change(node),
                     sent_state.evacuation_change(node),
@@ -152,7 +155,7 @@
                     )),
                 );
             }
-            Ok(frame) => apply_frame(node, &peer_name, frame, job_tasks),
+            Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, job_tasks),
             Err(error) => break Err(error),
         }
     };
@@ -206,12 +209,17 @@
     node: &Arc<node_state::NodeState>,
     peer_name: &Arc<str>,
     frame: link_frame::LinkFrame,
+    send_times: &send_time::SendTimes,
     job_tasks: &mut HashMap<u64, task::JoinHandle<()>>,
 ) {
     match frame {
         link_frame::LinkFrame::Leaders(change) => {
             peer_update::apply_leader_change(node, peer_name, change);
         }
+        link_frame::LinkFrame::Room(room) => {
+            let sent_at = send_times.sent_at(node.now());
+            peer_update::apply_room(node, peer_name, room, sent_at);
+        }
         link_frame::LinkFrame::Withdraw { submission_id } => {
             if let Some(job_task) = job_tasks.remove(&submission_id) {
                 job_task.abort();
@@ -221,7 +229,6 @@
         link_frame::LinkFrame::End { .. }
         | link_frame::LinkFrame::Evacuations(_)
         | link_frame::LinkFrame::Hello(_)
-        | link_frame::LinkFrame::Room(_)
         | link_frame::LinkFrame::SendTime { .. }
         | link_frame::LinkFrame::Status(_)
         | link_frame::LinkFrame::Submit { .. } => {}
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod frontend;
 mod logs;
+mod offers;
 mod peers;
 mod platform_faults;
 mod recovery;
