--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -9,6 +9,7 @@
 mod evacuated;
 mod inherited_runs;
 mod jobs;
+mod queue_review;
 mod queue_wait;
 mod released_jobs;
 mod reports;
@@ -161,6 +162,8 @@
     placement_scans: u64,
     /// Start of the evacuation of the pool's failure domain, or `None` if it isn't evacuated.
     evacuation: Option<EvacuationStart>,
+    /// Time of the next review of the queue.
+    next_review_at: time::Duration,
     /// Time of the last call that checked for a pause.
     last_active_at: time::Duration,
     actions: Vec<pool_action::PoolAction>,
@@ -192,6 +195,7 @@
             typical_cpu_millis: 0,
             placement_scans: 0,
             evacuation: None,
+            next_review_at: time::Duration::ZERO,
             last_active_at: time::Duration::ZERO,
             actions: Vec::new(),
         }
@@ -294,8 +298,8 @@
     }
 
     /// Performs everything that is due at `now`: steps down after a pause, repeats claims, ends runs
-    /// with expired leases, stops runs without a job, ends expired jobs, demotes late ones and places
-    /// tasks.
+    /// with expired leases, stops runs without a job, ends expired jobs, demotes late ones, reviews the
+    /// queue and places tasks.
     pub fn tick(&mut self, now: time::Duration) {
         self.step_down_after_pause(now);
         self.retry_claims(now);
@@ -306,6 +310,7 @@
         self.released_jobs.prune(now);
         self.end_jobs_of_other_pools(now);
         self.expire_jobs(now);
+        self.review_queue(now);
         self.schedule(now);
     }
 
