Wait for servers of shards that a new leader gives up during its takeover

The leader of all shards was killed while servers were being added. Its successor led all shards from 21.022 s on, learnt then of so many servers that the domain needs two leaders, gave half of the shards up, and started jobs again at 21.051 s whose runs went on on servers of the other half: these no longer counted as unreported. Change: servers of shards that were given up count until the takeover is resolved, 1.4 s at most, and jobs that another pool may have started fail with pool_lost, as the coordinator answers it where the leaders don't cover the lost shards.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -139,6 +139,9 @@
     arrival_count: u64,
     /// Shards of the failure domain's servers that this pool leads.
     shards: leadership::ShardSet,
+    /// Shards of the servers whose runs have to be known before tasks start: those in `shards`, and those
+    /// that this pool has given up before the runs there were known.
+    takeover_shards: leadership::ShardSet,
     /// Time until which servers may have inherited runs that this pool does not know.
     inherited_unresolved_until: time::Duration,
     /// Time until which servers with runs may be missing from the registry.
@@ -185,6 +188,7 @@
             run_servers: HashMap::new(),
             arrival_count: 0,
             shards: leadership::ShardSet::ALL,
+            takeover_shards: leadership::ShardSet::ALL,
             inherited_unresolved_until: time::Duration::ZERO,
             registry_complete_at: time::Duration::ZERO,
             foreign_claim_at: time::Duration::ZERO,
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -5,8 +5,8 @@
 
 use std::{sync::Arc, time};
 
-use super::{INHERITED_RUN_GRACE, ServerPool};
-use crate::{leadership, pool_action, server_slot};
+use super::{INHERITED_RUN_GRACE, ServerPool, TaskPhase};
+use crate::{job_model, leadership, pool_action, server_slot};
 
 /// Time in which claims and a read of the registry are answered unless a server, or the store, is
 /// unresponsive: the time limits of both are shorter.
@@ -40,7 +40,17 @@
             .servers
             .values()
             .any(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed);
+        let gives_up_shards = self.leading_since.is_some() && !shards.covers(self.shards);
+        let was_resolved = self.takeover_resolved(now);
         self.shards = shards;
+        self.takeover_shards = if was_resolved {
+            shards
+        } else {
+            self.takeover_shards.union(shards)
+        };
+        if gives_up_shards {
+            self.end_jobs_of_given_up_shards(now);
+        }
         if !led_all_before || (wants_servers && !has_claims) {
             self.leading_since = Some(now);
             for slot in self.servers.values_mut() {
@@ -51,6 +61,27 @@
         }
     }
 
+    /// Ends jobs that another pool may have started: their runs may be on servers of shards that this
+    /// pool has given up, whose next leader knows nothing of the jobs. Jobs with all their tasks placed or
+    /// done are kept.
+    fn end_jobs_of_given_up_shards(&mut self, now: time::Duration) {
+        let ended: Vec<Arc<str>> = self
+            .jobs
+            .values()
+            .filter(|job| job.may_run_elsewhere)
+            .filter(|job| {
+                job.tasks
+                    .iter()
+                    .any(|task| task.phase == TaskPhase::Waiting)
+            })
+            .map(|job| Arc::clone(&job.spec.id))
+            .collect();
+        for id in ended {
+            let end = job_model::JobEnd::Failed(job_model::FailureReason::PoolLost);
+            self.end_job(&id, &end, now);
+        }
+    }
+
     /// Records that servers may have runs that this pool does not know, until they have expired.
     pub(super) fn mark_inherited_unresolved(&mut self, now: time::Duration) {
         let resolved_at = self.inherited_expiry(now);
@@ -68,6 +99,7 @@
         if now < self.inherited_unresolved_until {
             return;
         }
+        self.takeover_shards = self.shards;
         for slot in self.servers.values_mut() {
             slot.may_have_inherited_runs = false;
         }
@@ -204,7 +236,7 @@
         self.servers.iter().filter(move |(id, slot)| {
             let is_reported =
                 slot.claim_state.knows_runs() && slot.reported_at >= self.foreign_claim_at;
-            slot.counts_for_takeover(now) && !is_reported && self.shards.contains_id(id)
+            slot.counts_for_takeover(now) && !is_reported && self.takeover_shards.contains_id(id)
         })
     }
 
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -275,6 +275,65 @@
     assert_eq!(failed_steps, [], "steps of 100 us with overlapping runs");
 }
 
+/// A process takes over all shards of a lost leader, and leaves half of them to another new leader some ms
+/// later, as the domain turns out to be large. The job runs on a server of that half, of which it gets no
+/// report, and it would be started again on a server of the half that is left.
+#[test]
+fn job_is_not_started_by_a_new_leader_that_gives_up_the_shard_of_the_server_that_runs_it() {
+    let members: Vec<leadership::DomainMember> = ["one", "two"]
+        .into_iter()
+        .map(|name| leadership::DomainMember {
+            name: Arc::from(name),
+            cpu_millis: 1_000,
+            reachable: true,
+            leaving: false,
+            held_servers: 0,
+            shards: leadership::ShardSet::default(),
+        })
+        .collect();
+    let names: Vec<String> = (0..8).map(|number| format!("s{number}")).collect();
+    let servers: Vec<&str> = names.iter().map(String::as_str).collect();
+    for may_have_started in [true, false] {
+        let mut failed_steps = Vec::new();
+        for delay_steps in 0..DELAY_STEPS {
+            let mut simulation = fixtures::simulation_with_leader(2, &servers);
+            let job = fixtures::offer("job", 1, fixtures::LONG_RUN);
+            submit(&mut simulation, 0, &job, fixtures::LONG_RUN);
+            simulation.run_until(fixtures::ms(200));
+            let server_with_run = servers
+                .iter()
+                .copied()
+                .find(|server| has_run(&mut simulation, server, "job"))
+                .expect("the leader should have started the job");
+            simulation.pause(0);
+            claim(&mut simulation, 1, &servers);
+            let resubmitted = job_model::JobOffer {
+                may_have_started,
+                ..job
+            };
+            submit(&mut simulation, 1, &resubmitted, fixtures::LONG_RUN);
+            let delay = time::Duration::from_micros(delay_steps * 100);
+            simulation.run_until(fixtures::ms(200) + delay);
+            let kept = ["one", "two"]
+                .into_iter()
+                .map(|name| leadership::shards_to_lead(&members, 2, name))
+                .find(|shards| !shards.contains_id(server_with_run))
+                .expect("one half of the shards should not have the server");
+            let kept_servers = servers.iter().filter(|server| kept.contains_id(server));
+            claim_with_old_registry(&mut simulation, 1, kept_servers, kept);
+            simulation.run_until(fixtures::ms(6_000));
+            if has_overlapping_runs(&simulation) {
+                failed_steps.push(delay_steps);
+            }
+        }
+        assert_eq!(
+            failed_steps,
+            [],
+            "steps of 100 us with overlapping runs, may have started: {may_have_started}"
+        );
+    }
+}
+
 /// Another leader claims one server of a leader in the middle of its term, as in a failure domain
 /// whose processes can't reach each other, and starts the job there. A caller sends the job again to
 /// the first leader, which would start it on a server that it still holds. The copy is sent 0 to 1.9 s
