Let policies switch off each mechanism of the decisions

Cause: three of the pool's mechanisms had a baseline to compare with (order, admission, placement), the others (demotion, deferral, queue review, waiting for a faster server, learned run times and speeds, reschedules, ejection) had none, so nobody could say what they are worth. All are on by default, and no decision changes.

--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -189,7 +189,12 @@
         let nominal_run_times: SmallVec<[time::Duration; 1]> = spec
             .steps
             .iter()
-            .map(|step| run_time_model.nominal_run_time(step.estimate()))
+            .map(|step| match self.settings.policies.learned_run_times {
+                settings::MechanismState::Enabled => {
+                    run_time_model.nominal_run_time(step.estimate())
+                }
+                settings::MechanismState::Disabled => step.estimate(),
+            })
             .collect();
         let critical_path = spec.critical_path(&nominal_run_times);
         let objective_time = spec.objective(critical_path);
@@ -468,7 +473,8 @@
                 }
                 // A job with started tasks keeps its position: their runs are wasted unless its
                 // other tasks run too.
-                () if has_waiting_tasks
+                () if self.settings.policies.demotion.is_enabled()
+                    && has_waiting_tasks
                     && !job.has_started
                     && !job.queue_position.late
                     && now > job.queue_position.latest_start =>
--- a/crates/cuminkeel_dispatch/src/pool/queue_review.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_review.rs
@@ -33,6 +33,7 @@
     pub(super) fn review_queue(&mut self, now: time::Duration) {
         let is_due = now >= self.next_review_at && !self.queue.is_empty();
         if !is_due
+            || !self.settings.policies.queue_review.is_enabled()
             || self.settings.policies.admission == settings::AdmissionPolicy::AdmitAll
             || !self.takeover_resolved(now)
         {
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -380,7 +380,7 @@
         now: time::Duration,
     ) {
         // The tasks might not be allowed to start again.
-        if self.evacuation.is_some() {
+        if self.evacuation.is_some() || !self.settings.policies.overdue_reschedules.is_enabled() {
             return;
         }
         for reported in &report.running {
@@ -424,6 +424,7 @@
         now: time::Duration,
     ) {
         if action == overdue_run::OverdueAction::RescheduleAndEject
+            && self.settings.policies.ejection.is_enabled()
             && let Some(slot) = self.servers.get_mut(id)
         {
             slot.health.eject(now);
--- a/crates/cuminkeel_dispatch/src/pool/run_ends.rs
+++ b/crates/cuminkeel_dispatch/src/pool/run_ends.rs
@@ -105,6 +105,7 @@
         // Only the first failure of a task counts against the server: if the task has failed on
         // another one before, the task itself is the likelier cause.
         if failures == 1
+            && self.settings.policies.ejection.is_enabled()
             && let Some(slot) = self.servers.get_mut(server)
             && slot.health.record_failure(now)
         {
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -55,7 +55,8 @@
             if max_free_cpu_millis == 0 {
                 return;
             }
-            let is_deferred = position.late
+            let is_deferred = self.settings.policies.deferral.is_enabled()
+                && position.late
                 && self
                     .jobs
                     .get(&position.job)
@@ -369,7 +370,8 @@
             end_on_fastest: now + run_time.mul_f64(min_slowdown),
             objective_at: job.objective_at,
         };
-        let should_wait = self.settings.policies.placement == settings::PlacementPolicy::LeastCost
+        let should_wait = self.settings.policies.faster_server_wait.is_enabled()
+            && self.settings.policies.placement == settings::PlacementPolicy::LeastCost
             && task_placement::should_wait_for_faster(&comparison);
         (!should_wait).then(|| (Arc::clone(id), slowdown))
     }
@@ -380,6 +382,9 @@
         now: time::Duration,
     ) -> f64 {
         let usual_speed = health::KindSlowdown::default();
+        if !self.settings.policies.learned_speeds.is_enabled() {
+            return usual_speed.slowdown_factor();
+        }
         let kind = self
             .kind_slowdowns
             .get(&slot.kind())
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -2,8 +2,11 @@
 
 use std::time;
 
+use serde::Deserialize;
+
 /// Order in which queued jobs are served.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
 pub enum QueuePolicy {
     /// By the latest start that meets the objective.
     #[default]
@@ -13,7 +16,8 @@
 }
 
 /// Rule for admitting jobs to the queue.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
 pub enum AdmissionPolicy {
     /// Admits jobs whose forecast start and end meet the terms of their offers.
     #[default]
@@ -23,7 +27,8 @@
 }
 
 /// Choice of the server for a task among those with enough capacity.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
 pub enum PlacementPolicy {
     /// Server with the least placement cost.
     #[default]
@@ -32,8 +37,27 @@
     FirstFit,
 }
 
+/// Whether a mechanism is in use.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum MechanismState {
+    /// As in production.
+    #[default]
+    Enabled,
+    /// Left out, to measure what the mechanism is worth.
+    Disabled,
+}
+
+impl MechanismState {
+    /// Whether the mechanism is in use.
+    pub fn is_enabled(self) -> bool {
+        self == Self::Enabled
+    }
+}
+
 /// Policies of a pool. The defaults are for production; the others serve as baselines.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
 pub struct PoolPolicies {
     /// Order in which queued jobs are served.
     pub queue: QueuePolicy,
@@ -41,6 +65,22 @@
     pub admission: AdmissionPolicy,
     /// Choice of the server for a task.
     pub placement: PlacementPolicy,
+    /// Jobs that have missed their latest start are served after all others.
+    pub demotion: MechanismState,
+    /// Late jobs start only while no job in time waits for a server.
+    pub deferral: MechanismState,
+    /// Waiting jobs that can't be served before they expire are refused.
+    pub queue_review: MechanismState,
+    /// Tasks wait for a faster server if they would miss their objective on a slow one.
+    pub faster_server_wait: MechanismState,
+    /// Run times are forecast from past runs of the route, not only from the caller's estimate.
+    pub learned_run_times: MechanismState,
+    /// Servers are told apart by the speed of their past runs.
+    pub learned_speeds: MechanismState,
+    /// Overdue runs are stopped and their tasks placed anew.
+    pub overdue_reschedules: MechanismState,
+    /// Servers that fail runs are not used for a while.
+    pub ejection: MechanismState,
 }
 
 /// Policies, lease times and limits of a pool.
