Replay scenarios of several domains with all their faults, and bound worth by whole tasks

Cause: replays of several domains ignored faults of servers and told nothing but worth; the bound let a task be divided between servers. Replays now share one tally, which also gives causes of late answers (waited, spread, slow run) and the work that was not done for answers in time. Capacities can change. Tests: no policy exceeds it on random patterns; two tasks of a bit more than half a server count as whole ones.

--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -9,9 +9,10 @@
 use cuminkeel_dispatch::{
     job_model, leadership, offer_plan, pool, pool_action, pool_room, room_ledger, settings,
 };
+use serde::Deserialize;
 use smallvec::SmallVec;
 
-use crate::{fake_server, load_pattern, pool_simulation, replay_report};
+use crate::{fault_schedule, load_pattern, pool_simulation, replay_tally};
 
 /// Time before the first arrival, in which each pool claims its servers.
 const WARM_UP_TIME: time::Duration = time::Duration::from_secs(1);
@@ -19,29 +20,27 @@
 const COOL_DOWN_TIME: time::Duration = time::Duration::from_secs(6);
 
 /// Policy on the failure domains to which a job is offered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
 pub enum SpilloverPolicy {
     /// Offers a job to its local domain only; the baseline.
     LocalOnly,
     /// Offers a job to remote domains if it would have to wait in the local one, as the
     /// coordinator does.
+    #[default]
     RemoteWhenFull,
 }
 
 /// Result of a replay of several domains.
 #[derive(Clone, Debug)]
 pub struct DomainReport {
-    /// Worth earned as a share of the worth offered by all jobs, for the callers of each domain.
-    pub worth_shares: Vec<f64>,
-    /// Share of the jobs that were answered while their answers had worth, for the callers of each domain.
-    pub served_shares: Vec<f64>,
+    /// What the callers of all domains got.
+    pub replay: replay_tally::ReplayReport,
     /// Number of jobs that were admitted in a remote domain.
     pub remote_jobs: usize,
     /// Number of tasks that each domain started when its evacuation had been known to its pool for longer
     /// than jobs in progress may go on.
     pub late_starts: Vec<usize>,
-    /// Invariant violations in all domains.
-    pub violations: Vec<pool_simulation::InvariantViolation>,
 }
 
 /// Time between two checks for the ends of jobs.
@@ -61,23 +60,12 @@
 /// Failure domain with its callers and servers.
 #[derive(Clone, Debug)]
 pub struct DomainSpec {
-    /// Arrivals of the domain's callers; changes of server modes are ignored.
+    /// Arrivals of the domain's callers, and the domain's servers with their faults.
     pub pattern: load_pattern::LoadPattern,
-    /// Servers of the domain.
-    pub servers: Vec<fake_server::FakeServer>,
     /// Start of the evacuation of the domain, from the start of the pattern; it doesn't end.
     pub evacuated_at: Option<time::Duration>,
 }
 
-/// Sums over the jobs of a domain's callers.
-#[derive(Clone, Copy, Debug, Default)]
-struct DomainTotals {
-    offered_worth: f64,
-    earned_worth: f64,
-    jobs: f64,
-    served_jobs: f64,
-}
-
 /// A job with the plan of its offers.
 struct OfferedJob {
     arrival: load_pattern::JobArrival,
@@ -164,10 +152,13 @@
     is_evacuated: Vec<bool>,
     /// Number of answers of each simulation that have been passed to the plans.
     read_answers: Vec<usize>,
+    /// Faults of the servers of each domain.
+    faults: Vec<fault_schedule::FaultSchedule>,
+    /// Number of jobs refused while healthy servers of any domain had room for all of their tasks.
+    refused_with_room: usize,
 }
 
-/// Replays the arrivals of one pattern for each domain, all at the same time. Ignores the patterns'
-/// changes of server modes.
+/// Replays one pattern for each domain, all at the same time.
 pub fn replay(
     patterns: &[load_pattern::LoadPattern],
     spillover_policy: SpilloverPolicy,
@@ -176,19 +167,27 @@
         .iter()
         .map(|pattern| DomainSpec {
             pattern: pattern.clone(),
-            servers: load_pattern::domain_servers(),
             evacuated_at: None,
         })
         .collect();
-    replay_domains(&domains, spillover_policy)
+    replay_domains(
+        &domains,
+        settings::PoolPolicies::default(),
+        spillover_policy,
+    )
 }
 
-/// Replays the arrivals of all domains at the same time.
-pub fn replay_domains(specs: &[DomainSpec], spillover_policy: SpilloverPolicy) -> DomainReport {
-    let pool_policies = settings::PoolPolicies::default();
+/// Replays all domains at the same time.
+pub fn replay_domains(
+    specs: &[DomainSpec],
+    pool_policies: settings::PoolPolicies,
+    spillover_policy: SpilloverPolicy,
+) -> DomainReport {
     let mut simulations: Vec<_> = specs
         .iter()
-        .map(|spec| pool_simulation::PoolSimulation::new(1, spec.servers.clone(), pool_policies))
+        .map(|spec| {
+            pool_simulation::PoolSimulation::new(1, spec.pattern.servers.clone(), pool_policies)
+        })
         .collect();
     for simulation in &mut simulations {
         simulation.lead(0);
@@ -214,6 +213,11 @@
             .collect(),
         is_evacuated: vec![false; specs.len()],
         read_answers: vec![0; simulations.len()],
+        faults: specs
+            .iter()
+            .map(|spec| fault_schedule::FaultSchedule::new(&spec.pattern))
+            .collect(),
+        refused_with_room: 0,
         simulations,
     };
     for position in 0..domains.jobs.len() {
@@ -269,6 +273,7 @@
         while self.now() < until {
             let next = until.min(self.now() + STEP_TIME);
             self.start_evacuations();
+            self.start_faults();
             self.update_views();
             for simulation in &mut self.simulations {
                 simulation.run_until(next);
@@ -295,6 +300,15 @@
         }
     }
 
+    fn start_faults(&mut self) {
+        let Some(elapsed) = self.now().checked_sub(WARM_UP_TIME) else {
+            return;
+        };
+        for (faults, simulation) in self.faults.iter_mut().zip(&mut self.simulations) {
+            faults.apply_due(simulation, elapsed);
+        }
+    }
+
     /// Updates what the processes know of the pools. The updates of a domain's processes are spread over
     /// the interval.
     fn update_views(&mut self) {
@@ -463,6 +477,15 @@
             at: now,
         };
         if matches!(answer, offer_plan::JobAnswer::Refused { .. }) {
+            let arrival = &self.jobs[position].arrival;
+            let free_tasks: usize = self
+                .simulations
+                .iter()
+                .map(|simulation| simulation.free_task_count(arrival.task_profile.cpu_millis))
+                .sum();
+            if free_tasks >= arrival.offer.spec.task_count() {
+                self.refused_with_room += 1;
+            }
             for simulation in &mut self.simulations {
                 simulation.answers.push(caller_answer.clone());
             }
@@ -485,35 +508,25 @@
     }
 
     fn summarise(&self) -> DomainReport {
-        let mut totals = vec![DomainTotals::default(); self.simulations.len()];
+        let mut tally = replay_tally::ReplayTally::new(self.simulations.len(), WARM_UP_TIME);
+        for simulation in &self.simulations {
+            tally.add_history(simulation.servers.values());
+        }
         for job in &self.jobs {
-            let earned_worth = job.answer.as_ref().map_or(0.0, |answer| {
-                replay_report::earned_worth(&job.arrival, answer, WARM_UP_TIME)
-            });
-            let total = &mut totals[job.local_domain];
-            total.offered_worth += job.arrival.worth;
-            total.earned_worth += earned_worth;
-            total.jobs += 1.0;
-            total.served_jobs += if earned_worth > 0.0 { 1.0 } else { 0.0 };
+            tally.add_job(job.local_domain, &job.arrival, job.answer.as_ref());
         }
         DomainReport {
-            worth_shares: totals
-                .iter()
-                .map(|total| total.earned_worth / total.offered_worth.max(f64::MIN_POSITIVE))
-                .collect(),
-            served_shares: totals
-                .iter()
-                .map(|total| total.served_jobs / total.jobs.max(1.0))
-                .collect(),
+            replay: tally.report(
+                self.refused_with_room,
+                self.simulations
+                    .iter()
+                    .flat_map(|simulation| simulation.violations.iter().cloned())
+                    .collect(),
+            ),
             remote_jobs: self.jobs.iter().filter(|job| job.is_remote).count(),
             late_starts: (0..self.simulations.len())
                 .map(|domain| self.late_starts(domain))
                 .collect(),
-            violations: self
-                .simulations
-                .iter()
-                .flat_map(|simulation| simulation.violations.iter().cloned())
-                .collect(),
         }
     }
 }
--- a/crates/cuminkeel_replay/src/lib.rs
+++ b/crates/cuminkeel_replay/src/lib.rs
@@ -6,8 +6,11 @@
 
 pub mod domain_replay;
 pub mod fake_server;
+mod fault_schedule;
 mod load_bound;
 pub mod load_pattern;
+pub mod load_scenario;
 pub mod pool_simulation;
 pub mod replay_report;
+pub mod replay_tally;
 pub mod run_audit;
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -84,6 +84,17 @@
     pub mode: fake_server::ServerMode,
 }
 
+/// A change of a server's capacity.
+#[derive(Clone, Copy, Debug)]
+pub struct CapacityChange {
+    /// Time of the change, from the start of the pattern.
+    pub at: time::Duration,
+    /// Index of the server in [`LoadPattern::servers`].
+    pub server: usize,
+    /// Processor of the server from then on, in thousandths of a core.
+    pub cpu_millis: u32,
+}
+
 /// Arrivals and faults of one simulated period.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
@@ -93,6 +104,8 @@
     pub arrivals: Vec<JobArrival>,
     /// Changes of servers' modes in order of time.
     pub mode_changes: Vec<ServerModeChange>,
+    /// Changes of servers' capacities in order of time.
+    pub capacity_changes: Vec<CapacityChange>,
     /// Servers of the failure domain.
     pub servers: Vec<fake_server::FakeServer>,
 }
@@ -197,6 +210,7 @@
         name: spec.name,
         arrivals,
         mode_changes,
+        capacity_changes: Vec::new(),
         servers: domain_servers(),
     }
 }
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -46,6 +46,8 @@
     /// A task crashes the server of this id if it still runs there.
     CrashDue(Arc<str>, job_model::TaskName),
     RestartDue(Arc<str>),
+    /// The server of this id has this processor from now on.
+    CapacityChangeDue(Arc<str>, u32),
     LossArrives(usize, crash_ledger::LostRun),
     Tick(usize),
 }
@@ -273,7 +275,7 @@
 
     /// Returns how many tasks that use `cpu_millis` each the free processor of healthy servers has room
     /// for.
-    fn free_task_count(&self, cpu_millis: u32) -> usize {
+    pub(crate) fn free_task_count(&self, cpu_millis: u32) -> usize {
         self.servers
             .values()
             .filter(|server| server.mode == fake_server::ServerMode::Healthy)
@@ -315,6 +317,25 @@
         self.execute_actions(pool_index);
     }
 
+    /// Registers a new capacity of the server `server_id`, which uses it after `delay`.
+    pub fn resize_server(&mut self, server_id: &str, cpu_millis: u32, delay: time::Duration) {
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return;
+        };
+        server.entry.sequence += 1;
+        let entry = server_model::ServerEntry {
+            cpu_millis,
+            ..server.entry.clone()
+        };
+        let server_id = Arc::clone(&entry.id);
+        for pool_index in 0..self.pools.len() {
+            self.pools[pool_index].apply_registry_entry(entry.clone(), self.now);
+            self.execute_actions(pool_index);
+        }
+        let change = Event::CapacityChangeDue(server_id, cpu_millis);
+        self.push(self.now + delay, change);
+    }
+
     /// Returns the load of a pool.
     pub fn load(&self, pool_index: usize) -> pool::PoolLoad {
         self.pools[pool_index].load(self.now)
@@ -380,6 +401,11 @@
                 }
             }
             Event::RestartDue(server_id) => self.restart_server(&server_id),
+            Event::CapacityChangeDue(server_id, cpu_millis) => {
+                if let Some(server) = self.servers.get_mut(&server_id) {
+                    server.entry.cpu_millis = cpu_millis;
+                }
+            }
             Event::StartOutcomeArrives(pool_index, order, outcome) => {
                 if !self.paused.contains_key(&pool_index) {
                     self.pools[pool_index].apply_start_outcome(&order, outcome, now);
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -2,18 +2,12 @@
 
 use std::{collections::HashMap, time};
 
-use cuminkeel_dispatch::{job_model, settings};
+use cuminkeel_dispatch::settings;
 
-use crate::{load_bound, load_pattern, pool_simulation};
+use crate::{fault_schedule, load_bound, load_pattern, pool_simulation, replay_tally};
 
-/// Worth of a late answer as a share of the job's worth.
-const LATE_WORTH_SHARE: f64 = 0.2;
-/// Multiple of the objective after which an answer is worth nothing.
-const LATE_OBJECTIVE_MULTIPLE: u32 = 3;
 /// Virtual time before the first arrival, in which the pool claims all servers.
 const WARM_UP_TIME: time::Duration = time::Duration::from_secs(1);
-/// Time after which a refused caller counts as held: it was not told at once.
-pub const HELD_AFTER: time::Duration = time::Duration::from_millis(50);
 /// Time after the end of a pattern, in which the remaining jobs end.
 const COOL_DOWN_TIME: time::Duration = time::Duration::from_secs(5);
 
@@ -167,26 +161,7 @@
     /// Worth share of each of [`JOB_CLASSES`](load_pattern::JOB_CLASSES) with the default policies.
     pub class_worth_shares: [f64; 3],
     /// Ends of the jobs with the default policies.
-    pub end_counts: EndCounts,
-}
-
-/// Numbers of jobs by how they ended.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct EndCounts {
-    /// Answered within their objective.
-    pub in_time: usize,
-    /// Answered after their objective.
-    pub late: usize,
-    /// Refused on arrival, or within [`HELD_AFTER`] of it.
-    pub refused: usize,
-    /// Refused on arrival while healthy servers had room for all of their tasks.
-    pub refused_with_room: usize,
-    /// Admitted, and refused later than [`HELD_AFTER`] without a start.
-    pub held: usize,
-    /// Sum of the times for which the held jobs waited, in ms.
-    pub held_ms: u64,
-    /// Started and not completed.
-    pub given_up: usize,
+    pub end_counts: replay_tally::EndCounts,
 }
 
 /// Replays each of `patterns` with all compared policies.
@@ -194,14 +169,14 @@
     patterns
         .iter()
         .map(|pattern| {
-            let reports: Vec<ReplayReport> = compared_policies()
+            let reports: Vec<replay_tally::ReplayReport> = compared_policies()
                 .into_iter()
                 .map(|(_, policies)| replay(pattern, policies))
                 .collect();
             PatternRow {
                 pattern: pattern.name,
                 worth_shares: reports.iter().map(|report| report.worth_share).collect(),
-                bound: worth_bound(pattern),
+                bound: worth_bound(&[pattern]),
                 class_worth_shares: reports
                     .first()
                     .map(|report| report.class_worth_shares)
@@ -215,68 +190,21 @@
         .collect()
 }
 
-/// Returns an upper bound on the worth that any policies can earn under `pattern`, as a share
-/// of the worth offered. The head of `load_bound.rs` describes the method.
-pub fn worth_bound(pattern: &load_pattern::LoadPattern) -> f64 {
+/// Returns an upper bound on the worth that any policies can earn under `patterns`, each of a failure
+/// domain, as a share of the worth offered. The head of `load_bound.rs` describes the method.
+pub fn worth_bound(patterns: &[&load_pattern::LoadPattern]) -> f64 {
     let late_worth = load_bound::LateWorth {
-        worth_share: LATE_WORTH_SHARE,
-        objective_multiple: LATE_OBJECTIVE_MULTIPLE,
+        worth_share: replay_tally::LATE_WORTH_SHARE,
+        objective_multiple: replay_tally::LATE_OBJECTIVE_MULTIPLE,
     };
-    load_bound::worth_bound(pattern, late_worth)
-}
-
-/// Result of the replay of one pattern.
-#[derive(Clone, Debug)]
-pub struct ReplayReport {
-    /// Worth earned as a share of the worth offered by all answered jobs. A late answer earns a
-    /// part of the job's worth; a job whose tasks always fail earns its worth by being answered as
-    /// failed.
-    pub worth_share: f64,
-    /// Worth earned as a share of the worth offered by all answered jobs, for each of
-    /// [`JOB_CLASSES`](load_pattern::JOB_CLASSES).
-    pub class_worth_shares: [f64; 3],
-    /// Refused jobs as a share of all jobs, including those without an answer.
-    pub refused_share: f64,
-    /// Numbers of jobs by how they ended.
-    pub end_counts: EndCounts,
-    /// Invariant violations in the replay.
-    pub violations: Vec<pool_simulation::InvariantViolation>,
-}
-
-/// Returns the worth that a job has earned: all of it if the response time is within the objective,
-/// `LATE_WORTH_SHARE` of it up to `LATE_OBJECTIVE_MULTIPLE` times the objective, nothing after that.
-/// A job whose tasks always fail earns its worth by being answered as failed. Arrival times count
-/// from the end of `warm_up_time`.
-pub(crate) fn earned_worth(
-    arrival: &load_pattern::JobArrival,
-    answer: &pool_simulation::CallerAnswer,
-    warm_up_time: time::Duration,
-) -> f64 {
-    let objective = arrival
-        .offer
-        .spec
-        .objective(arrival.task_profile.nominal_run_time);
-    let response_time = answer.at.saturating_sub(warm_up_time + arrival.at);
-    let expected_end = if arrival.task_profile.always_fails {
-        job_model::JobEnd::Failed(job_model::FailureReason::AttemptsExhausted)
-    } else {
-        job_model::JobEnd::Completed
-    };
-    match () {
-        () if answer.end != expected_end => 0.0,
-        () if response_time <= objective => arrival.worth,
-        () if response_time <= objective * LATE_OBJECTIVE_MULTIPLE => {
-            arrival.worth * LATE_WORTH_SHARE
-        }
-        () => 0.0,
-    }
+    load_bound::worth_bound(patterns, late_worth)
 }
 
 /// Replays `pattern` through one pool that follows `policies`.
 pub fn replay(
     pattern: &load_pattern::LoadPattern,
     policies: settings::PoolPolicies,
-) -> ReplayReport {
+) -> replay_tally::ReplayReport {
     summarise(pattern, &run_pattern(pattern, policies), WARM_UP_TIME)
 }
 
@@ -286,19 +214,14 @@
     pattern: &load_pattern::LoadPattern,
     policies: settings::PoolPolicies,
 ) -> pool_simulation::PoolSimulation {
-    let servers = pattern.servers.clone();
-    let server_ids: Vec<_> = servers
-        .iter()
-        .map(|server| server.entry.id.clone())
-        .collect();
-    let mut simulation = pool_simulation::PoolSimulation::new(1, servers, policies);
+    let mut simulation = pool_simulation::PoolSimulation::new(1, pattern.servers.clone(), policies);
     simulation.lead(0);
     simulation.run_until(WARM_UP_TIME);
-    let mut mode_changes = pattern.mode_changes.iter().peekable();
+    let mut faults = fault_schedule::FaultSchedule::new(pattern);
     for arrival in &pattern.arrivals {
-        while let Some(change) = mode_changes.next_if(|change| change.at <= arrival.at) {
-            simulation.run_until(WARM_UP_TIME + change.at);
-            simulation.server_mut(&server_ids[change.server]).mode = change.mode;
+        while let Some(at) = faults.next_at(arrival.at) {
+            simulation.run_until(WARM_UP_TIME + at);
+            faults.apply_due(&mut simulation, at);
         }
         simulation.run_until(WARM_UP_TIME + arrival.at);
         simulation.submit(0, &arrival.offer, arrival.task_profile);
@@ -311,50 +234,20 @@
     pattern: &load_pattern::LoadPattern,
     simulation: &pool_simulation::PoolSimulation,
     warm_up_time: time::Duration,
-) -> ReplayReport {
+) -> replay_tally::ReplayReport {
     let answers_by_job: HashMap<&str, &pool_simulation::CallerAnswer> = simulation
         .answers
         .iter()
         .map(|answer| (&*answer.job, answer))
         .collect();
-    let mut offered = [0.0; 3];
-    let mut earned = [0.0; 3];
-    let mut refused_count = 0_usize;
-    let mut end_counts = EndCounts {
-        refused_with_room: simulation.refused_with_room.len(),
-        ..EndCounts::default()
-    };
+    let mut tally = replay_tally::ReplayTally::new(1, warm_up_time);
+    tally.add_history(simulation.servers.values());
     for arrival in &pattern.arrivals {
-        let Some(answer) = answers_by_job.get(&*arrival.offer.spec.id) else {
-            continue;
-        };
-        offered[arrival.class] += arrival.worth;
-        earned[arrival.class] += earned_worth(arrival, answer, warm_up_time);
-        if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
-            refused_count += 1;
-        }
-        let response_time = answer.at.saturating_sub(warm_up_time + arrival.at);
-        let nominal_run_time = arrival.task_profile.nominal_run_time;
-        let is_late = response_time > arrival.offer.spec.objective(nominal_run_time);
-        match &answer.end {
-            job_model::JobEnd::Completed if is_late => end_counts.late += 1,
-            job_model::JobEnd::Completed => end_counts.in_time += 1,
-            job_model::JobEnd::Refused { .. } if response_time > HELD_AFTER => {
-                end_counts.held += 1;
-                end_counts.held_ms += u64::try_from(response_time.as_millis()).unwrap_or(u64::MAX);
-            }
-            job_model::JobEnd::Refused { .. } => end_counts.refused += 1,
-            _ => end_counts.given_up += 1,
-        }
-    }
-    let total_offered: f64 = offered.iter().sum();
-    ReplayReport {
-        worth_share: earned.iter().sum::<f64>() / total_offered.max(f64::MIN_POSITIVE),
-        class_worth_shares: std::array::from_fn(|class| {
-            earned[class] / offered[class].max(f64::MIN_POSITIVE)
-        }),
-        refused_share: refused_count as f64 / pattern.arrivals.len().max(1) as f64,
-        end_counts,
-        violations: simulation.violations.clone(),
+        let answer = answers_by_job.get(&*arrival.offer.spec.id).copied();
+        tally.add_job(0, arrival, answer);
     }
+    tally.report(
+        simulation.refused_with_room.len(),
+        simulation.violations.clone(),
+    )
 }
--- a/crates/cuminkeel_replay/tests/offers.rs
+++ b/crates/cuminkeel_replay/tests/offers.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time};
 
+use cuminkeel_dispatch::settings;
 use cuminkeel_replay::{domain_replay, load_pattern, replay_report};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -18,7 +19,6 @@
             jobs_per_s,
             ..ordinary
         }),
-        servers: load_pattern::domain_servers(),
         evacuated_at: None,
     }
 }
@@ -33,7 +33,7 @@
         arrival.offer.spec = Arc::new(spec);
         arrival.task_profile.cpu_millis *= WIDE_TASK_FACTOR;
     }
-    for server in &mut domain.servers {
+    for server in &mut domain.pattern.servers {
         server.entry.cpu_millis *= WIDE_TASK_FACTOR;
     }
     domain
@@ -43,19 +43,20 @@
     mut domain: domain_replay::DomainSpec,
     count: usize,
 ) -> domain_replay::DomainSpec {
-    domain.servers.drain(..count);
+    domain.pattern.servers.drain(..count);
     domain
 }
 
 /// Replays the domains and prints the shares of callers that are served.
 fn replay(name: &str, seed: u64, domains: &[domain_replay::DomainSpec]) -> Vec<f64> {
     let policy = domain_replay::SpilloverPolicy::RemoteWhenFull;
-    let report = domain_replay::replay_domains(domains, policy);
-    assert_eq!(report.violations, [], "{name}, seed {seed}");
+    let pool_policies = settings::PoolPolicies::default();
+    let report = domain_replay::replay_domains(domains, pool_policies, policy);
+    assert_eq!(report.replay.violations, [], "{name}, seed {seed}");
     println!(
         "{name}, seed {seed}: served {:.3?}, worth {:.3?}, {} of {} jobs remote",
-        report.served_shares,
-        report.worth_shares,
+        report.replay.domain_served_shares,
+        report.replay.domain_worth_shares,
         report.remote_jobs,
         domains
             .iter()
@@ -67,7 +68,7 @@
         "{name}, seed {seed}: {:?} tasks started in evacuated domains",
         report.late_starts
     );
-    report.served_shares
+    report.replay.domain_served_shares
 }
 
 /// Returns the lowest share as a part of the mean.
--- a/crates/cuminkeel_replay/tests/worst_load.rs
+++ b/crates/cuminkeel_replay/tests/worst_load.rs
@@ -2,6 +2,7 @@
 //! baselines.
 
 use cuminkeel_replay::{domain_replay, load_pattern, replay_report};
+use rand::{RngExt, SeedableRng, rngs};
 
 /// Worth share that the users require on a day with faults or overload.
 const TARGET_WORTH_SHARE: f64 = 0.66;
@@ -102,7 +103,7 @@
 fn no_policies_earn_more_than_the_bound() {
     for spec in &replay_report::worst_pattern_specs(1) {
         let pattern = load_pattern::draw(spec);
-        let bound = replay_report::worth_bound(&pattern);
+        let bound = replay_report::worth_bound(&[&pattern]);
         assert!(bound <= 1.0, "pattern {}: bound {bound:.3}", spec.name);
         for (name, policies) in replay_report::compared_policies() {
             let report = replay_report::replay(&pattern, policies);
@@ -116,6 +117,56 @@
     }
 }
 
+/// Guards against a bound that a policy can exceed, on patterns drawn at random without faults, whose bound
+/// is exact.
+#[test]
+fn no_policies_earn_more_than_the_bound_on_random_patterns() {
+    let mut rng = rngs::StdRng::seed_from_u64(1);
+    for seed in 0..6 {
+        let ordinary = replay_report::worst_pattern_specs(seed)[0];
+        let base = load_pattern::PatternSpec {
+            jobs_per_s: rng.random_range(10.0..160.0),
+            burst: Some((None, rng.random_range(1.0..4.0))),
+            ..ordinary
+        };
+        let pattern = load_pattern::draw_shortage(&load_pattern::ShortageSpec {
+            base,
+            lost_servers: 0,
+            wide_tasks: rng.random(),
+            long_run_share: 0.0,
+            estimate_divisor: rng.random_range(1..4),
+        });
+        let bound = replay_report::worth_bound(&[&pattern]);
+        for (name, policies) in replay_report::compared_policies() {
+            let worth = replay_report::replay(&pattern, policies).worth_share;
+            assert!(
+                worth <= bound,
+                "seed {seed} {name}: {worth:.3} above {bound:.3}"
+            );
+        }
+    }
+}
+
+/// Guards against a bound that lets tasks be divided: of two tasks that take a bit more than half of a
+/// server, one fits.
+#[test]
+fn bound_counts_whole_tasks() {
+    let ordinary = replay_report::worst_pattern_specs(1)[0];
+    let mut pattern = load_pattern::draw(&load_pattern::PatternSpec {
+        jobs_per_s: 80.0,
+        ..ordinary
+    });
+    let bound_with = |pattern: &mut load_pattern::LoadPattern, cpu_millis| {
+        for arrival in &mut pattern.arrivals {
+            arrival.task_profile.cpu_millis = cpu_millis;
+        }
+        replay_report::worth_bound(&[pattern])
+    };
+    let half = bound_with(&mut pattern, 8_000);
+    let over_half = bound_with(&mut pattern, 8_100);
+    assert!(over_half < half - 0.1, "{over_half:.3} and {half:.3}");
+}
+
 #[test]
 fn spillover_earns_more_in_the_domain_with_a_burst() {
     let mut worth_totals = [0.0; 2];
@@ -136,18 +187,18 @@
         {
             let report = domain_replay::replay(&patterns, spillover_policy);
             assert_eq!(
-                report.violations,
+                report.replay.violations,
                 [],
                 "seed {seed} spillover policy {spillover_policy:?}"
             );
             println!(
                 "seed {seed} {spillover_policy:?}: {:.3} {:.3} {:.3}, {} remote jobs",
-                report.worth_shares[0],
-                report.worth_shares[1],
-                report.worth_shares[2],
+                report.replay.domain_worth_shares[0],
+                report.replay.domain_worth_shares[1],
+                report.replay.domain_worth_shares[2],
                 report.remote_jobs
             );
-            worth_totals[position] += report.worth_shares[0];
+            worth_totals[position] += report.replay.domain_worth_shares[0];
             if spillover_policy == domain_replay::SpilloverPolicy::RemoteWhenFull {
                 assert!(
                     report.remote_jobs > 0,
@@ -155,12 +206,13 @@
                 );
                 assert!(
                     report
-                        .worth_shares
+                        .replay
+                        .domain_worth_shares
                         .iter()
                         .all(|worth| *worth >= TARGET_WORTH_SHARE),
                     "seed {seed}: expected a worth share of at least {TARGET_WORTH_SHARE} in each \
                      domain, got {:?}",
-                    report.worth_shares
+                    report.replay.domain_worth_shares
                 );
             }
         }
