--- a/crates/cuminkeel/src/bench_report.rs
+++ b/crates/cuminkeel/src/bench_report.rs
@@ -52,7 +52,7 @@
     }
 }
 
-fn plot_error(error: impl fmt::Display) -> ReportError {
+pub(crate) fn plot_error(error: impl fmt::Display) -> ReportError {
     ReportError::Plot {
         message: error.to_string(),
     }
@@ -87,12 +87,8 @@
     if sites.is_empty() {
         return Err(ReportError::NoScoreRuns);
     }
-    let mut page = String::from(
-        "<!doctype html><meta charset=\"utf-8\"><title>cuminkeel: runs of the bench</title>\n\
-         <style>body{font-family:sans-serif;margin:2em}td,th{padding:.2em .8em;text-align:right}\
-         td:first-child,th:first-child{text-align:left}.broken{color:#b00}</style>\n\
-         <h1>Runs of the bench</h1>\n",
-    );
+    let mut page = page_head("cuminkeel: runs of the bench");
+    page.push_str("<h1>Runs of the bench</h1>\n");
     for (site, runs) in sites {
         writeln!(page, "<h2>{}</h2>", escape(site))?;
         page.push_str(&plot_worth(&runs)?);
@@ -103,6 +99,16 @@
     Ok(page)
 }
 
+/// Returns the head of a page with this title.
+pub(crate) fn page_head(title: &str) -> String {
+    format!(
+        "<!doctype html><meta charset=\"utf-8\"><title>{}</title>\n\
+         <style>body{{font-family:sans-serif;margin:2em}}td,th{{padding:.2em .8em;text-align:right}}\
+         td:first-child,th:first-child{{text-align:left}}.broken{{color:#b00}}</style>\n",
+        escape(title)
+    )
+}
+
 /// Plots the worth of each day over the runs of a site. Leaves out days that the last run does
 /// not have and, unless the site has a single run, days of one run only.
 fn plot_worth(runs: &[&bench_journal::BenchRun]) -> Result<String, ReportError> {
@@ -206,7 +212,7 @@
     Ok(())
 }
 
-fn escape(text: &str) -> String {
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;")
         .replace('<', "&lt;")
         .replace('>', "&gt;")
--- a/crates/cuminkeel/src/commands/bench.rs
+++ b/crates/cuminkeel/src/commands/bench.rs
@@ -3,13 +3,13 @@
 use std::{process, time};
 
 use argh::FromArgs;
-use cuminkeel_replay::replay_report;
+use cuminkeel_replay::{load_scenario, replay_report};
 
 use crate::error;
 
 /// Simulate load patterns in virtual time and print the worth that the server pool's default
-/// policies and baseline policies earn, with an upper bound; `bench list` lists the patterns,
-/// `bench worst-load` simulates all of them.
+/// policies and baseline policies earn, with an upper bound; `bench worst-load` simulates
+/// all patterns, `bench list` also lists the scenarios of several domains for `experiment`.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub(crate) struct BenchCommand {
@@ -28,8 +28,8 @@
     );
     let selected: Vec<_> = match &*command.pattern {
         "list" => {
-            for pattern in patterns {
-                println!("{}", pattern.name);
+            for scenario in load_scenario::all_scenarios(command.seed) {
+                println!("{}", scenario.name);
             }
             return Ok(process::ExitCode::SUCCESS);
         }
--- a/crates/cuminkeel/src/commands/mod.rs
+++ b/crates/cuminkeel/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod demo;
+mod experiment;
 mod load;
 mod report;
 
@@ -17,6 +18,7 @@
 pub(crate) enum Command {
     Bench(bench::BenchCommand),
     Demo(demo::DemoCommand),
+    Experiment(experiment::ExperimentCommand),
     Load(load::LoadCommand),
     Report(report::ReportCommand),
 }
@@ -26,6 +28,7 @@
     match command {
         Command::Bench(command) => bench::run(&command),
         Command::Demo(command) => demo::run(&command),
+        Command::Experiment(command) => experiment::run(&command),
         Command::Load(command) => load::run(&command),
         Command::Report(command) => report::run(&command),
     }
--- a/crates/cuminkeel/src/error.rs
+++ b/crates/cuminkeel/src/error.rs
@@ -2,10 +2,10 @@
 
 use std::{io, path, process};
 
-use cuminkeel::{bench_report, load_test};
+use cuminkeel::{bench_report, load_test, policy_experiment};
 use derive_more::{Display, Error, From};
 
-/// Exit status for an unknown pattern, for any error of a report, and for a page that can't be
+/// Exit status for an unknown pattern, a plan that can't be used, any error of a report, and for a page that can't be
 /// written.
 const USAGE_STATUS: u8 = 2;
 
@@ -18,6 +18,9 @@
     /// A load test can't be run.
     #[display("{_0}")]
     LoadTest(load_test::LoadTestError),
+    /// The plan of an experiment can't be used.
+    #[display("{_0}")]
+    Experiment(policy_experiment::ExperimentError),
     /// A report can't be created.
     #[display("{_0}")]
     Report(bench_report::ReportError),
@@ -46,9 +49,10 @@
 impl CommandError {
     pub(crate) fn exit_code(&self) -> process::ExitCode {
         match self {
-            Self::Report(_) | Self::UnknownPattern { .. } | Self::Unwritable { .. } => {
-                USAGE_STATUS.into()
-            }
+            Self::Experiment(_)
+            | Self::Report(_)
+            | Self::UnknownPattern { .. }
+            | Self::Unwritable { .. } => USAGE_STATUS.into(),
             Self::LoadTest(_) | Self::Json(_) | Self::Runtime(_) => process::ExitCode::FAILURE,
         }
     }
