Count failures of one job once for a server

Callers saw: while 5 % of the jobs can never be done, sound jobs were late, as servers without a fault were ejected. Two failures in a row eject a server, and tasks of one job fail together. Change: only the first of consecutive failures of one job counts against a server.

--- a/crates/cuminkeel_dispatch/src/health.rs
+++ b/crates/cuminkeel_dispatch/src/health.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerHealth {
     consecutive_failures: u32,
+    /// Hash of the id of the job whose run failed last; `None` after a success.
+    last_failed_job: Option<u64>,
     ejection_count: u32,
     ejected_until: time::Duration,
     /// Whether there was no successful run since the last ejection.
@@ -73,6 +75,7 @@
         kind_slowdown: &KindSlowdown,
     ) {
         self.consecutive_failures = 0;
+        self.last_failed_job = None;
         self.on_probation = false;
         self.ejection_count = 0;
         let sample = log_ratio(actual, nominal) - kind_slowdown.log_slowdown;
@@ -81,8 +84,13 @@
         self.deviation_updated_at = now;
     }
 
-    /// Records a failed run; returns whether the server was ejected.
-    pub fn record_failure(&mut self, now: time::Duration) -> bool {
+    /// Records a failed run of the job whose id has this hash; returns whether the server was ejected.
+    ///
+    /// Tasks of one job fail together if the job is the cause, so only its first failure on the server counts.
+    pub fn record_failure(&mut self, job_hash: u64, now: time::Duration) -> bool {
+        if self.last_failed_job.replace(job_hash) == Some(job_hash) {
+            return false;
+        }
         self.consecutive_failures += 1;
         match () {
             () if self.on_probation
--- a/crates/cuminkeel_dispatch/src/pool/run_ends.rs
+++ b/crates/cuminkeel_dispatch/src/pool/run_ends.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time};
 
 use super::{ServerPool, TaskPhase};
-use crate::{health, job_model, pool_action, server_model, server_slot};
+use crate::{health, job_model, leadership, pool_action, server_model, server_slot};
 
 impl ServerPool {
     /// Applies the end of a run on server `id`. The run must already be removed from the slot of
@@ -107,7 +107,9 @@
         if failures == 1
             && self.settings.policies.ejection.is_enabled()
             && let Some(slot) = self.servers.get_mut(server)
-            && slot.health.record_failure(now)
+            && slot
+                .health
+                .record_failure(leadership::id_hash(&name.job), now)
         {
             let inputs = [("", 0), ("", 0), ("", 0)];
             self.record_decision(
--- a/crates/cuminkeel_dispatch/tests/decisions.rs
+++ b/crates/cuminkeel_dispatch/tests/decisions.rs
@@ -173,17 +173,31 @@
     assert!(nominal > ms(290) && nominal < ms(310), "{nominal:?}");
 }
 
+/// Guards against a server that is ejected for a job whose tasks fail everywhere.
+#[test]
+fn failures_of_one_job_count_once_for_a_server() {
+    let mut server = health::ServerHealth::default();
+    for time_ms in 0..10 {
+        assert!(!server.record_failure(1, ms(time_ms)));
+    }
+    assert!(server.record_failure(2, ms(20)), "a second job fails");
+    let mut recovered = health::ServerHealth::default();
+    assert!(!recovered.record_failure(1, ms(0)));
+    recovered.record_success(ms(1), ms(100), ms(100), &health::KindSlowdown::default());
+    assert!(!recovered.record_failure(1, ms(2)));
+}
+
 #[test]
 fn consecutive_failures_eject_a_server_and_then_put_it_on_probation() {
     let mut server = health::ServerHealth::default();
     let kind = health::KindSlowdown::default();
-    assert!(!server.record_failure(ms(0)));
+    assert!(!server.record_failure(1, ms(0)));
     server.record_success(ms(10), ms(50), ms(50), &kind);
     assert!(
-        !server.record_failure(ms(20)),
+        !server.record_failure(2, ms(20)),
         "a success resets the consecutive failures"
     );
-    assert!(server.record_failure(ms(30)));
+    assert!(server.record_failure(3, ms(30)));
     assert!(!server.accepts_run(ms(40), 0));
     assert!(server.accepts_run(ms(2_000), 0));
     assert!(
@@ -191,7 +205,7 @@
         "one run at a time on probation"
     );
     assert!(
-        server.record_failure(ms(2_100)),
+        server.record_failure(4, ms(2_100)),
         "one failure on probation ejects again"
     );
     assert!(
--- a/crates/cuminkeel_replay/tests/shortages.rs
+++ b/crates/cuminkeel_replay/tests/shortages.rs
@@ -106,3 +106,26 @@
         "mean worth {mean_worth:.3}"
     );
 }
+
+/// Guards against servers that are ejected for the failures of one job. No server is faulty here.
+#[test]
+fn failing_jobs_cost_no_servers() {
+    let mut worths = [0.0; 2];
+    for seed in 1..=6 {
+        let spec = replay_report::worst_pattern_specs(seed)[7];
+        assert_eq!(spec.name, "hopeless jobs");
+        let pattern = load_pattern::draw(&spec);
+        for (worth, ejection) in worths.iter_mut().zip([
+            settings::MechanismState::Enabled,
+            settings::MechanismState::Disabled,
+        ]) {
+            let policies = settings::PoolPolicies {
+                ejection,
+                ..settings::PoolPolicies::default()
+            };
+            *worth += replay_report::replay(&pattern, policies).worth_share / 6.0;
+        }
+    }
+    println!("worth with and without ejection: {worths:?}");
+    assert!(worths[0] > worths[1] - 0.015, "{worths:?}");
+}
