Finish jobs in progress and serve small ones first in a shortage

Cause: in the order of the latest start, each job of a queue that is too long starts at the last moment. Change: from the first waiting job that misses its latest start until no job in time waits, jobs with started tasks come first, then small ones. Sizes are relative to the route's usual one and weighted by a lottery by id, so that no route is preferred and large jobs are served, too. Tests fail with the order left out.

--- a/crates/cuminkeel_dispatch/src/job_order.rs
+++ b/crates/cuminkeel_dispatch/src/job_order.rs
@@ -25,6 +25,56 @@
     pub job: Arc<str>,
 }
 
+/// Smallest weight that a job's id gives to its size; the largest one is two less this.
+const MIN_SIZE_WEIGHT: f64 = 0.25;
+
+/// Order of jobs while their service is short of servers; the smallest key is served first. Keys are
+/// compared field by field, in the order of the fields.
+///
+/// Load pattern: for seconds, more work arrives than all servers can do. In the order of the latest start,
+/// each job then starts at the last moment, and so does each of its tasks: most of the work is done for
+/// answers that come too late. Jobs in progress are therefore finished first. Of the others, small ones come
+/// first, as more callers are answered for the same work. Sizes are relative to the usual size of the route, so
+/// that no route is preferred, and weighted by a lottery, so that large jobs are served too.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct ShortageKey {
+    /// Whether the job was demoted because it can no longer meet its objective.
+    pub late: bool,
+    /// Whether no task of the job has started.
+    pub is_unstarted: bool,
+    /// Size relative to the route's usual one, weighted by [`size_weight`]; 0 for jobs in progress.
+    pub weighted_size: f64,
+}
+
+/// Returns the weight of a job's size in a shortage, 1 on average. It is a function of the job's id, so that
+/// all pools rank copies of a job alike.
+pub fn size_weight(job: &str) -> f64 {
+    // The first byte decides on the jitter of the caller's return.
+    let [_, draw, ..] = *blake3::hash(job.as_bytes()).as_bytes();
+    let whole_range = 2.0 * (1.0 - MIN_SIZE_WEIGHT);
+    MIN_SIZE_WEIGHT + whole_range * f64::from(draw) / f64::from(u8::MAX)
+}
+
+/// Mean size of the jobs of a route, in core seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UsualSize {
+    mean: f64,
+}
+
+/// Weight of a new job in the usual size of its route: about the last fifty jobs dominate.
+const SIZE_SAMPLE_WEIGHT: f64 = 0.02;
+
+impl UsualSize {
+    /// Records a job of `size` core seconds, and returns its size relative to the usual one.
+    pub fn record(&mut self, size: f64) -> f64 {
+        if self.mean <= 0.0 {
+            self.mean = size;
+        }
+        self.mean += SIZE_SAMPLE_WEIGHT * (size - self.mean);
+        size / self.mean.max(f64::MIN_POSITIVE)
+    }
+}
+
 impl QueuePosition {
     /// Returns the position of the job after its demotion.
     #[must_use]
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -16,6 +16,7 @@
 mod reports;
 mod run_ends;
 mod schedule;
+mod shortage;
 mod starts;
 
 use std::{
@@ -93,6 +94,8 @@
     has_started: bool,
     /// Whether another pool may have runs of the job.
     may_run_elsewhere: bool,
+    /// Size relative to the route's usual one, weighted by a lottery; decides in a shortage.
+    weighted_size: f64,
 }
 
 /// Time since which the failure domain of a pool has been evacuated, as far as its process knows.
@@ -170,6 +173,10 @@
     placement_scans: u64,
     /// Start of the evacuation of the pool's failure domain, or `None` if it isn't evacuated.
     evacuation: Option<EvacuationStart>,
+    /// Usual sizes of jobs by route.
+    usual_sizes: HashMap<Arc<str>, job_order::UsualSize>,
+    /// Services of which jobs in time wait for a server.
+    service_waits: SmallVec<[shortage::ServiceWait; 1]>,
     /// Time of the next review of the queue.
     next_review_at: time::Duration,
     /// Time of the last call that checked for a pause.
@@ -205,6 +212,8 @@
             typical_cpu_millis: 0,
             placement_scans: 0,
             evacuation: None,
+            usual_sizes: HashMap::new(),
+            service_waits: SmallVec::new(),
             next_review_at: time::Duration::ZERO,
             last_active_at: time::Duration::ZERO,
             actions: Vec::new(),
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -233,6 +233,7 @@
             }
         }
         let has_started = tasks.iter().any(|task| task.phase != TaskPhase::Waiting);
+        let weighted_size = self.weighted_size(spec, &nominal_run_times);
         JobEntry {
             spec: Arc::clone(spec),
             waiters: smallvec![released_jobs::JobWaiter {
@@ -250,9 +251,28 @@
             deadline_at,
             has_started,
             may_run_elsewhere: offer.may_have_started,
+            weighted_size,
         }
     }
 
+    /// Returns the size of a job relative to the usual one of its route, weighted by the lottery.
+    fn weighted_size(
+        &mut self,
+        spec: &job_model::JobSpec,
+        nominal_run_times: &[time::Duration],
+    ) -> f64 {
+        let core_seconds = spec
+            .steps
+            .iter()
+            .zip(nominal_run_times)
+            .map(|(step, run_time)| {
+                let cores = f64::from(step.cpu_millis) / 1e3;
+                run_time.as_secs_f64() * f64::from(step.task_count) * cores
+            });
+        let usual_size = self.usual_sizes.entry(Arc::clone(&spec.route)).or_default();
+        usual_size.record(core_seconds.sum()) * job_order::size_weight(&spec.id)
+    }
+
     /// Creates the entry of a task and adopts its inherited run or reported end, if there is one.
     fn adopt_task(
         &mut self,
@@ -479,7 +499,7 @@
                     && !job.queue_position.late
                     && now > job.queue_position.latest_start =>
                 {
-                    late.push(job.queue_position.clone());
+                    late.push((job.queue_position.clone(), Arc::clone(&job.spec.service)));
                 }
                 () => {}
             }
@@ -504,7 +524,8 @@
             }
             self.end_job(&id, &end, now);
         }
-        for position in late {
+        for (position, service) in late {
+            self.record_missed_start(&service, now);
             self.queue.remove(&position);
             let demoted = position.demoted();
             if let Some(job) = self.jobs.get_mut(&position.job) {
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -31,7 +31,7 @@
 }
 
 impl ServerPool {
-    /// Places waiting tasks on servers with free capacity, in the order of the queue. No job is
+    /// Places waiting tasks on servers with free capacity, in the order of the queue, or of the shortage. No job is
     /// placed while servers may have inherited runs that this pool does not know: its caller may have
     /// sent it again, and the run of the first copy may go on there.
     ///
@@ -40,6 +40,11 @@
     /// each needs a server for itself, and they have lost so much time that they are late already.
     pub(super) fn schedule(&mut self, now: time::Duration) {
         self.end_evacuated_jobs(now);
+        self.place_waiting_tasks(now);
+        self.update_service_waits(now);
+    }
+
+    fn place_waiting_tasks(&mut self, now: time::Duration) {
         let mut max_free_cpu_millis = self.max_free_cpu_millis(now);
         if max_free_cpu_millis == 0 || self.queue.is_empty() || !self.takeover_resolved(now) {
             return;
@@ -50,8 +55,7 @@
         // Services of which a job that can still meet its objective waits for a server.
         let mut contended_services: SmallVec<[Arc<str>; 1]> = SmallVec::new();
         let mut suspected_positions = Vec::new();
-        let positions: Vec<job_order::QueuePosition> = self.queue.iter().cloned().collect();
-        for position in positions {
+        for position in self.service_order(now) {
             if max_free_cpu_millis == 0 {
                 return;
             }
@@ -455,7 +459,7 @@
 
 /// Whether `job` waits for a server that late jobs of its service could occupy: it has a ready task, which
 /// any server with enough processor and memory could run.
-fn waits_for_server(job: &super::JobEntry) -> bool {
+pub(super) fn waits_for_server(job: &super::JobEntry) -> bool {
     next_ready_task(job, crash_ledger::TaskVerdict::Unsuspected, 0)
         .and_then(|index| job.tasks.get(index))
         .and_then(|task| job.spec.steps.get(usize::from(task.name.step)))
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -100,6 +100,8 @@
     Evacuation,
     /// Because of an evacuation, a job was refused so that another pool can have it, or failed.
     JobEvacuated,
+    /// A shortage of servers began or ended.
+    Shortage,
 }
 
 /// Number of places for the inputs of a decision.
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -81,6 +81,10 @@
     pub overdue_reschedules: MechanismState,
     /// Servers that fail runs are not used for a while.
     pub ejection: MechanismState,
+    /// In a shortage, jobs in progress are served first, and small jobs before large ones.
+    pub shortage_order: MechanismState,
+    /// In a shortage, late jobs are refused that it is expected to outlast.
+    pub shortage_refusal: MechanismState,
 }
 
 /// Policies, lease times and limits of a pool.
--- a/crates/cuminkeel_dispatch/tests/decisions.rs
+++ b/crates/cuminkeel_dispatch/tests/decisions.rs
@@ -187,6 +187,19 @@
     assert!(!recovered.record_failure(1, ms(2)));
 }
 
+/// Guards against a lottery that depends on anything but the id, or prefers no one.
+#[test]
+fn size_weights_are_spread_around_one() {
+    let weights: Vec<f64> = (0..2_000)
+        .map(|number| job_order::size_weight(&format!("{number:016x}")))
+        .collect();
+    let mean = weights.iter().sum::<f64>() / 2_000.0;
+    assert!((mean - 1.0).abs() < 0.05, "{mean}");
+    assert!(weights.iter().all(|weight| (0.25..=1.75).contains(weight)));
+    assert!(weights.iter().any(|weight| *weight < 0.3));
+    assert!(weights.iter().any(|weight| *weight > 1.7));
+}
+
 #[test]
 fn consecutive_failures_eject_a_server_and_then_put_it_on_probation() {
     let mut server = health::ServerHealth::default();
--- a/crates/cuminkeel_replay/tests/shortages.rs
+++ b/crates/cuminkeel_replay/tests/shortages.rs
@@ -1,8 +1,12 @@
 //! Load patterns with a shortage for their whole duration, replayed with the default policies.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time,
+};
 
-use cuminkeel_dispatch::{pool_action, settings};
+use cuminkeel_dispatch::{job_model, pool_action, settings};
 use cuminkeel_replay::{load_pattern, pool_simulation, replay_report};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -107,6 +111,120 @@
     );
 }
 
+/// Sums of the ends of jobs over the patterns with estimates as on ordinary days, for all seeds.
+fn end_sums(policies: settings::PoolPolicies) -> BTreeMap<&'static str, f64> {
+    let mut sums = BTreeMap::new();
+    for seed in SEEDS {
+        for spec in &replay_report::shortage_specs(seed)[..3] {
+            let pattern = load_pattern::draw_shortage(spec);
+            let counts = replay_report::replay(&pattern, policies).end_counts;
+            for (name, count) in [
+                ("in time", counts.in_time),
+                ("spread", counts.late_causes.spread),
+                ("held", counts.held),
+                (
+                    "held ms",
+                    usize::try_from(counts.held_ms).unwrap_or(usize::MAX),
+                ),
+            ] {
+                *sums.entry(name).or_insert(0.0) += count as f64;
+            }
+        }
+    }
+    sums
+}
+
+/// Guards against an order in which each job of a shortage starts at its latest start: its tasks then end too
+/// late one by one, and their work is wasted.
+#[test]
+fn more_callers_are_answered_in_time_if_jobs_in_progress_and_small_ones_go_first() {
+    let with_order = end_sums(settings::PoolPolicies::default());
+    let without_order = end_sums(settings::PoolPolicies {
+        shortage_order: settings::MechanismState::Disabled,
+        ..settings::PoolPolicies::default()
+    });
+    println!("with the order of a shortage {with_order:?}, without {without_order:?}");
+    assert!(with_order["in time"] > 1.1 * without_order["in time"]);
+    assert!(with_order["spread"] < 0.7 * without_order["spread"]);
+}
+
+/// Guards against large jobs that starve behind small ones: in each class, the largest tenth is completed at
+/// least half as often as all jobs.
+#[test]
+fn large_jobs_are_served_in_a_shortage() {
+    let mut sizes: [Vec<(f64, bool)>; 3] = Default::default();
+    for seed in 1..=8 {
+        let spec = replay_report::shortage_specs(seed)[0];
+        let pattern = load_pattern::draw_shortage(&spec);
+        let simulation = replay_report::run_pattern(&pattern, settings::PoolPolicies::default());
+        let completed: BTreeSet<&str> = simulation
+            .answers
+            .iter()
+            .filter(|answer| answer.end == job_model::JobEnd::Completed)
+            .map(|answer| &*answer.job)
+            .collect();
+        for arrival in &pattern.arrivals {
+            let job = &arrival.offer.spec;
+            let run_time = arrival.task_profile.nominal_run_time.as_secs_f64();
+            let size = run_time * job.task_count() as f64;
+            sizes[arrival.class].push((size, completed.contains(&*job.id)));
+        }
+    }
+    for (class, jobs) in sizes.iter_mut().enumerate() {
+        jobs.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        let share = |jobs: &[(f64, bool)]| {
+            let completed = jobs.iter().filter(|(_, completed)| *completed).count();
+            completed as f64 / jobs.len().max(1) as f64
+        };
+        let largest = &jobs[..jobs.len() / 10];
+        println!(
+            "class {class}: largest {:.3}, all {:.3}",
+            share(largest),
+            share(jobs)
+        );
+        assert!(share(largest) >= 0.5 * share(jobs), "class {class}");
+    }
+}
+
+/// Guards against a shortage that is declared while there is room, or that never ends. At a third of the usual
+/// load, a job with more tasks than there are fast servers may still wait for them.
+#[test]
+fn shortage_begins_with_late_jobs_and_ends_with_the_queue() {
+    let total_time = |pattern: &load_pattern::LoadPattern| {
+        let simulation = replay_report::run_pattern(pattern, settings::PoolPolicies::default());
+        let decisions = simulation.decisions.iter();
+        let changes: Vec<_> = decisions
+            .filter(|(_, record)| record.kind == pool_action::DecisionKind::Shortage)
+            .map(|(at, record)| (*at, record.outcome))
+            .collect();
+        let times = changes.chunks(2).map(|change| {
+            let [(began_at, "began"), (ended_at, "ended")] = change else {
+                panic!("expected a beginning and an end, got {change:?}");
+            };
+            ended_at.saturating_sub(*began_at)
+        });
+        times.sum::<time::Duration>()
+    };
+    for seed in SEEDS {
+        let calm = load_pattern::PatternSpec {
+            jobs_per_s: 15.0,
+            ..replay_report::worst_pattern_specs(seed)[0]
+        };
+        let calm_time = total_time(&load_pattern::draw(&calm));
+        let short = load_pattern::draw_shortage(&replay_report::shortage_specs(seed)[0]);
+        let short_time = total_time(&short);
+        println!("seed {seed}: shortage for {calm_time:?} and {short_time:?}");
+        assert!(
+            calm_time < load_pattern::PATTERN_DURATION / 50,
+            "{calm_time:?}"
+        );
+        assert!(
+            short_time > load_pattern::PATTERN_DURATION / 2,
+            "{short_time:?}"
+        );
+    }
+}
+
 /// Guards against servers that are ejected for the failures of one job. No server is faulty here.
 #[test]
 fn failing_jobs_cost_no_servers() {
