Load the replay of a full evacuated domain more, as shortages keep queues shorter

Its check that jobs wait at the evacuation failed: the queue is shorter since jobs are refused earlier.

--- a/crates/cuminkeel_replay/tests/promises/evacuations.rs
+++ b/crates/cuminkeel_replay/tests/promises/evacuations.rs
@@ -85,7 +85,7 @@
     let mut waiting_count = 0;
     for seed in 1..=20 {
         let pattern = load_pattern::draw(&load_pattern::PatternSpec {
-            jobs_per_s: 55.0,
+            jobs_per_s: 75.0,
             ..replay_report::worst_pattern_specs(seed)[1]
         });
         let policies = settings::PoolPolicies::default();
