End a shortage when its pool steps down

Found by reading: a pool that steps down kept the wait of its service. In its next leadership the time in between would have counted as waiting, and the first late jobs would have been refused as if the shortage had lasted since then. The replay fails without the change.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -363,6 +363,7 @@
         for job in jobs {
             self.abandon_job(&job, now);
         }
+        self.update_service_waits(now);
         self.leading_since = None;
         self.record_decision(
             pool_action::DecisionKind::Released,
--- a/crates/cuminkeel_replay/benches/pool_cost.rs
+++ b/crates/cuminkeel_replay/benches/pool_cost.rs
@@ -48,7 +48,10 @@
 /// Servers in a failure domain of the users' enlarged site.
 const FULL_DOMAIN_SERVERS: usize = 117;
 /// Numbers of queued jobs, up to that of the worst second after a loss of all power.
-const QUEUE_LENGTHS: [usize; 3] = [0, 35, 140];
+const QUEUE_LENGTHS: [usize; 4] = [0, 35, 140, 1_000];
+
+/// Jobs submitted at most to fill the pool and its queue.
+const MAX_SUBMITTED_JOBS: usize = 5_000;
 
 fn schedule_full_pool(criterion: &mut Criterion) {
     let spec = cuminkeel_replay::replay_report::worst_pattern_specs(1)[0];
@@ -65,7 +68,8 @@
         let mut simulation = pool_simulation::PoolSimulation::new(1, servers, policies);
         simulation.lead(0);
         simulation.run_until(time::Duration::from_millis(100));
-        for arrival in &pattern.arrivals {
+        let arrivals = pattern.arrivals.iter().cycle();
+        for (number, arrival) in arrivals.take(MAX_SUBMITTED_JOBS).enumerate() {
             if simulation.load(0).queued_jobs >= u32::try_from(queue_length).unwrap_or(u32::MAX) {
                 break;
             }
@@ -73,6 +77,7 @@
             let mut job_spec = (*offer.spec).clone();
             // Nothing expires or becomes late during the measurement.
             job_spec.target_latency_ms = 3_600_000;
+            job_spec.id = std::sync::Arc::from(format!("{number:016x}"));
             offer.spec = std::sync::Arc::new(job_spec);
             offer.time_to_deadline = time::Duration::from_hours(1);
             simulation.submit(0, &offer, arrival.task_profile);
@@ -83,6 +88,23 @@
             &queue_length,
             |bencher, _| bencher.iter(|| simulation.pools[0].tick(now)),
         );
+        if queue_length == 0 {
+            continue;
+        }
+        // A job without any slack misses its latest start, so that a shortage begins.
+        let mut offer = pattern.arrivals[0].offer.clone();
+        let mut job_spec = (*offer.spec).clone();
+        job_spec.id = std::sync::Arc::from("late");
+        (job_spec.target_latency_ms, job_spec.stretch_factor) = (0, 1.0);
+        offer.spec = std::sync::Arc::new(job_spec);
+        simulation.submit(0, &offer, pattern.arrivals[0].task_profile);
+        let now = now + time::Duration::from_millis(20);
+        simulation.pools[0].tick(now);
+        group.bench_with_input(
+            BenchmarkId::new("in a shortage", queue_length),
+            &queue_length,
+            |bencher, _| bencher.iter(|| simulation.pools[0].tick(now)),
+        );
     }
     group.finish();
 }
--- a/crates/cuminkeel_replay/tests/shortages.rs
+++ b/crates/cuminkeel_replay/tests/shortages.rs
@@ -265,3 +265,28 @@
     println!("worth with and without ejection: {worths:?}");
     assert!(worths[0] > worths[1] - 0.015, "{worths:?}");
 }
+
+/// Guards against a pool that takes a shortage along into its next leadership: it would count the time in
+/// between as waiting, and refuse the first late jobs as if the shortage had lasted since then.
+#[test]
+fn shortage_ends_when_its_pool_steps_down() {
+    let pattern = load_pattern::draw_shortage(&replay_report::shortage_specs(1)[0]);
+    let policies = settings::PoolPolicies::default();
+    let mut simulation = pool_simulation::PoolSimulation::new(1, pattern.servers.clone(), policies);
+    simulation.lead(0);
+    simulation.run_until(time::Duration::from_secs(1));
+    let last_outcome = |simulation: &pool_simulation::PoolSimulation| {
+        let mut decisions = simulation.decisions.iter().rev();
+        decisions
+            .find(|(_, record)| record.kind == pool_action::DecisionKind::Shortage)
+            .map(|(_, record)| record.outcome)
+    };
+    let mut arrivals = pattern.arrivals.iter();
+    while last_outcome(&simulation) != Some("began") {
+        let arrival = arrivals.next().expect("the pool has a shortage");
+        simulation.run_until(time::Duration::from_secs(1) + arrival.at);
+        simulation.submit(0, &arrival.offer, arrival.task_profile);
+    }
+    simulation.step_down(0);
+    assert_eq!(last_outcome(&simulation), Some("ended"));
+}
