--- a/crates/cuminkeel_dispatch/src/job_order.rs
+++ b/crates/cuminkeel_dispatch/src/job_order.rs
@@ -25,7 +25,8 @@
     pub job: Arc<str>,
 }
 
-/// Smallest weight that a job's id gives to its size; the largest one is two less this.
+/// Smallest weight that a job's id gives to its size. The largest is as far above 1 as this is below: a job of
+/// seven times the usual size can come before one of the usual size.
 const MIN_SIZE_WEIGHT: f64 = 0.25;
 
 /// Order of jobs while their service is short of servers; the smallest key is served first. Keys are
@@ -47,7 +48,7 @@
 }
 
 /// Returns the weight of a job's size in a shortage, 1 on average. It is a function of the job's id, so that
-/// all pools rank copies of a job alike.
+/// copies of a job draw the same weight in all pools.
 pub fn size_weight(job: &str) -> f64 {
     // The first byte decides on the jitter of the caller's return.
     let [_, draw, ..] = *blake3::hash(job.as_bytes()).as_bytes();
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -31,7 +31,7 @@
 }
 
 impl ServerPool {
-    /// Places waiting tasks on servers with free capacity, in the order of the queue, or of the shortage. No job is
+    /// Places waiting tasks on servers with free capacity, in the order in which jobs are served. No job is
     /// placed while servers may have inherited runs that this pool does not know: its caller may have
     /// sent it again, and the run of the first copy may go on there.
     ///
--- a/crates/cuminkeel_dispatch/src/pool/shortage.rs
+++ b/crates/cuminkeel_dispatch/src/pool/shortage.rs
@@ -4,7 +4,7 @@
 //! server of the service any more. Nothing is known of its end. It is expected to go on for as long as jobs have
 //! been waiting so far.
 
-use std::{sync::Arc, time};
+use std::{cmp, mem, sync::Arc, time};
 
 use smallvec::SmallVec;
 
@@ -37,7 +37,7 @@
             }
         }
         let (kept, ended): (SmallVec<[ServiceWait; 1]>, SmallVec<[ServiceWait; 1]>) =
-            std::mem::take(&mut self.service_waits)
+            mem::take(&mut self.service_waits)
                 .into_iter()
                 .partition(|wait| waiting_services.contains(&wait.service));
         self.service_waits = kept;
@@ -119,7 +119,7 @@
                 .collect();
             // Equal keys keep the order of the queue.
             keyed.sort_by(|(one, _), (other, _)| {
-                one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal)
+                one.partial_cmp(other).unwrap_or(cmp::Ordering::Equal)
             });
             positions = keyed.into_iter().map(|(_, position)| position).collect();
         }
--- a/crates/cuminkeel_replay/src/load_scenario.rs
+++ b/crates/cuminkeel_replay/src/load_scenario.rs
@@ -3,6 +3,8 @@
 //! The scenarios with several domains are those of a customer whose servers hold two or three tasks: three
 //! domains of 16 servers at about four fifths of their slots on an ordinary day.
 
+use std::time;
+
 use cuminkeel_dispatch::settings;
 use serde::Deserialize;
 
@@ -155,7 +157,7 @@
 
     /// Changes servers of both kinds: steps of five and seven reach all.
     fn change_servers(&self, pattern: &mut load_pattern::LoadPattern, gone: usize) {
-        let at = std::time::Duration::ZERO;
+        let at = time::Duration::ZERO;
         let gone_servers = (0..gone).map(|number| number * 5 % SERVERS_PER_DOMAIN);
         pattern
             .mode_changes
