Let load tests play large domains and shortages, and show what a job costs each process

Change: a pattern has a size (units of 16 servers with their arrivals and faults); load plays shortages, too; the result has the processor time of each process per job and the time until a refusal (median, 99 of 100). Ruled out: the processes that take callers; they use 27 to 35 us a job.

--- a/crates/cuminkeel/src/commands/demo.rs
+++ b/crates/cuminkeel/src/commands/demo.rs
@@ -4,10 +4,12 @@
 
 use argh::FromArgs;
 use cuminkeel::load_test;
-use cuminkeel_replay::replay_report;
+use cuminkeel_replay::{load_pattern, replay_report};
 
 use crate::error;
 
+/// Seed of the load pattern.
+const SEED: u64 = 1;
 /// Number of processes, all in one failure domain.
 const PROCESS_COUNT: u16 = 3;
 /// Time after the start of the arrivals at which the leader is killed.
@@ -28,7 +30,8 @@
         KILL_LEADER_AT.as_secs()
     );
     let plan = load_test::LoadTestPlan {
-        pattern_spec: replay_report::worst_pattern_specs(1)[0],
+        pattern: load_pattern::draw(&replay_report::worst_pattern_specs(SEED)[0]),
+        seed: SEED,
         process_count: PROCESS_COUNT,
         arrival_duration: ARRIVAL_DURATION,
         kill_leader_at: Some(KILL_LEADER_AT),
--- a/crates/cuminkeel/src/commands/load.rs
+++ b/crates/cuminkeel/src/commands/load.rs
@@ -8,7 +8,7 @@
 
 use crate::error;
 
-/// Run a load pattern of `bench list` in real time through processes, a store and backend
+/// Run a load pattern or a shortage of one failure domain in `bench list` in real time through processes, a store and backend
 /// servers over sockets on loopback; each process is a thread of this program with its own runtime.
 /// The worth is not comparable with that of `bench`.
 #[derive(Debug, FromArgs)]
@@ -20,6 +20,10 @@
     /// seed of the random generator
     #[argh(option, default = "1")]
     seed: u64,
+    /// size of the failure domain in units of 16 servers with their arrivals, 1 by default; 7 is a domain
+    /// of the users' enlarged sites
+    #[argh(option, default = "1")]
+    size: usize,
     /// number of processes, all in one failure domain
     #[argh(option, default = "3")]
     processes: u16,
@@ -38,16 +42,15 @@
 }
 
 pub(crate) fn run(command: &LoadCommand) -> Result<process::ExitCode, error::CommandError> {
-    let pattern_spec = replay_report::worst_pattern_specs(command.seed)
-        .into_iter()
-        .find(|spec| spec.name == command.pattern);
-    let Some(pattern_spec) = pattern_spec else {
+    let size = command.size.max(1);
+    let Some(pattern) = replay_report::draw_named(&command.pattern, command.seed, size) else {
         return Err(error::CommandError::UnknownPattern {
             name: command.pattern.clone(),
         });
     };
     let plan = load_test::LoadTestPlan {
-        pattern_spec,
+        pattern,
+        seed: command.seed,
         process_count: command.processes.max(1),
         arrival_duration: time::Duration::from_secs(command.seconds),
         kill_leader_at: command.kill_leader_at.map(time::Duration::from_secs),
--- a/crates/cuminkeel/src/load_test/load_result.rs
+++ b/crates/cuminkeel/src/load_test/load_result.rs
@@ -69,6 +69,12 @@
     pub seed: u64,
     /// Number of processes.
     pub processes: u16,
+    /// Number of backend servers.
+    pub servers: usize,
+    /// Processor time that each process used per submitted job, in microseconds, in the order of their names.
+    pub processor_us_per_job: Vec<u64>,
+    /// Median and 99th percentile of the response time of refused jobs, in ms.
+    pub refusal_ms: [u64; 2],
     /// Results per job class.
     pub classes: Vec<ClassRow>,
     /// Worth of the jobs completed within their objective, as a share of the worth of all jobs
@@ -84,9 +90,10 @@
     /// Renders the result as a text table.
     pub fn render_table(&self) -> String {
         let mut table = format!(
-            "{}, seed {}, {} processes\n{:8}{:>6}{:>9}{:>6}{:>8}{:>9}{:>11}{:>8}{:>8}\n",
+            "{}, seed {}, {} servers, {} processes\n{:8}{:>6}{:>9}{:>6}{:>8}{:>9}{:>11}{:>8}{:>8}\n",
             self.pattern,
             self.seed,
+            self.servers,
             self.processes,
             "class",
             "jobs",
@@ -114,6 +121,11 @@
                 row.p99_ms,
             );
         }
+        let _infallible = writeln!(
+            table,
+            "processor per job, each process: {:?} us; refused after {} ms (median), {} ms (99 of 100)",
+            self.processor_us_per_job, self.refusal_ms[0], self.refusal_ms[1],
+        );
         let _infallible = writeln!(
             table,
             "worth {:.3}; {} invariant violations",
@@ -139,7 +151,10 @@
     plan: &LoadTestPlan,
     call_records: &[CallRecord],
     server_records: &[local_deployment::ServerRecord],
+    processor_times: &[time::Duration],
 ) -> LoadResult {
+    let job_count = call_records.len().max(1) as u128;
+    let refusal_times = response_times(call_records.iter(), CallOutcome::Refused);
     let feasible = || {
         call_records
             .iter()
@@ -151,9 +166,15 @@
         .map(|call| call.arrival.worth)
         .sum();
     LoadResult {
-        pattern: plan.pattern_spec.name,
-        seed: plan.pattern_spec.seed,
+        pattern: plan.pattern.name,
+        seed: plan.seed,
         processes: plan.process_count,
+        servers: server_records.len(),
+        processor_us_per_job: processor_times
+            .iter()
+            .map(|used| u64::try_from(used.as_micros() / job_count).unwrap_or(u64::MAX))
+            .collect(),
+        refusal_ms: [0.5, 0.99].map(|quantile| refusal_times.value_at_quantile(quantile)),
         classes: (0..load_pattern::JOB_CLASSES.len())
             .map(|class| class_row(class, call_records))
             .collect(),
@@ -173,16 +194,7 @@
         .collect();
     let count = |outcome| calls.iter().filter(|call| call.outcome == outcome).count();
     let in_time = calls.iter().filter(|call| is_in_time(call)).count();
-    let mut response_times =
-        Histogram::<u64>::new_with_max(MAX_RESPONSE_TIME_MS, RESPONSE_TIME_DIGITS)
-            .unwrap_or_else(|_| unreachable!("the histogram accepts these constant bounds"));
-    for call in calls
-        .iter()
-        .filter(|call| call.outcome == CallOutcome::Completed)
-    {
-        response_times
-            .saturating_record(u64::try_from(call.response_time.as_millis()).unwrap_or(u64::MAX));
-    }
+    let response_times = response_times(calls.iter().copied(), CallOutcome::Completed);
     ClassRow {
         class: load_pattern::JOB_CLASSES[class].route,
         jobs: calls.len(),
@@ -196,6 +208,21 @@
     }
 }
 
+/// Returns the response times of the calls with `outcome`, in ms.
+fn response_times<'a>(
+    calls: impl Iterator<Item = &'a CallRecord>,
+    outcome: CallOutcome,
+) -> Histogram<u64> {
+    let mut response_times =
+        Histogram::<u64>::new_with_max(MAX_RESPONSE_TIME_MS, RESPONSE_TIME_DIGITS)
+            .unwrap_or_else(|_| unreachable!("the histogram accepts these constant bounds"));
+    for call in calls.filter(|call| call.outcome == outcome) {
+        response_times
+            .saturating_record(u64::try_from(call.response_time.as_millis()).unwrap_or(u64::MAX));
+    }
+    response_times
+}
+
 fn find_violations(
     call_records: &[CallRecord],
     server_records: &[local_deployment::ServerRecord],
--- a/crates/cuminkeel/src/load_test/local_deployment.rs
+++ b/crates/cuminkeel/src/load_test/local_deployment.rs
@@ -60,13 +60,13 @@
             .map_err(start_error("the store"))?;
         job_submission::publish_routes(&store, HOST, SERVICE, &load_pattern::JOB_CLASSES);
         let mut servers = Vec::new();
-        for server in load_pattern::domain_servers() {
+        for server in &plan.pattern.servers {
             let emulated =
                 emulated_server::EmulatedServer::start_with_server(server.clone(), FAILURE_DOMAIN)
                     .await
                     .map_err(start_error("a backend server"))?;
             emulated.register(&store);
-            servers.push((server, emulated));
+            servers.push((server.clone(), emulated));
         }
         let mut processes = Vec::new();
         for number in 1..=plan.process_count {
@@ -117,6 +117,14 @@
             .collect()
     }
 
+    /// Returns the processor time that each process has used so far.
+    pub(super) fn processor_times(&self) -> Vec<time::Duration> {
+        self.processes
+            .iter()
+            .map(|process| process.embedded.processor_time())
+            .collect()
+    }
+
     pub(super) fn server_records(&self) -> Vec<ServerRecord> {
         self.servers
             .iter()
--- a/crates/cuminkeel/src/load_test/mod.rs
+++ b/crates/cuminkeel/src/load_test/mod.rs
@@ -19,8 +19,10 @@
 /// Parameters of a load test.
 #[derive(Clone, Debug)]
 pub struct LoadTestPlan {
-    /// Load pattern, which gives the arrivals and the server faults.
-    pub pattern_spec: load_pattern::PatternSpec,
+    /// Load pattern, which gives the arrivals, the servers and their faults.
+    pub pattern: load_pattern::LoadPattern,
+    /// Seed of the load pattern.
+    pub seed: u64,
     /// Number of processes, all in one failure domain.
     pub process_count: u16,
     /// Duration for which jobs arrive; at most the duration of a pattern.
@@ -67,15 +69,15 @@
 pub async fn run(plan: &LoadTestPlan) -> Result<LoadResult, LoadTestError> {
     let deployment = Arc::new(local_deployment::LocalDeployment::start(plan).await?);
     deployment.wait_until_ready().await?;
-    let pattern = load_pattern::draw(&plan.pattern_spec);
     let started_at = tokio::time::Instant::now();
     let faults = tokio::spawn(local_deployment::inject_faults(
         Arc::clone(&deployment),
-        pattern.mode_changes.clone(),
+        plan.pattern.mode_changes.clone(),
         plan.kill_leader_at,
         started_at,
     ));
-    let arrivals = pattern.arrivals.into_iter();
+    let used_before = deployment.processor_times();
+    let arrivals = plan.pattern.arrivals.iter().cloned();
     let call_records = load_caller::submit_all(
         &deployment.caller_addresses(),
         arrivals.take_while(|arrival| arrival.at < plan.arrival_duration),
@@ -84,7 +86,17 @@
     .await;
     // Faults after the last answer can't affect the result.
     faults.abort();
-    let result = load_result::evaluate(plan, &call_records, &deployment.server_records());
+    let processor_times = deployment.processor_times().into_iter();
+    let processor_times: Vec<time::Duration> = processor_times
+        .zip(used_before)
+        .map(|(used, before)| used.saturating_sub(before))
+        .collect();
+    let result = load_result::evaluate(
+        plan,
+        &call_records,
+        &deployment.server_records(),
+        &processor_times,
+    );
     deployment.flush_logs()?;
     Ok(result)
 }
--- a/crates/cuminkeel/tests/experiments.rs
+++ b/crates/cuminkeel/tests/experiments.rs
@@ -10,12 +10,9 @@
 const ARRIVAL_DURATION: time::Duration = time::Duration::from_secs(2);
 
 fn plan(name: &str) -> load_test::LoadTestPlan {
-    let pattern_spec = replay_report::worst_pattern_specs(1)
-        .into_iter()
-        .find(|spec| spec.name == name)
-        .expect("the load pattern exists");
     load_test::LoadTestPlan {
-        pattern_spec,
+        pattern: replay_report::draw_named(name, 1, 1).expect("the load pattern exists"),
+        seed: 1,
         process_count: 3,
         arrival_duration: ARRIVAL_DURATION,
         kill_leader_at: None,
--- a/crates/cuminkeel_node/src/embedded_process.rs
+++ b/crates/cuminkeel_node/src/embedded_process.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic},
     thread, time,
 };
 
@@ -16,6 +16,8 @@
 const SIGNAL_QUEUE_CAPACITY: usize = 4;
 /// Timeout of a readiness probe.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Interval at which a process reads the processor time of its thread.
+const PROCESSOR_TIME_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 /// Handle to a process in a thread of this program. Dropping it kills the process without
 /// waiting for its end.
@@ -26,6 +28,8 @@
     signal_sender: mpsc::Sender<process::ProcessSignal>,
     kill_sender: Mutex<Option<oneshot::Sender<()>>>,
     thread: Mutex<Option<thread::JoinHandle<Result<(), process::ProcessError>>>>,
+    /// Processor time that the thread had used at its last reading, in microseconds.
+    processor_time_us: Arc<atomic::AtomicU64>,
 }
 
 impl EmbeddedProcess {
@@ -38,6 +42,8 @@
         let (signal_sender, signal_receiver) = mpsc::channel(SIGNAL_QUEUE_CAPACITY);
         let (kill_sender, kill_receiver) = oneshot::channel();
         let process_settings = settings.clone();
+        let processor_time_us = Arc::new(atomic::AtomicU64::new(0));
+        let reading = Arc::clone(&processor_time_us);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
@@ -48,6 +54,7 @@
                     tokio::select! {
                         result = process::serve(process_settings, None, process::StartOptions::default(), logger, signal_receiver) => result,
                         _ = kill_receiver => Ok(()),
+                        never = record_processor_time(&reading) => match never {},
                     }
                 });
                 // Closes open sockets abruptly, as when a process is killed.
@@ -59,9 +66,15 @@
             signal_sender,
             kill_sender: Mutex::new(Some(kill_sender)),
             thread: Mutex::new(Some(thread)),
+            processor_time_us,
         })
     }
 
+    /// Returns the processor time that the process has used, as of a moment ago.
+    pub fn processor_time(&self) -> time::Duration {
+        time::Duration::from_micros(self.processor_time_us.load(atomic::Ordering::Relaxed))
+    }
+
     /// Ends the process at once, as SIGKILL would, and waits until its thread has ended.
     pub fn kill(&self) {
         self.send_kill();
@@ -119,6 +132,19 @@
     }
 }
 
+/// Keeps the processor time of the current thread in `reading`.
+async fn record_processor_time(reading: &atomic::AtomicU64) -> std::convert::Infallible {
+    loop {
+        let used = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+        let used = time::Duration::try_from(used).unwrap_or_default();
+        reading.store(
+            u64::try_from(used.as_micros()).unwrap_or(u64::MAX),
+            atomic::Ordering::Relaxed,
+        );
+        tokio::time::sleep(PROCESSOR_TIME_INTERVAL).await;
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -117,17 +117,21 @@
     pub name: &'static str,
     /// Seed of all random numbers.
     pub seed: u64,
-    /// Mean arrivals per second outside the burst.
+    /// Mean arrivals per second outside the burst, for each [`SERVERS_PER_UNIT`] servers.
     pub jobs_per_s: f64,
+    /// Size of the failure domain, in units of [`SERVERS_PER_UNIT`] servers with their arrivals and faults.
+    pub size: usize,
     /// Class with a burst (`None` for all classes) and the factor on its arrivals, from 4 s to
     /// 8 s.
     pub burst: Option<(Option<usize>, f64)>,
-    /// Number of faulty servers and their mode, from 3 s to 9 s.
+    /// Number of faulty servers in each unit of the size, and their mode, from 3 s to 9 s.
     pub faulty_servers: Option<(usize, fake_server::ServerMode)>,
     /// Share of the jobs whose tasks always fail.
     pub always_failing_share: f64,
 }
 
+/// Number of servers of a failure domain of size 1.
+pub const SERVERS_PER_UNIT: usize = 16;
 /// Duration of a pattern.
 pub const PATTERN_DURATION: time::Duration = time::Duration::from_secs(12);
 /// Standard deviation of the logarithm of task counts, of run times, and of the ratio of an
@@ -138,11 +142,11 @@
 const FAULTS_START: time::Duration = time::Duration::from_secs(3);
 const FAULTS_END: time::Duration = time::Duration::from_secs(9);
 
-/// Returns the 16 servers of a failure domain, as on the users' sites: one in three has 24
+/// Returns the servers of a failure domain of this size, as on the users' sites: one in three has 24
 /// cores and a slowdown factor of 1.7, the others have 16 cores and a factor of 0.7. The label
 /// tells the two kinds apart; pools learn a slowdown factor for each kind.
-pub fn domain_servers() -> Vec<fake_server::FakeServer> {
-    (0..16)
+pub fn domain_servers(size: usize) -> Vec<fake_server::FakeServer> {
+    (0..SERVERS_PER_UNIT * size)
         .map(|number| {
             let name = format!("s{number:02}");
             match number % 3 {
@@ -172,7 +176,8 @@
             })
             .collect();
         let total_share: f64 = shares.iter().sum();
-        elapsed_s += -rng.random::<f64>().max(1e-9).ln() / (spec.jobs_per_s * total_share);
+        let jobs_per_s = spec.jobs_per_s * spec.size as f64 * total_share;
+        elapsed_s += -rng.random::<f64>().max(1e-9).ln() / jobs_per_s;
         let mut remaining_share = rng.random::<f64>() * total_share;
         let class = shares
             .iter()
@@ -193,14 +198,15 @@
         .faulty_servers
         .map(|(count, mode)| {
             // Steps of five reach servers of both kinds.
-            let failures = (0..count).map(move |number| ServerModeChange {
+            let server_count = SERVERS_PER_UNIT * spec.size;
+            let failures = (0..count * spec.size).map(move |number| ServerModeChange {
                 at: FAULTS_START,
-                server: number * 5 % 16,
+                server: number * 5 % server_count,
                 mode,
             });
-            let recoveries = (0..count).map(|number| ServerModeChange {
+            let recoveries = (0..count * spec.size).map(|number| ServerModeChange {
                 at: FAULTS_END,
-                server: number * 5 % 16,
+                server: number * 5 % server_count,
                 mode: fake_server::ServerMode::Healthy,
             });
             failures.chain(recoveries).collect()
@@ -211,7 +217,7 @@
         arrivals,
         mode_changes,
         capacity_changes: Vec::new(),
-        servers: domain_servers(),
+        servers: domain_servers(spec.size),
     }
 }
 
@@ -221,7 +227,7 @@
 pub struct ShortageSpec {
     /// Arrivals and their seed.
     pub base: PatternSpec,
-    /// Number of servers that are unreachable.
+    /// Number of servers that are unreachable in each unit of the size.
     pub lost_servers: usize,
     /// Whether tasks use [`WIDE_TASK_CPU_MILLIS`] and servers have four times the usual processor.
     pub wide_tasks: bool,
@@ -260,11 +266,13 @@
     }
     pattern
         .mode_changes
-        .extend((0..spec.lost_servers).map(|number| ServerModeChange {
-            at: time::Duration::ZERO,
-            server: number * 5 % 16,
-            mode: fake_server::ServerMode::Unreachable,
-        }));
+        .extend(
+            (0..spec.lost_servers * spec.base.size).map(|number| ServerModeChange {
+                at: time::Duration::ZERO,
+                server: number * 5 % (SERVERS_PER_UNIT * spec.base.size),
+                mode: fake_server::ServerMode::Unreachable,
+            }),
+        );
     pattern
 }
 
--- a/crates/cuminkeel_replay/src/load_scenario.rs
+++ b/crates/cuminkeel_replay/src/load_scenario.rs
@@ -143,6 +143,7 @@
                         name: self.name,
                         seed: seed + number * SEED_STEP,
                         jobs_per_s: USUAL_JOBS_PER_S * load_factor,
+                        size: 1,
                         burst: self.burst,
                         faulty_servers: None,
                         always_failing_share: 0.0,
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -51,6 +51,7 @@
         name: "ordinary second",
         seed,
         jobs_per_s: 47.0,
+        size: 1,
         burst: None,
         faulty_servers: None,
         always_failing_share: 0.0,
@@ -104,6 +105,7 @@
         name,
         seed,
         jobs_per_s: 47.0 * load_factor,
+        size: 1,
         burst: None,
         faulty_servers: None,
         always_failing_share: 0.0,
@@ -138,6 +140,27 @@
     ]
 }
 
+/// Draws the pattern or the shortage with this name for a failure domain of `size`, or returns `None` if none
+/// has that name.
+pub fn draw_named(name: &str, seed: u64, size: usize) -> Option<load_pattern::LoadPattern> {
+    let mut specs = worst_pattern_specs(seed).into_iter();
+    if let Some(spec) = specs.find(|spec| spec.name == name) {
+        return Some(load_pattern::draw(&load_pattern::PatternSpec {
+            size,
+            ..spec
+        }));
+    }
+    let mut shortages = shortage_specs(seed).into_iter();
+    let shortage = shortages.find(|shortage| shortage.base.name == name)?;
+    Some(load_pattern::draw_shortage(&load_pattern::ShortageSpec {
+        base: load_pattern::PatternSpec {
+            size,
+            ..shortage.base
+        },
+        ..shortage
+    }))
+}
+
 /// Draws the patterns of `specs` and `shortages`, in this order.
 pub fn draw_all(
     specs: &[load_pattern::PatternSpec],
--- a/crates/cuminkeel_replay/tests/promises/cold_servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/cold_servers.rs
@@ -51,7 +51,7 @@
 fn cold_servers_run_one_task_each_until_they_are_warm() {
     let pattern = load_pattern::draw(&replay_report::worst_pattern_specs(1)[1]);
     let policies = settings::PoolPolicies::default();
-    let servers = load_pattern::domain_servers();
+    let servers = load_pattern::domain_servers(1);
     let mut simulation = pool_simulation::PoolSimulation::new(1, servers, policies);
     simulation.lead(0);
     simulation.run_until(fixtures::ms(100));
@@ -132,7 +132,7 @@
         let pattern = load_pattern::draw(&spec);
         let policies = settings::PoolPolicies::default();
         let decisions = [time::Duration::ZERO, fixtures::ms(900)].map(|cold_remaining| {
-            let mut servers = load_pattern::domain_servers();
+            let mut servers = load_pattern::domain_servers(1);
             for server in &mut servers {
                 server.entry.cold_remaining = cold_remaining;
             }
--- a/crates/cuminkeel_replay/tests/promises/evacuations.rs
+++ b/crates/cuminkeel_replay/tests/promises/evacuations.rs
@@ -89,7 +89,7 @@
             ..replay_report::worst_pattern_specs(seed)[1]
         });
         let policies = settings::PoolPolicies::default();
-        let servers = load_pattern::domain_servers();
+        let servers = load_pattern::domain_servers(1);
         let mut simulation = pool_simulation::PoolSimulation::new(1, servers, policies);
         simulation.lead(0);
         simulation.run_until(fixtures::ms(1_000));
