Replay large domains with all of their servers, and the shifted work

Cause: a pool sends 64 first claims at a time and goes on when it reconciles; replays reconciled once, so pools of more than 64 servers ran on 64 of them. Change: replays claim until all servers are claimed; refusals are looked up by job, as a scan of all answers at each start made large replays take minutes; a pattern has a mix of jobs, and three scenarios of three domains with 48 servers have the mix, the different loads and the crowds of the shifted deployment.

--- a/crates/cuminkeel_replay/benches/pool_cost.rs
+++ b/crates/cuminkeel_replay/benches/pool_cost.rs
@@ -25,7 +25,7 @@
                 .collect();
             let mut simulation =
                 pool_simulation::PoolSimulation::new(1, servers, settings::PoolPolicies::default());
-            simulation.lead(0);
+            simulation.lead_all(0);
             simulation.run_until(time::Duration::from_millis(100));
             simulation
         };
@@ -66,7 +66,7 @@
             ..settings::PoolPolicies::default()
         };
         let mut simulation = pool_simulation::PoolSimulation::new(1, servers, policies);
-        simulation.lead(0);
+        simulation.lead_all(0);
         simulation.run_until(time::Duration::from_millis(100));
         let arrivals = pattern.arrivals.iter().cycle();
         for (number, arrival) in arrivals.take(MAX_SUBMITTED_JOBS).enumerate() {
--- a/crates/cuminkeel_replay/src/domain_replay.rs
+++ b/crates/cuminkeel_replay/src/domain_replay.rs
@@ -190,7 +190,7 @@
         })
         .collect();
     for simulation in &mut simulations {
-        simulation.lead(0);
+        simulation.lead_all(0);
     }
     let jobs = offered_jobs(specs);
     let mut domains = DomainSimulation {
@@ -362,7 +362,7 @@
             if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
                 self.read_answers[domain] -= 1;
                 let unread = self.read_answers[domain];
-                self.simulations[domain].answers.remove(unread);
+                self.simulations[domain].remove_answer(unread);
             }
             job.plan.record_end(Some(&answer.end), answer.at);
             self.advance_job(position);
@@ -446,7 +446,7 @@
         let ended = simulation.answers[answers_before..]
             .iter()
             .position(|answer| answer.job == offer.spec.id)?;
-        Some(simulation.answers.remove(answers_before + ended).end)
+        Some(simulation.remove_answer(answers_before + ended).end)
     }
 
     /// Stores the answer to a job's caller. A refusal is shown to all pools, as no task of the job may
@@ -487,7 +487,7 @@
                 self.refused_with_room += 1;
             }
             for simulation in &mut self.simulations {
-                simulation.answers.push(caller_answer.clone());
+                simulation.push_answer(caller_answer.clone());
             }
         }
         self.jobs[position].answer = Some(caller_answer);
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -110,6 +110,31 @@
     pub servers: Vec<fake_server::FakeServer>,
 }
 
+/// Mix of the jobs that arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadMix {
+    /// Share of each class of [`JOB_CLASSES`] in all arrivals.
+    pub arrival_shares: [f64; 3],
+    /// Mean processor of a task, in thousandths of a core.
+    pub mean_cpu_millis: f64,
+}
+
+/// Mix of the order desk of the users' first sites.
+pub const ORDER_DESK_MIX: LoadMix = LoadMix {
+    arrival_shares: [
+        JOB_CLASSES[0].arrival_share,
+        JOB_CLASSES[1].arrival_share,
+        JOB_CLASSES[2].arrival_share,
+    ],
+    mean_cpu_millis: 6_800.0,
+};
+
+/// Mix of the order desk some months on: more long jobs, and tasks of half a server.
+pub const SHIFTED_MIX: LoadMix = LoadMix {
+    arrival_shares: [0.236, 0.075, 0.689],
+    mean_cpu_millis: 8_000.0,
+};
+
 /// Parameters from which a pattern is drawn.
 #[derive(Clone, Copy, Debug)]
 pub struct PatternSpec {
@@ -121,6 +146,8 @@
     pub jobs_per_s: f64,
     /// Size of the failure domain, in units of [`SERVERS_PER_UNIT`] servers with their arrivals and faults.
     pub size: usize,
+    /// Mix of the jobs.
+    pub mix: LoadMix,
     /// Class with a burst (`None` for all classes) and the factor on its arrivals, from 4 s to
     /// 8 s.
     pub burst: Option<(Option<usize>, f64)>,
@@ -137,6 +164,8 @@
 /// Standard deviation of the logarithm of task counts, of run times, and of the ratio of an
 /// estimate to its run time.
 const LOG_STD_DEV: f64 = 0.4;
+/// Largest processor of a task relative to the mean.
+const MAX_CPU_FACTOR: f64 = 1.47;
 const BURST_START_S: f64 = 4.0;
 const BURST_END_S: f64 = 8.0;
 const FAULTS_START: time::Duration = time::Duration::from_secs(3);
@@ -164,15 +193,14 @@
     let mut elapsed_s = 0.0;
     while elapsed_s < PATTERN_DURATION.as_secs_f64() {
         let in_burst = (BURST_START_S..BURST_END_S).contains(&elapsed_s);
-        let shares: SmallVec<[f64; 3]> = JOB_CLASSES
-            .iter()
-            .enumerate()
-            .map(|(class, job_class)| match spec.burst {
-                Some((None, factor)) if in_burst => job_class.arrival_share * factor,
+        let usual_shares = spec.mix.arrival_shares.into_iter().enumerate();
+        let shares: SmallVec<[f64; 3]> = usual_shares
+            .map(|(class, share)| match spec.burst {
+                Some((None, factor)) if in_burst => share * factor,
                 Some((Some(burst_class), factor)) if in_burst && burst_class == class => {
-                    job_class.arrival_share * factor
+                    share * factor
                 }
-                _ => job_class.arrival_share,
+                _ => share,
             })
             .collect();
         let total_share: f64 = shares.iter().sum();
@@ -191,7 +219,7 @@
             arrivals.len(),
             class,
             time::Duration::from_secs_f64(elapsed_s),
-            spec.always_failing_share,
+            spec,
         ));
     }
     let mode_changes = spec
@@ -281,7 +309,7 @@
     number: usize,
     class: usize,
     at: time::Duration,
-    always_failing_share: f64,
+    spec: &PatternSpec,
 ) -> JobArrival {
     let job_class = JOB_CLASSES[class];
     let task_count = (job_class.mean_task_count * log_normal_factor(rng, LOG_STD_DEV))
@@ -290,7 +318,9 @@
     let run_time_ms = (job_class.mean_run_time_ms * log_normal_factor(rng, LOG_STD_DEV))
         .min(job_class.mean_run_time_ms * 4.0);
     let estimate_ms = run_time_ms * log_normal_factor(rng, LOG_STD_DEV);
-    let cpu_millis = (6_800.0 * log_normal_factor(rng, 0.2)).clamp(3_000.0, 10_000.0);
+    let mean_cpu_millis = spec.mix.mean_cpu_millis;
+    let cpu_millis = (mean_cpu_millis * log_normal_factor(rng, 0.2))
+        .clamp(3_000.0, mean_cpu_millis * MAX_CPU_FACTOR);
     let job_spec = job_model::JobSpec {
         id: Arc::from(format!("{number:016x}")),
         route: Arc::from(job_class.route),
@@ -328,7 +358,7 @@
         task_profile: fake_server::TaskProfile {
             cpu_millis: round_to_u32(cpu_millis),
             nominal_run_time: time::Duration::from_secs_f64(run_time_ms / 1e3),
-            always_fails: rng.random::<f64>() < always_failing_share,
+            always_fails: rng.random::<f64>() < spec.always_failing_share,
         },
         worth: (job_class.worth * (0.3 + 0.7 * relative_work)).min(job_class.worth * 4.0),
         class,
--- a/crates/cuminkeel_replay/src/load_scenario.rs
+++ b/crates/cuminkeel_replay/src/load_scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios of experiments: the load of one or several failure domains, with the faults of their servers.
 //!
-//! The scenarios with several domains are those of a customer whose servers hold two or three tasks: three
-//! domains of 16 servers at about four fifths of their slots on an ordinary day.
+//! The scenarios with several domains are those of customers whose servers hold two or three tasks: three
+//! domains of 16 servers at about four fifths of their slots on an ordinary day, and three of 48 servers.
 
 use std::time;
 
@@ -67,8 +67,6 @@
 const SHRUNK_PERCENT: u32 = 55;
 /// Factor on the run times of slow servers.
 const SLOW_FACTOR: f64 = 6.5;
-/// Number of servers in a domain.
-const SERVERS_PER_DOMAIN: usize = 16;
 /// Distance between the seeds of two domains.
 const SEED_STEP: u64 = 1_000;
 
@@ -76,6 +74,9 @@
 #[derive(Clone, Copy, Debug)]
 struct DomainScenarioSpec {
     name: &'static str,
+    /// Size of each domain.
+    size: usize,
+    mix: load_pattern::LoadMix,
     /// Factor on the arrivals of each domain.
     load_factors: [f64; 3],
     /// Number of servers of each domain that are gone.
@@ -94,12 +95,30 @@
     Slow,
 }
 
+/// Size of a domain with 48 servers.
+const LARGE_SIZE: usize = 3;
+/// Load of three large domains whose ordinary load differs.
+const LARGE_LOAD: DomainLoad = DomainLoad([0.66, 0.54, 0.71]);
+
+/// Factors on the arrivals of three domains.
+#[derive(Clone, Copy, Debug)]
+struct DomainLoad([f64; 3]);
+
+impl DomainLoad {
+    const fn scaled(self, factors: [f64; 3]) -> [f64; 3] {
+        let [first, second, third] = self.0;
+        [first * factors[0], second * factors[1], third * factors[2]]
+    }
+}
+
 /// Class of jobs with the most tasks.
 const WIDEST_CLASS: usize = 0;
 
-const DOMAIN_SCENARIOS: [DomainScenarioSpec; 4] = [
+const DOMAIN_SCENARIOS: [DomainScenarioSpec; 7] = [
     DomainScenarioSpec {
         name: "domains: shared overload, servers shrunk",
+        size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         load_factors: [2.2, 2.2, 2.2],
         gone_servers: [2, 1, 2],
         changed_servers: 4,
@@ -108,6 +127,8 @@
     },
     DomainScenarioSpec {
         name: "domains: one crowded",
+        size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         load_factors: [2.6, 0.95, 0.95],
         gone_servers: [3, 2, 2],
         changed_servers: 0,
@@ -116,6 +137,8 @@
     },
     DomainScenarioSpec {
         name: "domains: burst of wide jobs, servers slow",
+        size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         load_factors: [1.0, 1.0, 1.0],
         gone_servers: [0, 0, 0],
         changed_servers: 3,
@@ -124,12 +147,44 @@
     },
     DomainScenarioSpec {
         name: "domains: burst, servers shrunk",
+        size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         load_factors: [1.0, 1.0, 1.0],
         gone_servers: [0, 0, 0],
         changed_servers: 4,
         change: ServerChange::Shrunk,
         burst: Some((None, 1.4)),
     },
+    DomainScenarioSpec {
+        name: "large domains: shared overload",
+        size: LARGE_SIZE,
+        mix: load_pattern::SHIFTED_MIX,
+        load_factors: LARGE_LOAD.scaled([2.2, 2.2, 2.2]),
+        gone_servers: [7, 7, 7],
+        changed_servers: 0,
+        change: ServerChange::Slow,
+        burst: None,
+    },
+    DomainScenarioSpec {
+        name: "large domains: burst of wide jobs, servers slow",
+        size: LARGE_SIZE,
+        mix: load_pattern::SHIFTED_MIX,
+        load_factors: LARGE_LOAD.scaled([1.0, 1.0, 1.0]),
+        gone_servers: [0, 0, 0],
+        changed_servers: 7,
+        change: ServerChange::Slow,
+        burst: Some((Some(WIDEST_CLASS), 5.0)),
+    },
+    DomainScenarioSpec {
+        name: "large domains: one crowded",
+        size: LARGE_SIZE,
+        mix: load_pattern::SHIFTED_MIX,
+        load_factors: LARGE_LOAD.scaled([2.6, 1.0, 1.0]),
+        gone_servers: [0, 0, 0],
+        changed_servers: 0,
+        change: ServerChange::Slow,
+        burst: None,
+    },
 ];
 
 impl DomainScenarioSpec {
@@ -143,7 +198,8 @@
                         name: self.name,
                         seed: seed + number * SEED_STEP,
                         jobs_per_s: USUAL_JOBS_PER_S * load_factor,
-                        size: 1,
+                        size: self.size,
+                        mix: self.mix,
                         burst: self.burst,
                         faulty_servers: None,
                         always_failing_share: 0.0,
@@ -159,7 +215,8 @@
     /// Changes servers of both kinds: steps of five and seven reach all.
     fn change_servers(&self, pattern: &mut load_pattern::LoadPattern, gone: usize) {
         let at = time::Duration::ZERO;
-        let gone_servers = (0..gone).map(|number| number * 5 % SERVERS_PER_DOMAIN);
+        let server_count = pattern.servers.len();
+        let gone_servers = (0..gone).map(|number| number * 5 % server_count);
         pattern
             .mode_changes
             .extend(gone_servers.map(|server| load_pattern::ServerModeChange {
@@ -168,7 +225,8 @@
                 mode: fake_server::ServerMode::Unreachable,
             }));
         for number in 0..self.changed_servers {
-            let server = (3 + number * 7) % SERVERS_PER_DOMAIN;
+            let round = number / load_pattern::SERVERS_PER_UNIT;
+            let server = (3 + number * 7 + round) % server_count;
             match self.change {
                 ServerChange::Shrunk => {
                     let cpu_millis =
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -8,7 +8,7 @@
 };
 
 use cuminkeel_dispatch::{
-    crash_ledger, job_model, leadership, pool, pool_action, server_model, settings,
+    crash_ledger, job_model, leadership, pool, pool_action, server_model, server_slot, settings,
 };
 
 use crate::fake_server;
@@ -124,6 +124,8 @@
     waiters: BTreeMap<pool_action::WaiterId, Arc<str>>,
     /// Answers to callers, in order of time; one for each submission that was answered.
     pub answers: Vec<CallerAnswer>,
+    /// Numbers of refusals in `answers` by job.
+    refusals: HashMap<Arc<str>, usize>,
     /// Invariant violations, in order of time.
     pub violations: Vec<InvariantViolation>,
     /// Decisions of all pools, in order of time.
@@ -175,6 +177,7 @@
             waiting_holds: Vec::new(),
             waiters: BTreeMap::new(),
             answers: Vec::new(),
+            refusals: HashMap::new(),
             violations: Vec::new(),
             decisions: Vec::new(),
             refused_with_room: Vec::new(),
@@ -208,6 +211,20 @@
         self.execute_actions(pool_index);
     }
 
+    /// Makes a pool leader of all registered servers, and runs until it has claimed each: it sends a limited
+    /// number of claims at a time, as a process does.
+    pub fn lead_all(&mut self, pool_index: usize) {
+        let is_unclaimed = |simulation: &Self, id: &Arc<str>| {
+            simulation.pools[pool_index].claim_state(id) == Some(server_slot::ClaimState::Unclaimed)
+        };
+        self.lead(pool_index);
+        let servers: Vec<Arc<str>> = self.servers.keys().cloned().collect();
+        while servers.iter().any(|id| is_unclaimed(self, id)) {
+            self.run_until(self.now + TICK_INTERVAL);
+            self.lead(pool_index);
+        }
+    }
+
     /// Tells a pool that its failure domain is evacuated.
     pub fn evacuate(&mut self, pool_index: usize) {
         let start = pool::EvacuationStart::LearntAt(self.now);
@@ -273,6 +290,24 @@
         }
     }
 
+    /// Adds an answer to a caller.
+    pub(crate) fn push_answer(&mut self, answer: CallerAnswer) {
+        if matches!(answer.end, job_model::JobEnd::Refused { .. }) {
+            *self.refusals.entry(Arc::clone(&answer.job)).or_default() += 1;
+        }
+        self.answers.push(answer);
+    }
+
+    /// Removes the answer at `index`, which its caller didn't receive.
+    pub(crate) fn remove_answer(&mut self, index: usize) -> CallerAnswer {
+        let answer = self.answers.remove(index);
+        match self.refusals.get_mut(&answer.job) {
+            Some(count) if matches!(answer.end, job_model::JobEnd::Refused { .. }) => *count -= 1,
+            _ => {}
+        }
+        answer
+    }
+
     /// Returns how many tasks that use `cpu_millis` each the free processor of healthy servers has room
     /// for.
     pub(crate) fn free_task_count(&self, cpu_millis: u32) -> usize {
@@ -517,10 +552,7 @@
             self.violations
                 .push(InvariantViolation::OverCapacity(Arc::clone(server_id)));
         }
-        let refused = self.answers.iter().any(|answer| {
-            answer.job == task.job && matches!(answer.end, job_model::JobEnd::Refused { .. })
-        });
-        if refused {
+        if self.refusals.get(&task.job).is_some_and(|count| *count > 0) {
             self.violations
                 .push(InvariantViolation::RefusedJobRan(task.clone()));
         }
@@ -740,7 +772,7 @@
                 }
                 pool_action::PoolAction::AnswerWaiter { waiter, end } => {
                     if let Some(job) = self.waiters.remove(&waiter) {
-                        self.answers.push(CallerAnswer { job, end, at: now });
+                        self.push_answer(CallerAnswer { job, end, at: now });
                     }
                 }
                 pool_action::PoolAction::LostServer { server } => {
--- a/crates/cuminkeel_replay/src/replay_report.rs
+++ b/crates/cuminkeel_replay/src/replay_report.rs
@@ -52,6 +52,7 @@
         seed,
         jobs_per_s: 47.0,
         size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         burst: None,
         faulty_servers: None,
         always_failing_share: 0.0,
@@ -106,6 +107,7 @@
         seed,
         jobs_per_s: 47.0 * load_factor,
         size: 1,
+        mix: load_pattern::ORDER_DESK_MIX,
         burst: None,
         faulty_servers: None,
         always_failing_share: 0.0,
@@ -238,7 +240,7 @@
     policies: settings::PoolPolicies,
 ) -> pool_simulation::PoolSimulation {
     let mut simulation = pool_simulation::PoolSimulation::new(1, pattern.servers.clone(), policies);
-    simulation.lead(0);
+    simulation.lead_all(0);
     simulation.run_until(WARM_UP_TIME);
     let mut faults = fault_schedule::FaultSchedule::new(pattern);
     for arrival in &pattern.arrivals {
