Place no tasks after a pause between a batch of events and its placement

Cause: since tasks are placed once for each batch of events, a pause of the process between the last event and the placement was not noticed there, as each event's check had passed before it. The pool then started tasks on servers that another process may hold, if its fencing token had not arrived yet. Change: take_actions begins with the check as every call does that can change runs, and the process looks at its leadership again after it. Test: tasks_are_not_placed_after_a_pause fails before (one start 500 ms later), passes now. No figure is touched: the check compares two times.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -237,6 +237,8 @@
     /// To be called once after a batch of events: a pass over the queue costs as much after many events as after
     /// one.
     pub fn take_actions(&mut self, now: time::Duration) -> Vec<pool_action::PoolAction> {
+        // The process may have been paused since the last event of the batch.
+        self.step_down_after_pause(now);
         if std::mem::take(&mut self.needs_placement) {
             self.schedule(now);
         }
--- a/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
+++ b/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
@@ -1,4 +1,4 @@
-//! Tests of single decisions of a pool whose failure domain is evacuated.
+//! Tests of single decisions of a pool: while its failure domain is evacuated, and after a pause of its process.
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
@@ -218,3 +218,15 @@
         "the job waits for its run, and its other task doesn't start"
     );
 }
+
+/// Guards against a process that is paused between an offer and the placement of its tasks, and then starts them on
+/// servers that another process holds by now.
+#[test]
+fn tasks_are_not_placed_after_a_pause() {
+    let mut pool = held_pool(None, Vec::new());
+    pool.submit(&offer("job", 3), pool_action::WaiterId(1), ms(10));
+    assert_eq!(start_count(&mut pool, ms(10 + 500)), 0);
+    let mut pool = held_pool(None, Vec::new());
+    pool.submit(&offer("job", 3), pool_action::WaiterId(1), ms(10));
+    assert!(start_count(&mut pool, ms(11)) > 0);
+}
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -254,12 +254,17 @@
 }
 
 impl PoolDriver {
-    fn handle_event(&mut self, event: PoolEvent) {
-        let now = self.node.now();
+    /// Steps down after a pause of the process. Jobs are admitted again, and servers claimed, only if this process
+    /// still leads.
+    fn check_for_pause(&mut self, now: time::Duration) {
         if self.pool.step_down_after_pause(now) {
-            // Jobs are admitted again, and servers claimed, only if this process still leads.
             self.reconcile_leadership();
         }
+    }
+
+    fn handle_event(&mut self, event: PoolEvent) {
+        let now = self.node.now();
+        self.check_for_pause(now);
         match event {
             PoolEvent::Submit {
                 offer,
@@ -399,7 +404,9 @@
         let order_timeout = self.node.tuning.order_timeout();
         let hold_timeout = self.node.tuning.hold_timeout();
         let mut has_losses = false;
-        for action in self.pool.take_actions(self.node.now()) {
+        let now = self.node.now();
+        self.check_for_pause(now);
+        for action in self.pool.take_actions(now) {
             match action {
                 pool_action::PoolAction::Start(order) => {
                     let client = self.client(&order.server, &order.address);
