--- a/review/2/case.py
+++ b/review/2/case.py
@@ -54,6 +54,8 @@
         leader.signal(signal.SIGKILL)
     await until(cut_at + CUT_S + BACK_S)
     if standins.TROUBLE:
+        await leader.process.wait()
+        await leader.start()
         runner.register()
         record.say(f"{runner.name} is in the registry again")
     await asyncio.gather(*calls)
