Let simulated servers leave orders unanswered and carry them out late

The replays had servers that answer nothing and starts that come late once, but no single orders, above all stops, that stay unanswered while holds are answered. A rule names the kinds, the server, the time and the share of such orders. The order is carried out after its delay under the token and the lease that it has; its pool gets no answer to it. No rule is set by default, so all earlier tests are as they were.

--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -3,6 +3,7 @@
 use std::{
     cmp,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
+    ops,
     sync::Arc,
     time,
 };
@@ -10,6 +11,7 @@
 use cuminkeel_dispatch::{
     crash_ledger, job_model, leadership, pool, pool_action, server_model, server_slot, settings,
 };
+use rand::{RngExt, rngs};
 
 use crate::fake_server;
 
@@ -37,6 +39,8 @@
     StartOrderArrives(usize, server_model::StartOrder),
     StopOrderArrives(usize, server_model::StopOrder),
     HoldOrderArrives(usize, server_model::HoldOrder),
+    /// An order that was left unanswered is carried out.
+    LateOrderDue(LateOrder),
     StartOutcomeArrives(usize, server_model::StartOrder, server_model::StartOutcome),
     StopOutcomeArrives(usize, server_model::StopOrder, server_model::StopOutcome),
     HoldOutcomeArrives(usize, server_model::HoldOrder, server_model::HoldOutcome),
@@ -52,6 +56,58 @@
     Tick(usize),
 }
 
+/// Order that its server carries out late, without an answer.
+#[derive(Clone, Debug)]
+enum LateOrder {
+    Start(server_model::StartOrder),
+    Stop(server_model::StopOrder),
+    Hold(server_model::HoldOrder),
+}
+
+/// Kind of an order to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderKind {
+    /// Starts a run.
+    Start,
+    /// Stops a run.
+    Stop,
+    /// Claims the server, or renews its leases.
+    Hold,
+}
+
+/// Rule for orders that are left unanswered and carried out late.
+#[derive(Debug)]
+pub struct LateOrderRule {
+    /// Kinds of the orders.
+    pub kinds: Vec<OrderKind>,
+    /// Server of the orders; `None` for all servers.
+    pub server: Option<Arc<str>>,
+    /// Time of arrival of the orders.
+    pub arrival: ops::Range<time::Duration>,
+    /// Share of these orders that are late.
+    pub share: f64,
+    /// Time from the arrival of an order until it is carried out.
+    pub delay: ops::RangeInclusive<time::Duration>,
+    /// Draws the orders and their delays.
+    pub rng: rngs::StdRng,
+}
+
+impl LateOrderRule {
+    /// Returns the delay of an order that arrives at `now`, or `None` if it is carried out at once.
+    fn draw_delay(
+        &mut self,
+        kind: OrderKind,
+        server: &Arc<str>,
+        now: time::Duration,
+    ) -> Option<time::Duration> {
+        let applies = self.kinds.contains(&kind)
+            && self.server.as_ref().is_none_or(|only| only == server)
+            && self.arrival.contains(&now);
+        (applies && self.rng.random_bool(self.share))
+            .then(|| self.rng.random_range(self.delay.clone()))
+    }
+}
+
 #[derive(Debug)]
 struct ScheduledEvent {
     at: time::Duration,
@@ -138,6 +194,8 @@
     pub crashes: Vec<(time::Duration, job_model::TaskName)>,
     /// Servers lost to another pool's claim, with the index of the pool that lost them.
     pub lost_servers: Vec<(usize, Arc<str>)>,
+    /// Rules for late orders; the first one that delays an order applies.
+    pub late_order_rules: Vec<LateOrderRule>,
 }
 
 impl PoolSimulation {
@@ -184,6 +242,7 @@
             deadly_tasks: HashMap::new(),
             crashes: Vec::new(),
             lost_servers: Vec::new(),
+            late_order_rules: Vec::new(),
         };
         for pool_index in 0..pool_count {
             for server in simulation.servers.values() {
@@ -338,6 +397,11 @@
         self.execute_actions(pool_index);
     }
 
+    /// Drops the answers to all callers that wait for `job`, whose coordinators have given up their offers.
+    pub fn forget_waiters(&mut self, job: &str) {
+        self.waiters.retain(|_, waited_job| &**waited_job != job);
+    }
+
     /// Sends the present registry entry of the server `server_id` to a pool.
     pub fn update_registry_entry(&mut self, pool_index: usize, server_id: &str) {
         if let Some(server) = self.servers.get(server_id) {
@@ -423,9 +487,38 @@
                 self.execute_actions(pool_index);
                 self.push(now + TICK_INTERVAL, Event::Tick(pool_index));
             }
-            Event::StartOrderArrives(pool_index, order) => self.deliver_start(pool_index, order),
-            Event::StopOrderArrives(pool_index, order) => self.deliver_stop(pool_index, order),
-            Event::HoldOrderArrives(pool_index, order) => self.deliver_hold(pool_index, order),
+            Event::StartOrderArrives(pool_index, order) => {
+                let late_order = LateOrder::Start(order.clone());
+                if self.delay_order(OrderKind::Start, &order.server, late_order) {
+                    let unanswered = server_model::StartOutcome::Unanswered;
+                    let outcome = Event::StartOutcomeArrives(pool_index, order, unanswered);
+                    self.push(now + ORDER_TIMEOUT, outcome);
+                } else {
+                    self.deliver_start(pool_index, order);
+                }
+            }
+            Event::StopOrderArrives(pool_index, order) => {
+                let late_order = LateOrder::Stop(order.clone());
+                if self.delay_order(OrderKind::Stop, &order.server, late_order) {
+                    let unconfirmed = server_model::StopOutcome::Unconfirmed;
+                    let outcome = Event::StopOutcomeArrives(pool_index, order, unconfirmed);
+                    self.push(now + ORDER_TIMEOUT, outcome);
+                } else {
+                    self.deliver_stop(pool_index, order);
+                }
+            }
+            Event::HoldOrderArrives(pool_index, order) => {
+                let late_order = LateOrder::Hold(order.clone());
+                if self.delay_order(OrderKind::Hold, &order.server, late_order) {
+                    let timeout_at = now + ORDER_TIMEOUT + order.wait;
+                    let unanswered = server_model::HoldOutcome::Unanswered;
+                    let outcome = Event::HoldOutcomeArrives(pool_index, order, unanswered);
+                    self.push(timeout_at, outcome);
+                } else {
+                    self.deliver_hold(pool_index, order);
+                }
+            }
+            Event::LateOrderDue(order) => self.carry_out_late(&order),
             Event::HoldWaitEnds(pool_index, order) => self.end_hold_wait(pool_index, &order),
             Event::RunEndDue(server_id) => self.advance_server(&server_id),
             Event::CrashDue(server_id, task) => self.crash_server(&server_id, task),
@@ -474,6 +567,51 @@
         }
     }
 
+    /// Schedules `order` to be carried out late if a rule says so, and returns whether it does.
+    fn delay_order(&mut self, kind: OrderKind, server: &Arc<str>, order: LateOrder) -> bool {
+        let now = self.now;
+        let delay = self
+            .late_order_rules
+            .iter_mut()
+            .find_map(|rule| rule.draw_delay(kind, server, now));
+        if let Some(delay) = delay {
+            self.push(now + delay, Event::LateOrderDue(order));
+        }
+        delay.is_some()
+    }
+
+    /// Carries out an order to which the pool gets no answer any more, unless its server is down.
+    fn carry_out_late(&mut self, order: &LateOrder) {
+        let now = self.now;
+        let server_id = match order {
+            LateOrder::Start(order) => &order.server,
+            LateOrder::Stop(order) => &order.server,
+            LateOrder::Hold(order) => &order.server,
+        };
+        let Some(server) = self.servers.get_mut(server_id) else {
+            return;
+        };
+        if server.mode == fake_server::ServerMode::Crashed {
+            return;
+        }
+        match order {
+            LateOrder::Start(order) => {
+                let Some(profile) = self.task_profiles.get(&order.task.job).copied() else {
+                    return;
+                };
+                let outcome = server.start(order, profile, now);
+                if matches!(outcome, server_model::StartOutcome::Started { .. }) {
+                    self.check_invariants(&order.task, server_id);
+                }
+            }
+            LateOrder::Stop(order) => server.stop(order, now),
+            LateOrder::Hold(order) => {
+                server.apply_hold(order, now);
+            }
+        }
+        self.advance_server(server_id);
+    }
+
     fn deliver_start(&mut self, pool_index: usize, order: server_model::StartOrder) {
         let now = self.now;
         let Some(profile) = self.task_profiles.get(&order.task.job).copied() else {
