Send a stop again that a server has lost

Cause: an unanswered stop leads to a new claim, which fences the stop. The run stays in the phase Stopping, for which nothing was ever sent again, while holds renew its lease with that of the other runs on the server.

Fix: a report on a later claim than the stop shows that the run is still there, so the stop is sent again under the new token. It repeats by the same rule.

Evidence: stop_that_a_server_leaves_unanswered_is_sent_again failed before (the run was left for 2.1 s, bound 1.3 s) and passes.

--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -323,12 +323,19 @@
         };
         match slot.runs.get_mut(&reported.task) {
             Some(run) if run.run_id == reported.run_id => {
-                if run.phase == server_slot::RunPhase::Starting {
+                // The server has granted a later claim since the stop was sent, and still has the run. From
+                // now on the stop is fenced, if it was lost on its way.
+                let is_stop_lost =
+                    run.phase == server_slot::RunPhase::Stopping && run.token < slot.token;
+                if run.phase == server_slot::RunPhase::Starting || is_stop_lost {
                     run.phase = server_slot::RunPhase::Running;
                 }
                 run.confirmed_at.get_or_insert(now);
                 // The run is now covered by the token of the latest claim.
                 run.token = slot.token;
+                if is_stop_lost {
+                    self.stop_run(id, &reported.task, "stop_lost");
+                }
             }
             Some(_) => {}
             None => {
