Log what allows each start, and the runs that leases and missing entries keep

A `placed` line had no reason, an unanswered stop showed only as `suspect` without its run, a renewed lease left no line, and an entry that was removed left only the number of runs.

Change, without an effect on decisions: - `placed` has as outcome what allowed it: `servers_reported`, `servers_added` (unreported ones registered after the takeover), `leases_expired` or `registry_incomplete`; and `led_ms` and `may_have_started` as inputs. `unreported` no longer becomes 0 once the leases have run out. - `stop_unconfirmed`: a stop got no response (`unanswered`; `already_ended` if the end came first), or its run is in a report that was asked for later than the stop time (`still_running`, at most one line a second). `stop_repeated` in place of `stopping` from the second order on; no code repeats a stop yet. - `lease_extended`: once for each run without a job whose lease is renewed with those of others: `stopping`, `abandoned` or `inherited`, and the time since it lost its job. - `run_unlisted`: a run on a server whose entry was removed. `takeover`: registered and unlisted servers, entries removed in the last 10 s, age of the registry, epoch. - `DecisionKind::LeaseWithheld` is reserved. All are counted by `cuminkeel_decisions_total`.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pool_room;
 pub mod retry_advice;
 pub mod room_ledger;
+pub mod run_evidence;
 pub mod run_time_model;
 pub mod server_model;
 pub mod server_slot;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod divided_domain;
 mod evacuated;
+mod evidence;
 mod inherited_runs;
 mod jobs;
 mod open_servers;
@@ -163,6 +164,8 @@
     foreign_claim_at: time::Duration,
     /// Start of the latest read of the registry that has been applied.
     registry_read_at: time::Duration,
+    /// Registry entries that were removed lately.
+    removed_entries: evidence::RemovedEntries,
     /// Time at which this pool last began to lead shards, or `None` while it leads none.
     leading_since: Option<time::Duration>,
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
@@ -215,6 +218,7 @@
             registry_complete_at: time::Duration::ZERO,
             foreign_claim_at: time::Duration::ZERO,
             registry_read_at: time::Duration::ZERO,
+            removed_entries: evidence::RemovedEntries::default(),
             leading_since: None,
             inherited_ends: HashMap::new(),
             released_jobs: released_jobs::ReleasedJobs::default(),
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -101,6 +101,7 @@
 
     /// Applies the removal of the registry entry of `server`.
     pub fn remove_registry_entry(&mut self, server: &str) {
+        self.record_removed_entry(server);
         let Some(slot) = self.servers.get_mut(server) else {
             return;
         };
@@ -208,6 +209,7 @@
             .filter(|_| slot.claim_attempts <= MAX_RENEWING_CLAIM_ATTEMPTS)
             .filter(|_| slot.has_runs_with_job());
         slot.lease_expiry_ms = slot.lease_expiry_ms.max(renewed_expiry_ms.unwrap_or(0));
+        let renews_leases = renewed_expiry_ms.is_some();
         let order = server_model::HoldOrder {
             server: Arc::clone(id),
             address: Arc::clone(&slot.entry.address),
@@ -231,6 +233,9 @@
                 inputs,
             );
         }
+        if renews_leases {
+            self.record_lease_renewal(id, now);
+        }
         self.actions.push(pool_action::PoolAction::Hold(order));
     }
 
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -57,6 +57,7 @@
                 slot.may_have_inherited_runs = true;
             }
             self.mark_inherited_unresolved(now);
+            self.record_takeover(now);
             self.actions.push(pool_action::PoolAction::ReadRegistry);
         }
     }
@@ -220,7 +221,7 @@
 
     /// Whether the registry was read since this pool began to lead, so that servers which registered
     /// shortly before are known, and no server with runs may be missing from it.
-    fn knows_all_servers(&self, now: time::Duration) -> bool {
+    pub(super) fn knows_all_servers(&self, now: time::Duration) -> bool {
         now >= self.registry_complete_at
             && self
                 .leading_since
@@ -229,7 +230,7 @@
 
     /// Returns the servers of the shards that this pool leads whose runs are unknown: registered ones, and
     /// those that this pool released with runs after the registry had lost their entry.
-    fn unreported_servers(
+    pub(super) fn unreported_servers(
         &self,
         now: time::Duration,
     ) -> impl Iterator<Item = (&Arc<str>, &server_slot::ServerSlot)> {
@@ -239,12 +240,4 @@
             slot.counts_for_takeover(now) && !is_reported && self.takeover_shards.contains_id(id)
         })
     }
-
-    /// Returns the number of servers that may have inherited runs that this pool does not know.
-    pub(super) fn unreported_server_count(&self, now: time::Duration) -> usize {
-        if now >= self.inherited_unresolved_until {
-            return 0;
-        }
-        self.unreported_servers(now).count()
-    }
 }
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -6,7 +6,8 @@
 
 use super::{JobEntry, ServerPool, TaskEntry, TaskPhase, claims, crashes, released_jobs};
 use crate::{
-    crash_ledger, job_model, job_order, pool_action, retry_advice, server_model, settings,
+    crash_ledger, job_model, job_order, pool_action, retry_advice, run_evidence, server_model,
+    settings,
 };
 
 /// Multiple of the response time objective after which an answer has no value to the caller.
@@ -309,6 +310,7 @@
             .and_then(|slot| slot.runs.get_mut(&task.name));
         if let Some(run) = run {
             run.has_job = true;
+            run.evidence = run_evidence::RunEvidence::default();
             run.is_isolated = task.verdict != crash_ledger::TaskVerdict::Unsuspected;
             run.nominal_run_time = nominal_run_time;
             let share_left = f64::from(100 - run.initial_percent.min(100)) / 100.0;
@@ -387,6 +389,7 @@
                     .and_then(|slot| slot.runs.get_mut(&task.name));
                 if let Some(run) = run {
                     run.has_job = false;
+                    run.evidence.record_unused(now);
                     // Restarts `INHERITED_RUN_GRACE`.
                     run.ordered_at = now;
                     run.is_start_known = false;
--- a/crates/cuminkeel_dispatch/src/pool/open_servers.rs
+++ b/crates/cuminkeel_dispatch/src/pool/open_servers.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-use super::ServerPool;
+use super::{ServerPool, evidence};
 use crate::server_slot;
 
 /// Server with room, and its free processor in thousandths of a core.
@@ -23,6 +23,8 @@
     servers: SmallVec<[OpenServer; 8]>,
     /// Lowest slowdown factor of the usable servers of each service, with or without room.
     min_slowdowns: SmallVec<[(Arc<str>, f64); 1]>,
+    /// What allows the starts of this pass.
+    evidence: evidence::StartEvidence,
 }
 
 impl OpenServers {
@@ -51,6 +53,11 @@
             .any(|(name, _)| **name == *service)
     }
 
+    /// Returns what allows the starts of this pass.
+    pub(super) fn evidence(&self) -> evidence::StartEvidence {
+        self.evidence
+    }
+
     /// Returns the lowest slowdown factor of the usable servers of `service`.
     pub(super) fn min_slowdown(&self, service: &str) -> f64 {
         self.min_slowdowns
@@ -100,7 +107,10 @@
     /// Returns the servers on which tasks can start at `now`.
     pub(super) fn open_servers(&mut self, now: time::Duration) -> OpenServers {
         self.update_speeds(now);
-        let mut open_servers = OpenServers::default();
+        let mut open_servers = OpenServers {
+            evidence: self.start_evidence(now),
+            ..OpenServers::default()
+        };
         for (id, slot) in self.servers.iter().filter(|(_, slot)| slot.is_usable(now)) {
             open_servers.add(id, slot, now);
         }
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -6,7 +6,9 @@
     INHERITED_RUN_GRACE, NO_INPUTS, ServerPool, TaskPhase, claims, crashes,
     inherited_runs::TAKEOVER_TIME, starts,
 };
-use crate::{crash_ledger, job_model, overdue_run, pool_action, server_model, server_slot};
+use crate::{
+    crash_ledger, job_model, overdue_run, pool_action, run_evidence, server_model, server_slot,
+};
 
 /// Shortest wait of a hold and shortest interval between progress checks of a run, so that due
 /// checks do not cause a busy loop of holds.
@@ -309,6 +311,7 @@
         for run in &report.running {
             self.apply_reported_run(id, run, now);
         }
+        self.record_stopped_runs(id, report, sent_at, now);
         self.reschedule_overdue_runs(id, report, now);
     }
 
@@ -352,6 +355,7 @@
                     nominal_run_time: time::Duration::ZERO,
                     expected_run_time: time::Duration::ZERO,
                     progress_check_at: now + self.settings.max_lease,
+                    evidence: run_evidence::RunEvidence::inherited(now),
                 };
                 slot.runs.insert(reported.task.clone(), run);
                 self.run_servers
@@ -483,6 +487,9 @@
             wait,
             fresh_connection: false,
         };
+        if lease_expiry_ms.is_some() {
+            self.record_lease_renewal(id, now);
+        }
         self.actions.push(pool_action::PoolAction::Hold(order));
     }
 }
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -6,8 +6,8 @@
 
 use super::{ServerPool, TOKEN_PROCESS_BITS, TaskPhase, claims, crashes, open_servers};
 use crate::{
-    crash_ledger, job_model, job_order, pool_action, server_model, server_slot, settings,
-    task_placement,
+    crash_ledger, job_model, job_order, pool_action, run_evidence, server_model, server_slot,
+    settings, task_placement,
 };
 
 /// Multiple of the expected run time after which a run is checked for progress. Estimates are off
@@ -232,9 +232,11 @@
             progress_check_at: now
                 + expected_run_time.mul_f64(PROGRESS_CHECK_FACTOR)
                 + PROGRESS_CHECK_MARGIN,
+            evidence: run_evidence::RunEvidence::default(),
         };
         let wait = now.saturating_sub(job.arrived_at);
-        let unreported_count = self.unreported_server_count(now);
+        let may_run_elsewhere = job.may_run_elsewhere;
+        let evidence = open_servers.evidence();
         let Some(order) = self.new_start_order(&server, &name, run, payload, now) else {
             return false;
         };
@@ -244,14 +246,16 @@
             ("expected_ms", pool_action::whole_ms(expected_run_time)),
             ("run", i64::try_from(run_id).unwrap_or(i64::MAX)),
             ("epoch", i64::try_from(epoch).unwrap_or(i64::MAX)),
-            ("unreported", claims::count_input(unreported_count)),
+            ("unreported", claims::count_input(evidence.unreported_count)),
+            ("led_ms", pool_action::whole_ms(evidence.led_time)),
+            ("may_have_started", i64::from(may_run_elsewhere)),
         ];
         let request = Arc::from(name.to_string());
         self.record_decision(
             pool_action::DecisionKind::Placed,
             Some(request),
             Some(Arc::clone(&server)),
-            "ordered",
+            evidence.outcome,
             inputs,
         );
         if is_isolated {
@@ -384,6 +388,7 @@
             return;
         };
         run.has_job = false;
+        run.evidence.record_unused(self.last_active_at);
         if run.phase == server_slot::RunPhase::Stopping || !is_held {
             return;
         }
@@ -395,19 +400,7 @@
             run_id: run.run_id,
             token,
         };
-        let inputs = [
-            ("runs", claims::count_input(slot.runs.len())),
-            ("", 0),
-            ("", 0),
-        ];
-        let request = Some(Arc::from(task.to_string()));
-        self.record_decision(
-            pool_action::DecisionKind::Stopping,
-            request,
-            Some(Arc::clone(server)),
-            cause,
-            inputs,
-        );
+        self.record_stop_order(server, task, cause);
         self.actions.push(pool_action::PoolAction::Stop(order));
     }
 }
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -117,6 +117,7 @@
     ) {
         self.step_down_after_pause(now);
         if outcome == server_model::StopOutcome::Unconfirmed {
+            self.record_unconfirmed_stop(order, now);
             self.handle_failed_order(&order.server, now, "stop_unanswered");
         }
     }
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -67,6 +67,14 @@
     LossEvidence,
     /// A run was ordered to stop.
     Stopping,
+    /// A run was ordered to stop again.
+    StopRepeated,
+    /// A stop got no response or was rejected, or its run is still reported.
+    StopUnconfirmed,
+    /// The leases on a server were renewed for other runs, and with them that of a run without a job.
+    LeaseExtended,
+    /// The leases on a server were not renewed although a job uses a run there.
+    LeaseWithheld,
     /// A job ended.
     JobEnded,
     /// A server is being claimed.
@@ -94,6 +102,10 @@
     /// A server left the registry.
     #[display("server_gone")]
     ServerUnregistered,
+    /// A server that left the registry still has a run.
+    RunUnlisted,
+    /// The pool takes over servers.
+    Takeover,
     /// The pool stepped down and released its servers.
     Released,
     /// The evacuation of the pool's failure domain began or ended.
@@ -105,7 +117,7 @@
 }
 
 /// Number of places for the inputs of a decision.
-pub const INPUT_COUNT: usize = 5;
+pub const INPUT_COUNT: usize = 7;
 
 /// Log record of a decision or observation.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use crate::{health, job_model, leadership, server_model};
+use crate::{health, job_model, leadership, run_evidence, server_model};
 
 /// Largest drift of a server's monotonic clock that the platform allows, in percent.
 const MAX_CLOCK_DRIFT_PERCENT: u32 = 2;
@@ -124,6 +124,8 @@
     pub expected_run_time: time::Duration,
     /// Time of the next check for progress.
     pub progress_check_at: time::Duration,
+    /// What the log shows of the run while no job uses it; decides nothing.
+    pub evidence: run_evidence::RunEvidence,
 }
 
 impl ServerRun {
--- a/crates/cuminkeel_node/benches/telemetry_cost.rs
+++ b/crates/cuminkeel_node/benches/telemetry_cost.rs
@@ -18,13 +18,15 @@
         kind: pool_action::DecisionKind::Placed,
         request: Some(Arc::from("5c0e7a21d94b36f8.0.1.17")),
         server: Some(Arc::from("i-7f3a91c2")),
-        outcome: "ordered",
+        outcome: "servers_reported",
         inputs: [
             ("wait_ms", 12),
             ("expected_ms", 60),
             ("run", 1),
             ("epoch", 4_160),
             ("unreported", 0),
+            ("led_ms", 90_000),
+            ("may_have_started", 0),
         ],
     };
     let mut line_count = 0;
