End the runs of a job before its caller can send it to another pool

Cause: that no run of the first attempt is left rested on what one process remembered to do: the coordinator to withdraw, the pool to notice a lost link, to stop the run, to see the stop answered, and the next leader to stop what nobody adopts. Meanwhile the lease of the whole server was renewed for any run on it that had a job.

Fix: the server is the proof. Each run has a bound: the last sign that the coordinator of its job waited, plus the time after which callers come again. A lease is never granted or renewed beyond the earliest bound of the runs on its server, with the drift of the server's clock taken off, and not at all beside an inherited run that no job has adopted. Signs are the statuses that links carry anyway, dated by their send time, and belong to the connection over which the job was offered; for jobs of the pool's own process it is the present. So there is no new message, and it holds if stops are lost and if the coordinator, the leader, its successor or a link is lost or paused in any order: an order that is sent late has a lease on the server's clock. A pool may also start a job 1.4 s after it was offered, whoever held its servers before.

Costs: a server with a run that must end and can't be stopped lets its other runs lapse, 0.5 s after that at the earliest; after the loss of a leader, leases are renewed only once inherited runs are adopted or stopped.

The record of a lease that is extended beside an inherited run became one of a lease that is withheld.

--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -168,6 +168,18 @@
     }
 }
 
+/// Connection over which a process offers jobs to a pool. The default stands for offers of the pool's own
+/// process.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct OfferSession(pub u64);
+
+impl OfferSession {
+    /// Whether the offers come from the process of the pool.
+    pub fn is_own_process(self) -> bool {
+        self == Self::default()
+    }
+}
+
 /// Offer of a job to a pool.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobOffer {
@@ -189,6 +201,27 @@
     /// sets it.
     #[serde(skip)]
     pub source: Arc<str>,
+    /// Connection over which the offer came. It is not part of the frame: the receiving process sets
+    /// it.
+    #[serde(skip)]
+    pub session: OfferSession,
+}
+
+impl JobOffer {
+    /// Returns the offer as received from the process of the VM `source` over `session`, sent at `sent_at`
+    /// on the clock of the receiving process.
+    #[must_use]
+    pub fn received(
+        mut self,
+        source: &Arc<str>,
+        session: OfferSession,
+        sent_at: time::Duration,
+    ) -> Self {
+        self.source = Arc::clone(source);
+        self.session = session;
+        self.sent_at = sent_at;
+        self
+    }
 }
 
 /// Condition under which a pool should admit an offered job.
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod inherited_runs;
 mod jobs;
+mod lease_bounds;
 mod open_servers;
 mod queue_review;
 mod queue_wait;
@@ -173,6 +174,8 @@
     inherited_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
     /// Refused jobs that may be offered to other pools.
     released_jobs: released_jobs::ReleasedJobs,
+    /// Latest signs of the coordinators in other processes.
+    session_signs: lease_bounds::SessionSigns,
     /// Runs that were lost with their servers, in this pool and in others.
     crash_ledger: crash_ledger::CrashLedger,
     /// Moving average of the processor demand of a task over the steps of admitted jobs, in
@@ -222,6 +225,7 @@
             leading_since: None,
             inherited_ends: HashMap::new(),
             released_jobs: released_jobs::ReleasedJobs::default(),
+            session_signs: lease_bounds::SessionSigns::default(),
             crash_ledger: crash_ledger::CrashLedger::default(),
             typical_cpu_millis: 0,
             placement_reads: 0,
@@ -360,6 +364,7 @@
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
         self.released_jobs.prune(now);
+        self.prune_session_signs(now);
         self.crash_ledger.prune(now);
         self.end_jobs_of_other_pools(now);
         self.expire_jobs(now);
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -204,10 +204,14 @@
         slot.hold_sent_at = now;
         // The tasks of an unresponsive server can start elsewhere only after its leases have
         // expired, so later attempts do not renew them.
-        let renewed_expiry_ms = slot
-            .next_lease_expiry_ms(now, self.settings.lease)
-            .filter(|_| slot.claim_attempts <= MAX_RENEWING_CLAIM_ATTEMPTS)
-            .filter(|_| slot.has_runs_with_job());
+        let renews_lease =
+            slot.claim_attempts <= MAX_RENEWING_CLAIM_ATTEMPTS && slot.has_runs_with_job();
+        let renewed_expiry_ms = renews_lease
+            .then(|| self.renewed_lease_expiry_ms(id, now))
+            .flatten();
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
         slot.lease_expiry_ms = slot.lease_expiry_ms.max(renewed_expiry_ms.unwrap_or(0));
         let renews_leases = renewed_expiry_ms.is_some();
         let order = server_model::HoldOrder {
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -33,10 +33,8 @@
         let id = Arc::clone(&offer.spec.id);
         let was_paused = self.step_down_after_pause(now);
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.waiters.push(released_jobs::JobWaiter {
-                id: waiter,
-                source: Arc::clone(&offer.source),
-            });
+            job.waiters
+                .push(released_jobs::JobWaiter::new(waiter, offer));
             job.may_run_elsewhere |= offer.may_have_started;
             self.record_decision(
                 pool_action::DecisionKind::Attached,
@@ -239,10 +237,7 @@
         let weighted_size = self.weighted_size(spec, &nominal_run_times);
         JobEntry {
             spec: Arc::clone(spec),
-            waiters: smallvec![released_jobs::JobWaiter {
-                id: waiter,
-                source: Arc::clone(&offer.source),
-            }],
+            waiters: smallvec![released_jobs::JobWaiter::new(waiter, offer)],
             tasks,
             queue_position,
             nominal_run_times,
--- a/crates/cuminkeel_dispatch/src/pool/released_jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/released_jobs.rs
@@ -23,6 +23,22 @@
     pub(super) id: pool_action::WaiterId,
     /// Name of the VM whose process offered the job.
     pub(super) source: Arc<str>,
+    /// Connection over which the job was offered.
+    pub(super) session: job_model::OfferSession,
+    /// Time at which the offer was sent.
+    pub(super) offered_at: time::Duration,
+}
+
+impl JobWaiter {
+    /// Creates the waiter `id` for the coordinator that sent `offer`.
+    pub(super) fn new(id: pool_action::WaiterId, offer: &job_model::JobOffer) -> Self {
+        Self {
+            id,
+            source: Arc::clone(&offer.source),
+            session: offer.session,
+            offered_at: offer.sent_at,
+        }
+    }
 }
 
 /// Refusal that is still recorded.
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -363,6 +363,7 @@
                     expected_run_time: time::Duration::ZERO,
                     progress_check_at: now + self.settings.max_lease,
                     evidence: run_evidence::RunEvidence::inherited(now),
+                    lease_bound: None,
                 };
                 slot.runs.insert(reported.task.clone(), run);
                 self.run_servers
@@ -470,9 +471,13 @@
         if slot.claim_state != server_slot::ClaimState::Held {
             return;
         }
-        let lease_expiry_ms = slot
-            .next_lease_expiry_ms(now, self.settings.lease)
-            .filter(|_| slot.has_runs_with_job());
+        let renews_lease = slot.has_runs_with_job();
+        let lease_expiry_ms = renews_lease
+            .then(|| self.renewed_lease_expiry_ms(id, now))
+            .flatten();
+        let Some(slot) = self.servers.get_mut(id) else {
+            return;
+        };
         slot.lease_expiry_ms = slot.lease_expiry_ms.max(lease_expiry_ms.unwrap_or(0));
         let until_check = slot
             .next_progress_check()
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -233,6 +233,7 @@
                 + expected_run_time.mul_f64(PROGRESS_CHECK_FACTOR)
                 + PROGRESS_CHECK_MARGIN,
             evidence: run_evidence::RunEvidence::default(),
+            lease_bound: self.lease_bound(job_id, now),
         };
         let wait = now.saturating_sub(job.arrived_at);
         let may_run_elsewhere = job.may_run_elsewhere;
@@ -283,22 +284,30 @@
         payload: Arc<str>,
         now: time::Duration,
     ) -> Option<server_model::StartOrder> {
-        let lease = self.settings.lease;
         let slot = self.servers.get_mut(server)?;
-        let lease_expiry_ms = slot.next_lease_expiry_ms(now, lease)?;
-        slot.lease_expiry_ms = slot.lease_expiry_ms.max(lease_expiry_ms);
         run.token = slot.token;
-        let order = server_model::StartOrder {
+        slot.runs.insert(name.clone(), run);
+        let lease_expiry_ms = self.renewed_lease_expiry_ms(server, now);
+        let slot = self.servers.get_mut(server)?;
+        // The lease has to last until the next renewal.
+        let min_expiry_ms = slot.next_lease_expiry_ms(now, self.settings.hold_wait);
+        let run = slot.runs.get_mut(name)?;
+        let Some(lease_expiry_ms) = lease_expiry_ms.filter(|_| lease_expiry_ms >= min_expiry_ms)
+        else {
+            slot.runs.remove(name);
+            return None;
+        };
+        let run_id = run.run_id;
+        slot.lease_expiry_ms = slot.lease_expiry_ms.max(lease_expiry_ms);
+        Some(server_model::StartOrder {
             server: Arc::clone(server),
             address: Arc::clone(&slot.entry.address),
             task: name.clone(),
-            run_id: run.run_id,
+            run_id,
             payload,
             lease_expiry_ms,
             token: slot.token,
-        };
-        slot.runs.insert(name.clone(), run);
-        Some(order)
+        })
     }
 
     /// Returns the server with the lowest placement cost for a task, a cold one only if no warm one fits,
@@ -326,6 +335,7 @@
                 || !slot.fits(step)
                 || !slot.accepts_task_while_cold(now)
                 || slot.is_reserved()
+                || slot.has_expiring_run(self.settings.hold_wait, now)
                 || !crashes::allows_start(task.verdict, slot)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -73,7 +73,8 @@
     StopUnconfirmed,
     /// The leases on a server were renewed for other runs, and with them that of a run without a job.
     LeaseExtended,
-    /// The leases on a server were not renewed although a job uses a run there.
+    /// The leases on a server were not renewed in full although a job uses a run there: a run that no
+    /// job uses has to end.
     LeaseWithheld,
     /// A job ended.
     JobEnded,
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -8,6 +8,9 @@
 
 /// Largest drift of a server's monotonic clock that the platform allows, in percent.
 const MAX_CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Longest duration of a lease, in percent of the stated one. A clock that is slow by 2 % stretches a lease
+/// by 1 / 0.98, which is above 2 %, so one more percent is added.
+const MAX_STRETCHED_LEASE_PERCENT: u32 = 100 + MAX_CLOCK_DRIFT_PERCENT + 1;
 /// Added to the time at which an unresponsive server's leases count as expired: the server
 /// needs time to kill the runs.
 const LEASE_EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(50);
@@ -126,6 +129,10 @@
     pub progress_check_at: time::Duration,
     /// What the log shows of the run while no job uses it; decides nothing.
     pub evidence: run_evidence::RunEvidence,
+    /// Time by which the run has to be over unless its job is confirmed until then, as of the last renewal
+    /// of its lease: its caller may send the job to another pool after that. `None` for an inherited run
+    /// that no job has adopted: its lease is not to be renewed.
+    pub lease_bound: Option<time::Duration>,
 }
 
 impl ServerRun {
@@ -173,6 +180,9 @@
     /// Latest lease expiry that was sent to the server, on the server's clock, in ms; 0 if none
     /// was sent since the first claim began or the server restarted.
     pub lease_expiry_ms: u64,
+    /// Time since which the lease has not been renewed in full, as the server has a run that no job uses, or
+    /// `None` if it was.
+    pub lease_withheld_since: Option<time::Duration>,
     /// Runs that may use the server's capacity.
     pub runs: BTreeMap<job_model::TaskName, ServerRun>,
     /// Health of the server.
@@ -236,6 +246,7 @@
             processed_end_sequence: 0,
             clock: None,
             lease_expiry_ms: 0,
+            lease_withheld_since: None,
             runs: BTreeMap::new(),
             health: health::ServerHealth::default(),
             claim_started_at: time::Duration::ZERO,
@@ -409,12 +420,28 @@
                 u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX / 128),
             ),
         };
-        // A clock that is slow by 2 % stretches a lease by 1 / 0.98, which is above 2 %, so
-        // one more percent is added.
-        let max_lease_ms = lease_ms * u64::from(100 + MAX_CLOCK_DRIFT_PERCENT + 1) / 100;
+        let max_lease_ms = lease_ms * u64::from(MAX_STRETCHED_LEASE_PERCENT) / 100;
         granted_at + time::Duration::from_millis(max_lease_ms) + LEASE_EXPIRY_MARGIN
     }
 
+    /// Returns the latest expiry of a lease, on the server's clock, in ms, with which no run is left at
+    /// `time`. `None` without a clock reading.
+    pub fn lease_expiry_before_ms(&self, time: time::Duration) -> Option<u64> {
+        self.clock.map(|reading| {
+            let time_left = time.saturating_sub(reading.received_at + LEASE_EXPIRY_MARGIN);
+            let lease = time_left * 100 / MAX_STRETCHED_LEASE_PERCENT;
+            reading.clock_ms + u64::try_from(lease.as_millis()).unwrap_or(u64::MAX / 2)
+        })
+    }
+
+    /// Whether a run that no job uses has to end within `time`, so that the lease of a new run could not
+    /// be renewed.
+    pub fn has_expiring_run(&self, time: time::Duration, now: time::Duration) -> bool {
+        self.runs
+            .values()
+            .any(|run| !run.has_job && run.lease_bound.is_none_or(|bound| bound < now + time))
+    }
+
     /// Returns the earliest time at which a run of a job is checked for progress.
     pub fn next_progress_check(&self) -> Option<time::Duration> {
         self.runs
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -102,6 +102,8 @@
     /// Time within which no task may start any more in an evacuated failure domain; `None` in
     /// deployments without evacuations.
     pub evacuation_bound: Option<time::Duration>,
+    /// Shortest time after a lost answer after which a caller sends its job again, to any process.
+    pub resend_delay: time::Duration,
     /// Time for which an offer of a refused job from another process is refused, as the first process may
     /// be offering it to other pools.
     pub release_time: time::Duration,
@@ -135,6 +137,7 @@
             stop_time,
             hold_wait: lease / HOLDS_PER_LEASE,
             evacuation_bound: None,
+            resend_delay,
             release_time: resend_delay * RELEASE_PERCENT / 100,
             policies: PoolPolicies::default(),
         }
--- a/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
+++ b/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
@@ -86,6 +86,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: ms(10),
         source: Arc::from("vm"),
+        session: job_model::OfferSession::default(),
     }
 }
 
--- a/crates/cuminkeel_dispatch/tests/evidence.rs
+++ b/crates/cuminkeel_dispatch/tests/evidence.rs
@@ -171,6 +171,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: now,
         source: Arc::from("vm"),
+        session: job_model::OfferSession::default(),
     }
 }
 
@@ -284,19 +285,21 @@
     assert_eq!(test.found(DecisionKind::LeaseExtended), [] as [&_; 0]);
 }
 
-/// A run of a lost leader that nobody adopts is kept by the leases of an adopted one beside it.
+/// A run of a lost leader that nobody adopts is not kept by the leases of an adopted one beside it.
 #[test]
-fn record_of_a_lease_names_the_inherited_run_that_it_keeps() {
+fn record_of_a_withheld_lease_names_the_inherited_run_that_has_to_end() {
     let mut test = TestPool::claiming(&["s1"]);
     test.read_registry();
     test.report("s1", &["adopted", "unadopted"]);
     assert_eq!(test.found(DecisionKind::LeaseExtended), [] as [&_; 0]);
     test.submit("adopted");
     test.report_until("s1", &["adopted", "unadopted"], ms(300));
-    let extended = test.only(DecisionKind::LeaseExtended);
-    assert_eq!(extended.outcome, "inherited");
-    assert_eq!(extended.request.as_deref(), Some("unadopted.0.0.0"));
-    assert_eq!(extended.server.as_deref(), Some("s1"));
+    assert_eq!(test.found(DecisionKind::LeaseExtended), [] as [&_; 0]);
+    let withheld = test.only(DecisionKind::LeaseWithheld);
+    assert_eq!(withheld.outcome, "run_without_job");
+    assert_eq!(withheld.request.as_deref(), Some("unadopted.0.0.0"));
+    assert_eq!(withheld.server.as_deref(), Some("s1"));
+    assert_eq!(input(withheld, "left_ms"), 0);
 }
 
 /// Review, case 2: a server loses its entry while its runs go on, and a later takeover doesn't know it.
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -77,6 +77,7 @@
             terms,
             sent_at: now,
             source: Arc::clone(&self.node.hello.name),
+            session: job_model::OfferSession::default(),
         };
         let end = if *process == self.node.hello.name {
             let mut job = self.node.pool.submit(offer);
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, sync::Arc, time};
 
+use cuminkeel_dispatch::job_model;
 use smallvec::SmallVec;
 use tokio::{net, sync::mpsc, task};
 
@@ -71,7 +72,7 @@
     let mut status_changes = node.status_changes();
     let mut sent_state = sent_state::SentState::default();
     let mut send_times = send_time::SendTimes::default();
-    let peer_release = Arc::new(link_frame::PeerRelease::default());
+    let peer_release = Arc::<link_frame::PeerRelease>::default();
     // The evacuations and the leaders precede the status because the peer counts this process as
     // probed when the status arrives.
     let first_frames: SmallVec<[link_frame::LinkFrame; 7]> = [
@@ -90,6 +91,7 @@
     node_state::upsert_peer(node, hello);
     let (frame_sender, frame_receiver) = mpsc::unbounded_channel::<link_frame::LinkFrame>();
     let writer_task = tokio::spawn(write_queued_frames(writer, frame_receiver));
+    let session = node.pool.new_session();
     let max_silence = node.settings.resend_delay * MAX_SILENCE_PERCENT / 100;
     let result = loop {
         let frame = {
@@ -113,7 +115,9 @@
         match frame {
             Ok(link_frame::LinkFrame::Status(status)) => {
                 let now = node.now();
-                peer_update::apply_status(node, &peer_name, status, send_times.sent_at(now));
+                let sent_at = send_times.sent_at(now);
+                record_sign(node, session, job_tasks, sent_at);
+                peer_update::apply_status(node, &peer_name, status, sent_at);
                 let responses = [
                     Some(send_times.frame(now)),
                     Some(link_frame::LinkFrame::Status(node.own_status())),
@@ -121,8 +125,7 @@
                 ];
                 let news = sent_state.news(node, &peer_name, &peer_domain);
                 for response in responses.into_iter().flatten().chain(news) {
-                    // Sending fails only after the writer has stopped on a lost connection,
-                    // which the reader detects as well.
+                    // Sending fails only on a lost connection, which the reader detects as well.
                     let _closed = frame_sender.send(response);
                 }
             }
@@ -137,10 +140,10 @@
             }
             Ok(link_frame::LinkFrame::Submit {
                 submission_id,
-                mut offer,
+                offer,
             }) => {
-                offer.sent_at = send_times.sent_at(node.now());
-                offer.source = Arc::clone(&peer_name);
+                let sent_at = send_times.sent_at(node.now());
+                let offer = offer.received(&peer_name, session, sent_at);
                 job_tasks.retain(|_, job_task| !job_task.is_finished());
                 let job = node.pool.submit(offer);
                 let frame_sender = frame_sender.clone();
@@ -195,15 +198,30 @@
     loop {
         match tokio::time::timeout(max_silence, frame.as_mut()).await {
             Ok(result) => return result,
-            Err(_) if job_tasks.values().any(|job_task| !job_task.is_finished()) => {
-                return Err(link_frame::LinkError::Silent);
-            }
+            Err(_) if has_jobs(job_tasks) => return Err(link_frame::LinkError::Silent),
             // A peer without jobs here may send statuses less often.
             Err(_) => {}
         }
     }
 }
 
+/// Tells the pool that the peer waited at `sent_at` for its jobs that are in progress.
+fn record_sign(
+    node: &node_state::NodeState,
+    session: job_model::OfferSession,
+    job_tasks: &HashMap<u64, task::JoinHandle<()>>,
+    sent_at: time::Duration,
+) {
+    if has_jobs(job_tasks) {
+        node.pool.record_session_sign(session, sent_at);
+    }
+}
+
+/// Whether jobs of the peer are in progress.
+fn has_jobs(job_tasks: &HashMap<u64, task::JoinHandle<()>>) -> bool {
+    job_tasks.values().any(|job_task| !job_task.is_finished())
+}
+
 fn apply_frame(
     node: &Arc<node_state::NodeState>,
     peer_name: &Arc<str>,
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -63,6 +63,8 @@
         route: Arc<str>,
         reply: oneshot::Sender<usize>,
     },
+    /// Time at which the peer at the other end of a connection sent a frame.
+    SessionSign(job_model::OfferSession, time::Duration),
     /// Epoch of the fencing tokens of a peer.
     PeerEpoch(u64),
     /// Losses of runs, with the name of the VM of the peer that sent them.
@@ -76,6 +78,7 @@
 pub struct PoolHandle {
     event_sender: mpsc::UnboundedSender<PoolEvent>,
     next_waiter: Arc<atomic::AtomicU64>,
+    last_session: Arc<atomic::AtomicU64>,
     /// Highest epoch of fencing tokens that peers have reported.
     highest_epoch: Arc<atomic::AtomicU64>,
 }
@@ -117,6 +120,7 @@
         let handle = Self {
             event_sender,
             next_waiter: Arc::default(),
+            last_session: Arc::default(),
             highest_epoch: Arc::default(),
         };
         (handle, PoolInbox(event_receiver))
@@ -141,6 +145,18 @@
         }
     }
 
+    /// Returns a number for a new connection over which a peer may offer jobs.
+    pub fn new_session(&self) -> job_model::OfferSession {
+        // 0 stands for this process.
+        job_model::OfferSession(1 + self.last_session.fetch_add(1, atomic::Ordering::Relaxed))
+    }
+
+    /// Tells the pool that the peer which offers jobs over `session` sent a frame at `sent_at`, on the clock
+    /// of this process.
+    pub fn record_session_sign(&self, session: job_model::OfferSession, sent_at: time::Duration) {
+        self.send(PoolEvent::SessionSign(session, sent_at));
+    }
+
     /// Passes a change of the registry to the pool.
     pub fn apply_registry_change(&self, change: RegistryChange) {
         self.send(PoolEvent::Registry(change));
@@ -313,6 +329,9 @@
             PoolEvent::PendingJobCount { route, reply } => {
                 let _dropped = reply.send(self.pool.pending_job_count(&route));
             }
+            PoolEvent::SessionSign(session, sent_at) => {
+                self.pool.record_session_sign(session, sent_at);
+            }
             PoolEvent::PeerEpoch(epoch) => self.pool.observe_epoch(epoch),
             PoolEvent::Losses(losses, source) => {
                 let mut news = self.node.loss_news();
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -222,6 +222,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
         source: Arc::from("north-1"),
+        session: job_model::OfferSession::default(),
     });
     let end = job
         .wait_for_end()
@@ -357,6 +358,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: std::time::Duration::ZERO,
         source: Arc::from("north-1"),
+        session: job_model::OfferSession::default(),
     }
 }
 
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -354,6 +354,7 @@
             terms: job_model::OfferTerms::Useful,
             sent_at: time::Duration::ZERO,
             source: Arc::from("vm"),
+            session: job_model::OfferSession::default(),
         },
         task_profile: fake_server::TaskProfile {
             cpu_millis: round_to_u32(cpu_millis),
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -432,3 +432,60 @@
         "(whether stops are late, time for which a run was left)"
     );
 }
+
+/// Returns the overlong job, offered by another process over a connection at the present time.
+fn offer_of_another_process(simulation: &pool_simulation::PoolSimulation) -> job_model::JobOffer {
+    job_model::JobOffer {
+        session: job_model::OfferSession(1),
+        sent_at: simulation.now(),
+        time_to_deadline: fixtures::ms(10_000),
+        ..overlong_offer(1)
+    }
+}
+
+/// The coordinator of a job is lost, and so is its caller's connection. The pool learns of it late, and all
+/// stops stay unanswered, while the lease of the server is renewed for another job.
+#[test]
+fn run_of_a_lost_coordinator_is_over_when_the_caller_returns() {
+    for noticed_after_ms in [0, 500, 1_040, 5_000] {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+        let rule = late_stops(
+            "s1",
+            time::Duration::ZERO..SIMULATION_END,
+            fixtures::ms(6_000),
+        );
+        simulation.late_order_rules.push(rule);
+        submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+        let offer = offer_of_another_process(&simulation);
+        simulation.submit(FIRST_LEADER, &offer, fixtures::task_profile(OVERLONG_RUN));
+        for _ in 0..4 {
+            let next = simulation.now() + fixtures::ms(150);
+            simulation.run_until(next);
+            simulation.pools[FIRST_LEADER].record_session_sign(offer.session, next);
+        }
+        let lost_at = simulation.now();
+        simulation.run_until(lost_at + fixtures::ms(noticed_after_ms));
+        simulation.withdraw(FIRST_LEADER, "job");
+        simulation.run_until(SIMULATION_END);
+        let case = format!("noticed after {noticed_after_ms} ms");
+        assert_over_when_caller_returns(&simulation, "job", lost_at, &case);
+    }
+}
+
+/// A run whose coordinator shows at the usual interval that it waits keeps its lease to its end.
+#[test]
+fn run_of_a_coordinator_in_another_process_lapses_only_without_signs() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+    let offer = offer_of_another_process(&simulation);
+    simulation.submit(FIRST_LEADER, &offer, fixtures::task_profile(OVERLONG_RUN));
+    while simulation.now() < fixtures::ms(5_000) {
+        let next = simulation.now() + fixtures::ms(300);
+        simulation.run_until(next);
+        simulation.pools[FIRST_LEADER].record_session_sign(offer.session, next);
+    }
+    assert_eq!(
+        fixtures::job_ends(&simulation, "job"),
+        [job_model::JobEnd::Completed]
+    );
+    assert_eq!(simulation.server_mut("s1").history.len(), 1);
+}
--- a/crates/cuminkeel_replay/tests/promises/fixtures.rs
+++ b/crates/cuminkeel_replay/tests/promises/fixtures.rs
@@ -53,6 +53,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: time::Duration::ZERO,
         source: Arc::from("vm"),
+        session: job_model::OfferSession::default(),
     }
 }
 
