Log withdrawals with the pool and the peer they concern

Cause: after a 502, a 504 or a caller that left, no line of the process that received the job shows which pool had it and when that pool was told; at the pool, `job_ended withdrawn` looks the same for a caller that left and for a lost connection, and the line on the lost connection has no peer.

Change, without an effect on decisions or on the format of messages: - `withdrawn`: a coordinator drops a job that a pool still has; pool, age, time since the offer. - `answered` names the pool of the last offer unless the job was completed; `offered` has the time at which the offer ended. - `orphan_withdrawn`, for each job that is withdrawn after the connection of its peer was lost: peer, number of such jobs, time since the last frame; counted by `cuminkeel_orphaned_jobs_withdrawn_total`. `link_closed` has the peer and that time, too, and no longer counts finished jobs. - `explain` adds to two overlapping runs what allowed the second and whether the stop of the first was confirmed. - `lease_extended` of a run that is being stopped is a debug line, as any stop may have one.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -5,18 +5,19 @@
 use cuminkeel_dispatch::{job_model, leadership, offer_plan};
 use smallvec::SmallVec;
 
-use crate::{node_state, peer_link};
+use crate::{job_table, node_state, peer_link};
 
 /// Time reserved before the deadline for sending the answer to the caller.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
 
 /// Runs the job `spec` for a caller that stops waiting after `time_to_deadline`. If a copy of the job is
-/// in progress in this process, waits for its answer instead.
+/// in progress in this process, waits for its answer instead. Returns the answer and the process whose pool
+/// the job was offered to last.
 pub async fn run_job(
     node: &Arc<node_state::NodeState>,
     spec: Arc<job_model::JobSpec>,
     time_to_deadline: time::Duration,
-) -> offer_plan::JobAnswer {
+) -> (offer_plan::JobAnswer, Option<Arc<str>>) {
     let time_to_answer = time_to_deadline.saturating_sub(ANSWER_MARGIN);
     let received_at = node.now();
     let limits = offer_plan::PlanLimits {
@@ -24,18 +25,22 @@
         leader_wait: node.tuning.leader_wait(),
     };
     let id = Arc::clone(&spec.id);
+    let last_pool = job_table::LastPool::default();
     let job = CallerJob {
         node: Arc::clone(node),
         received_at,
         limits,
         plan: offer_plan::OfferPlan::new(spec, limits),
+        last_pool: last_pool.clone(),
+        offered_at: None,
     };
-    let job = node.jobs.join_or_start(&id, job.run());
-    match tokio::time::timeout(time_to_answer, job.wait_for_answer()).await {
+    let job = node.jobs.join_or_start(&id, last_pool, job.run());
+    let answer = match tokio::time::timeout(time_to_answer, job.wait_for_answer()).await {
         Ok(answer) => answer,
         // The last caller to drop the job withdraws it, and its pool stops the runs.
         Err(_) => offer_plan::JobAnswer::Failed(job_model::FailureReason::OutOfTime),
-    }
+    };
+    (answer, job.last_pool())
 }
 
 struct CallerJob {
@@ -44,6 +49,23 @@
     received_at: time::Duration,
     limits: offer_plan::PlanLimits,
     plan: offer_plan::OfferPlan,
+    last_pool: job_table::LastPool,
+    /// Time at which the job was offered to the pool that has it, or `None` if none has it.
+    offered_at: Option<time::Duration>,
+}
+
+impl Drop for CallerJob {
+    fn drop(&mut self) {
+        let Some(offered_at) = self.offered_at else {
+            return;
+        };
+        // The callers have left, or got an answer at their deadline.
+        let now = self.node.now();
+        slog::info!(self.node.logger, "withdrawn"; "request" => &*self.plan.spec().id,
+            "pool" => self.last_pool.get().as_deref().map(String::from),
+            "age_ms" => whole_ms(now.saturating_sub(self.received_at)),
+            "offered_for_ms" => whole_ms(now.saturating_sub(offered_at)));
+    }
 }
 
 impl CallerJob {
@@ -52,7 +74,10 @@
         loop {
             match self.plan.next_action(&*self.node, self.node.now()) {
                 offer_plan::OfferAction::Offer { process, terms } => {
+                    self.last_pool.set(&process);
+                    self.offered_at = Some(self.node.now());
                     let end = self.offer(&process, terms).await;
+                    self.offered_at = None;
                     self.plan.record_end(end.as_ref(), self.node.now());
                 }
                 offer_plan::OfferAction::Wait(pause) => tokio::time::sleep(pause).await,
@@ -102,12 +127,17 @@
         if !is_routine {
             slog::info!(self.node.logger, "offered"; "request" => &*self.plan.spec().id, "pool" => &**process,
                 "terms" => ?terms, "outcome" => ?end,
-                "age_ms" => u64::try_from(now.saturating_sub(self.received_at).as_millis()).unwrap_or(u64::MAX));
+                "age_ms" => whole_ms(now.saturating_sub(self.received_at)),
+                "ended_ms" => whole_ms(self.node.now().saturating_sub(self.received_at)));
         }
         end
     }
 }
 
+fn whole_ms(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn link_to(node: &node_state::NodeState, process: &str) -> Option<peer_link::PeerLink> {
     node.peers().get(process)?.link.clone()
 }
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -178,14 +178,15 @@
     slog::debug!(node.logger, "received"; "request" => &*id, "route" => &*route.name,
         "config_version" => config.version, "tasks" => spec.task_count(),
         "patience_ms" => whole_ms(time_to_deadline));
-    let answer = coordinator::run_job(node, spec, time_to_deadline).await;
+    let (answer, pool) = coordinator::run_job(node, spec, time_to_deadline).await;
     let elapsed = node.now().saturating_sub(headers_read_at);
     if answer == offer_plan::JobAnswer::Completed {
         slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
             "outcome" => "completed", "took_ms" => whole_ms(elapsed));
     } else {
         slog::info!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
-            "outcome" => ?answer, "took_ms" => whole_ms(elapsed));
+            "outcome" => ?answer, "pool" => pool.as_deref().map(String::from),
+            "took_ms" => whole_ms(elapsed));
     }
     node.metrics.count_answer(&route.name, &answer, elapsed);
     job_response(&answer)
--- a/crates/cuminkeel_node/src/job_table.rs
+++ b/crates/cuminkeel_node/src/job_table.rs
@@ -18,18 +18,44 @@
     jobs: Mutex<HashMap<Arc<str>, Weak<SharedJob>>>,
 }
 
+/// Pool to which a job was offered last.
+#[derive(Clone, Debug, Default)]
+pub struct LastPool(Arc<Mutex<Option<Arc<str>>>>);
+
+impl LastPool {
+    /// Records that the job is offered to the pool of `process`.
+    pub fn set(&self, process: &Arc<str>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(process));
+    }
+
+    /// Returns the name of the process whose pool the job was offered to last.
+    pub fn get(&self) -> Option<Arc<str>> {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
 /// Job in progress. It is aborted when the last of its callers has left and dropped it.
 #[derive(Debug)]
 pub struct SharedJob {
     table: Arc<JobTable>,
     id: Arc<str>,
     answer: watch::Receiver<Option<offer_plan::JobAnswer>>,
+    last_pool: LastPool,
     task: task::AbortHandle,
 }
 
 impl JobTable {
-    /// Returns the job `id`, which `run` runs in a task of its own unless a copy is in progress.
-    pub fn join_or_start<F>(self: &Arc<Self>, id: &Arc<str>, run: F) -> Arc<SharedJob>
+    /// Returns the job `id`, which `run` runs in a task of its own unless a copy is in progress. `run` sets
+    /// `last_pool`.
+    pub fn join_or_start<F>(
+        self: &Arc<Self>,
+        id: &Arc<str>,
+        last_pool: LastPool,
+        run: F,
+    ) -> Arc<SharedJob>
     where
         F: Future<Output = offer_plan::JobAnswer> + Send + 'static,
     {
@@ -46,6 +72,7 @@
             table: Arc::clone(self),
             id: Arc::clone(id),
             answer,
+            last_pool,
             task: task.abort_handle(),
         });
         jobs.insert(Arc::clone(id), Arc::downgrade(&job));
@@ -58,6 +85,11 @@
 }
 
 impl SharedJob {
+    /// Returns the name of the process whose pool the job was offered to last.
+    pub fn last_pool(&self) -> Option<Arc<str>> {
+        self.last_pool.get()
+    }
+
     /// Waits until the job is answered, and returns its answer.
     pub async fn wait_for_answer(&self) -> offer_plan::JobAnswer {
         let mut answer = self.answer.clone();
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -38,11 +38,39 @@
     }
 }
 
+/// Jobs of a peer's connection by submission id. Finished ones are removed only at the next submission.
+type PeerJobs = HashMap<u64, PeerJob>;
+
+/// Job that a peer submitted over a connection.
+#[derive(Debug)]
+struct PeerJob {
+    id: Arc<str>,
+    task: task::JoinHandle<()>,
+}
+
+/// What is known of a connection after its end.
+#[derive(Debug)]
+struct SessionState {
+    /// Name of the peer; empty before its hello.
+    peer: Arc<str>,
+    last_frame_at: time::Duration,
+    jobs: PeerJobs,
+}
+
 async fn serve_connection(node: Arc<node_state::NodeState>, stream: net::TcpStream) {
-    // By submission id. Finished tasks are removed only at the next submission.
-    let mut job_tasks: HashMap<u64, task::JoinHandle<()>> = HashMap::new();
-    let result = run_session(&node, stream, &mut job_tasks).await;
-    slog::debug!(node.logger, "link_closed"; "cause" => ?result, "jobs" => job_tasks.len());
+    let mut session = SessionState {
+        peer: Arc::from(""),
+        last_frame_at: node.now(),
+        jobs: HashMap::new(),
+    };
+    let result = run_session(&node, stream, &mut session).await;
+    session.jobs.retain(|_, job| !job.task.is_finished());
+    let silent_ms = |now: time::Duration| {
+        let silence = now.saturating_sub(session.last_frame_at);
+        u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)
+    };
+    slog::debug!(node.logger, "link_closed"; "cause" => ?result, "peer" => &*session.peer,
+        "jobs" => session.jobs.len(), "silent_ms" => silent_ms(node.now()));
     let grace = match result {
         Err(link_frame::LinkError::Silent) => {
             node.settings.resend_delay * SILENT_PEER_GRACE_PERCENT / 100
@@ -50,15 +78,20 @@
         Ok(()) | Err(_) => ORPHANED_JOB_GRACE,
     };
     tokio::time::sleep(grace).await;
-    for (_, job_task) in job_tasks {
-        job_task.abort();
+    session.jobs.retain(|_, job| !job.task.is_finished());
+    let silent_ms = silent_ms(node.now());
+    for job in session.jobs.values() {
+        slog::info!(node.logger, "orphan_withdrawn"; "request" => &*job.id, "peer" => &*session.peer,
+            "jobs" => session.jobs.len(), "silent_ms" => silent_ms);
+        node.metrics.count_withdrawn_orphan();
+        job.task.abort();
     }
 }
 
 async fn run_session(
     node: &Arc<node_state::NodeState>,
     stream: net::TcpStream,
-    job_tasks: &mut HashMap<u64, task::JoinHandle<()>>,
+    session: &mut SessionState,
 ) -> Result<(), link_frame::LinkError> {
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.into_split();
@@ -67,6 +100,7 @@
         return Err(link_frame::LinkError::NoHello);
     };
     let peer_name = Arc::clone(&hello.name);
+    session.peer = Arc::clone(&peer_name);
     let peer_domain = Arc::clone(&hello.failure_domain);
     let mut status_changes = node.status_changes();
     let mut sent_state = sent_state::SentState::default();
@@ -93,7 +127,7 @@
     let max_silence = node.settings.resend_delay * MAX_SILENCE_PERCENT / 100;
     let result = loop {
         let frame = {
-            let frame = next_frame(&mut reader, job_tasks, max_silence);
+            let frame = next_frame(&mut reader, &session.jobs, max_silence);
             tokio::pin!(frame);
             loop {
                 tokio::select! {
@@ -108,6 +142,7 @@
             }
         };
         if let Ok(frame) = &frame {
+            session.last_frame_at = node.now();
             peer_release.record_frame(frame);
         }
         match frame {
@@ -141,20 +176,19 @@
             }) => {
                 offer.sent_at = send_times.sent_at(node.now());
                 offer.source = Arc::clone(&peer_name);
-                job_tasks.retain(|_, job_task| !job_task.is_finished());
+                session.jobs.retain(|_, job| !job.task.is_finished());
+                let id = Arc::clone(&offer.spec.id);
                 let job = node.pool.submit(offer);
                 let frame_sender = frame_sender.clone();
-                job_tasks.insert(
+                let task = tokio::spawn(send_job_end(
+                    job,
                     submission_id,
-                    tokio::spawn(send_job_end(
-                        job,
-                        submission_id,
-                        Arc::clone(&peer_release),
-                        frame_sender,
-                    )),
-                );
+                    Arc::clone(&peer_release),
+                    frame_sender,
+                ));
+                session.jobs.insert(submission_id, PeerJob { id, task });
             }
-            Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, job_tasks),
+            Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, &mut session.jobs),
             Err(error) => break Err(error),
         }
     };
@@ -184,7 +218,7 @@
 /// in progress.
 async fn next_frame<R>(
     reader: &mut R,
-    job_tasks: &HashMap<u64, task::JoinHandle<()>>,
+    jobs: &PeerJobs,
     max_silence: time::Duration,
 ) -> Result<link_frame::LinkFrame, link_frame::LinkError>
 where
@@ -195,7 +229,7 @@
     loop {
         match tokio::time::timeout(max_silence, frame.as_mut()).await {
             Ok(result) => return result,
-            Err(_) if job_tasks.values().any(|job_task| !job_task.is_finished()) => {
+            Err(_) if jobs.values().any(|job| !job.task.is_finished()) => {
                 return Err(link_frame::LinkError::Silent);
             }
             // A peer without jobs here may send statuses less often.
@@ -209,7 +243,7 @@
     peer_name: &Arc<str>,
     frame: link_frame::LinkFrame,
     send_times: &send_time::SendTimes,
-    job_tasks: &mut HashMap<u64, task::JoinHandle<()>>,
+    jobs: &mut PeerJobs,
 ) {
     match frame {
         link_frame::LinkFrame::Leaders(change) => {
@@ -220,8 +254,8 @@
             peer_update::apply_room(node, peer_name, room, sent_at);
         }
         link_frame::LinkFrame::Withdraw { submission_id } => {
-            if let Some(job_task) = job_tasks.remove(&submission_id) {
-                job_task.abort();
+            if let Some(job) = jobs.remove(&submission_id) {
+                job.task.abort();
             }
         }
         link_frame::LinkFrame::Config { body } => node.adopt_newer_config(body.into(), "peer"),
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -46,6 +46,7 @@
     decisions: Family<DecisionLabels, counter::Counter>,
     rejections: Family<ReasonLabels, counter::Counter>,
     store_failures: Family<ReasonLabels, counter::Counter>,
+    withdrawn_orphans: counter::Counter,
     caller_connections: gauge::Gauge,
     state_gauges: StateGauges,
 }
@@ -126,6 +127,7 @@
         let decisions = Family::default();
         let rejections = Family::default();
         let store_failures = Family::default();
+        let withdrawn_orphans = counter::Counter::default();
         let caller_connections = gauge::Gauge::default();
         registry.register(
             "answers",
@@ -153,6 +155,11 @@
             "Failed requests to the store, by feed",
             store_failures.clone(),
         );
+        registry.register(
+            "orphaned_jobs_withdrawn",
+            "Jobs of lost connections of peers that were withdrawn after their grace",
+            withdrawn_orphans.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
@@ -167,6 +174,7 @@
             decisions,
             rejections,
             store_failures,
+            withdrawn_orphans,
             caller_connections,
             state_gauges,
         }
@@ -213,6 +221,11 @@
             .inc();
     }
 
+    /// Counts a job of a lost connection of a peer that was withdrawn after its grace.
+    pub fn count_withdrawn_orphan(&self) {
+        self.withdrawn_orphans.inc();
+    }
+
     /// Counts a failed request to the store.
     pub fn count_store_failure(&self, feed: &'static str) {
         self.store_failures
--- a/crates/cuminkeel_node/src/process_log.rs
+++ b/crates/cuminkeel_node/src/process_log.rs
@@ -202,12 +202,15 @@
     }
 }
 
-/// Returns whether a decision is of a kind made for every request that is served.
+/// Returns whether a decision is of a kind made for every request that is served, or for every run that is
+/// stopped.
 fn is_routine(decision: &pool_action::DecisionRecord) -> bool {
     match decision.kind {
         pool_action::DecisionKind::Queued | pool_action::DecisionKind::Placed => true,
         pool_action::DecisionKind::RunEnded => decision.outcome == "done",
         pool_action::DecisionKind::JobEnded => decision.outcome == "completed",
+        // A run that is being stopped seldom ends before the next hold.
+        pool_action::DecisionKind::LeaseExtended => decision.outcome == "stopping",
         _ => false,
     }
 }
--- a/crates/cuminkeel_node/src/request_cause.rs
+++ b/crates/cuminkeel_node/src/request_cause.rs
@@ -8,6 +8,20 @@
 /// times are based, are off by two fifths.
 const MIN_SLOWDOWN_FACTOR: u64 = 2;
 
+/// State of the stop of a run, as far as the log lines before the next run of its task show it.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum FirstStop {
+    /// No stop was ordered.
+    #[display("not ordered")]
+    NotOrdered,
+    /// A stop was ordered, and no line shows that it failed.
+    #[display("ordered")]
+    Ordered,
+    /// A stop got no response or was rejected, or the run was reported after it.
+    #[display("unconfirmed")]
+    Unconfirmed,
+}
+
 /// Cause of a request's outcome.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum RequestCause {
@@ -47,7 +61,7 @@
     /// A task was placed on two servers, and no line shows that the first run ended before the
     /// second was placed.
     #[display(
-        "no log line shows that the run of {task} on {first_server} ended before {node} placed it on {second_server} {after_ms} ms later; servers whose runs it did not know: {unreported}; copies of the request received: {received}"
+        "no log line shows that the run of {task} on {first_server} ended before {node} placed it on {second_server} {after_ms} ms later; servers whose runs it did not know: {unreported}; copies of the request received: {received}; start allowed by: {allowed_by}; stop of the first run: {first_stop}"
     )]
     OverlappingRuns {
         /// Name of the task.
@@ -64,6 +78,10 @@
         unreported: u64,
         /// Number of times that the request was received from its caller.
         received: usize,
+        /// Logged outcome of the second placement: what allowed it.
+        allowed_by: String,
+        /// Logged state of the stop of the first run when the second was placed.
+        first_stop: FirstStop,
     },
     /// The server pool that handled the request, or the connection to it, was lost; another pool
     /// continued the request, or none did.
@@ -194,6 +212,8 @@
                         after_ms: line.at_ms.saturating_sub(first.at_ms),
                         unreported: u64_field(line, "unreported"),
                         received: received.count(),
+                        allowed_by: line.outcome.clone(),
+                        first_stop: stop_state(lines, first, line),
                     });
                 }
                 open_placements.push(line);
@@ -204,6 +224,30 @@
     None
 }
 
+/// Returns the state of the stop of the run that `first` placed, as of the line `second`.
+fn stop_state(
+    lines: &[explain::ExplainedLine],
+    first: &explain::ExplainedLine,
+    second: &explain::ExplainedLine,
+) -> FirstStop {
+    let stop_lines: Vec<&str> = lines
+        .iter()
+        .take_while(|line| !std::ptr::eq(*line, second))
+        .skip_while(|line| !std::ptr::eq(*line, first))
+        .filter(|line| {
+            ["request", "server"]
+                .iter()
+                .all(|field| string_field(line, field) == string_field(first, field))
+        })
+        .map(|line| &*line.message)
+        .collect();
+    match () {
+        () if stop_lines.contains(&"stop_unconfirmed") => FirstStop::Unconfirmed,
+        () if stop_lines.contains(&"stopping") => FirstStop::Ordered,
+        () => FirstStop::NotOrdered,
+    }
+}
+
 fn find_cause_without_overlap(lines: &[explain::ExplainedLine]) -> RequestCause {
     let last_with_message = |message: &str| lines.iter().rfind(|line| line.message == message);
     let answer_line = last_with_message("answered");
--- a/crates/cuminkeel_node/tests/node/logs.rs
+++ b/crates/cuminkeel_node/tests/node/logs.rs
@@ -3,6 +3,7 @@
 use std::{fs, path::PathBuf, sync::Arc};
 
 use cuminkeel_node::{explain, node_tuning, process_log};
+use cuminkeel_replay::fake_server;
 
 use crate::test_platform;
 
@@ -92,11 +93,91 @@
     };
     assert_eq!(line("received")["request"], "00000000000000a1");
     assert_eq!(line("queued")["may_have_started"], 0);
+    assert_eq!(line("placed")["outcome"], "servers_reported");
     assert_eq!(line("placed")["unreported"], 0);
     assert!(line("placed")["epoch"].as_u64() >= line("claiming")["epoch"].as_u64());
     assert_eq!(line("leadership")["leads"], true);
 }
 
+/// Returns the first line of `node` with `message` once there is one.
+async fn wait_for_line(node: &test_platform::TestNode, message: &str) -> serde_json::Value {
+    let mut found = None;
+    test_platform::wait_until("the log line", async || {
+        let log = String::from_utf8(node.take_log()).expect("log should be UTF-8");
+        found = log
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("each line should be JSON"))
+            .find(|line: &serde_json::Value| line["msg"] == message);
+        found.is_some()
+    })
+    .await;
+    found.expect("the line was found")
+}
+
+/// A job that its pool drops because the process that sent it was lost must not look like one whose caller left.
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawal_after_a_lost_connection_names_the_peer() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let leader = platform.start_ready_node("n1", "north").await;
+    let mut standby = platform.start_ready_node("n2", "north").await;
+    let caller_settings = standby.settings.clone();
+    let loss = async {
+        test_platform::wait_until("a run to start", async || {
+            platform.started_tasks().len() == 1
+        })
+        .await;
+        standby.kill();
+    };
+    let caller = test_platform::submit_from_caller(&caller_settings, "00000000000000d1", "6000");
+    let ((status, _), ()) = tokio::join!(caller, loss);
+    assert_eq!(status, 0);
+    let line = wait_for_line(&leader, "orphan_withdrawn").await;
+    assert_eq!(line["request"], "00000000000000d1");
+    assert_eq!(line["peer"], "n2");
+    assert_eq!(line["jobs"], 1);
+    assert!(line["silent_ms"].as_u64() >= Some(500), "{line}");
+    assert_eq!(
+        leader.gauge_value("orphaned_jobs_withdrawn_total").await,
+        Some(1)
+    );
+}
+
+/// Without the line, nothing shows when the pool of a job was told that its caller had left.
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawal_for_a_caller_that_left_names_the_pool() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let _leader = platform.start_ready_node("n1", "north").await;
+    let standby = platform.start_ready_node("n2", "north").await;
+    let start = test_platform::wait_until("a run to start", async || {
+        platform.started_tasks().len() == 1
+    });
+    tokio::select! {
+        _ = standby.submit("00000000000000d2", "6000", 1) => panic!("the job should still run"),
+        () = start => {}
+    }
+    let line = wait_for_line(&standby, "withdrawn").await;
+    assert_eq!(line["request"], "00000000000000d2");
+    assert_eq!(line["pool"], "n1");
+    assert!(line["offered_for_ms"].is_u64() && line["age_ms"].is_u64());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_to_a_job_that_ran_out_of_time_names_its_pool() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    for server in &platform.servers {
+        server.set_mode(fake_server::ServerMode::Slow(100.0));
+    }
+    let _leader = platform.start_ready_node("n1", "north").await;
+    let standby = platform.start_ready_node("n2", "north").await;
+    let (status, _) = standby
+        .submit_without_deadline("00000000000000d3", "200", 1)
+        .await;
+    assert_eq!(status, 504);
+    let line = wait_for_line(&standby, "answered").await;
+    assert_eq!(line["outcome"], "Failed(OutOfTime)");
+    assert_eq!(line["pool"], "n1");
+}
+
 struct LogFile(PathBuf);
 
 impl Drop for LogFile {
--- a/crates/cuminkeel_node/tests/node/request_causes.rs
+++ b/crates/cuminkeel_node/tests/node/request_causes.rs
@@ -113,7 +113,7 @@
 const ANSWERED: &str = r#"{"msg":"answered","node":"n1","outcome":"completed"}"#;
 
 /// Name of each case, its log lines, and the start of the cause that is found in them.
-const CAUSE_CASES: [(&str, &[&str], &str); 18] = [
+const CAUSE_CASES: [(&str, &[&str], &str); 20] = [
     (
         "no log line",
         &[],
@@ -224,7 +224,31 @@
             r#"{"msg":"run_ended","outcome":"done","request":"a.0.0.0","server":"s1","node":"n2"}"#,
             ANSWERED,
         ],
-        "no log line shows that the run of a.0.0.0 on s1 ended before n2 placed it on s2 0 ms later; servers whose runs it did not know: 1; copies of the request received: 2",
+        "no log line shows that the run of a.0.0.0 on s1 ended before n2 placed it on s2 0 ms later; servers whose runs it did not know: 1; copies of the request received: 2; start allowed by: ordered; stop of the first run: not ordered",
+    ),
+    (
+        "second run of a task after a stop of the first that got no response",
+        &[
+            r#"{"msg":"placed","outcome":"servers_reported","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"stopping","outcome":"job_ended","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"stop_unconfirmed","outcome":"unanswered","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"placed","outcome":"leases_expired","request":"a.0.0.0","server":"s2","node":"n2","unreported":1}"#,
+            ANSWERED,
+        ],
+        "no log line shows that the run of a.0.0.0 on s1 ended before n2 placed it on s2 0 ms later; servers whose runs it did not know: 1; copies of the request received: 0; start allowed by: leases_expired; stop of the first run: unconfirmed",
+    ),
+    (
+        "second run of a task after a stop of the first, and a failed stop of another run",
+        &[
+            r#"{"msg":"stop_unconfirmed","outcome":"unanswered","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"placed","outcome":"servers_reported","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"stopping","outcome":"job_ended","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            r#"{"msg":"stop_unconfirmed","outcome":"unanswered","request":"a.0.0.1","server":"s1","node":"n1"}"#,
+            r#"{"msg":"placed","outcome":"servers_reported","request":"a.0.0.0","server":"s2","node":"n2"}"#,
+            r#"{"msg":"stop_unconfirmed","outcome":"still_running","request":"a.0.0.0","server":"s1","node":"n1"}"#,
+            ANSWERED,
+        ],
+        "no log line shows that the run of a.0.0.0 on s1 ended before n2 placed it on s2 0 ms later; servers whose runs it did not know: 0; copies of the request received: 0; start allowed by: servers_reported; stop of the first run: ordered",
     ),
     (
         "second run of a task after the first, and a run of another task",
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -157,6 +157,18 @@
     requests.join_all().await
 }
 
+/// Submits the job of [`job_body`] with one task to the process with `settings`. Returns the same as
+/// [`TestNode::send`].
+pub async fn submit_from_caller(
+    settings: &settings::ProcessSettings,
+    id: &str,
+    payload: &str,
+) -> (u16, Bytes) {
+    let client = http_client::HttpClient::new(&settings.caller_address);
+    let (path, body) = (format!("{PREFIX}{id}"), job_body(payload, 1));
+    send_from_caller(&client, "POST", &path, &body, Some("8000")).await
+}
+
 async fn send_from_caller(
     client: &http_client::HttpClient,
     method: &str,
