Add up the capacities of a pool's servers without overflow

Callers and peers saw a pool whose reported capacity was the rest of an overflow: a server declares its capacity itself, and with one of 4,294,967,295 thousandths of a core the sum of two servers exceeds the status's type. A release build wraps, a debug build ends the process.

Evidence: `capacities_of_all_servers_add_up_without_overflow` failed before with `crates/cuminkeel_dispatch/src/pool.rs:276:17: attempt to add with overflow`.

The sums now stay at the largest number of the type, which receivers divide by or compare with; the frame is unchanged.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -273,8 +273,10 @@
                 load.held_servers += 1;
             }
             if slot.is_usable(now) {
-                load.free_cpu_millis += slot.startable_cpu_millis(now);
-                load.total_cpu_millis += slot.entry.cpu_millis;
+                // Servers declare their capacity themselves, so the sum can exceed the type of the status.
+                let (free, total) = (&mut load.free_cpu_millis, &mut load.total_cpu_millis);
+                *free = free.saturating_add(slot.startable_cpu_millis(now));
+                *total = total.saturating_add(slot.entry.cpu_millis);
             }
         }
         if self.evacuation.is_some() {
