Let no declared figure decide what a forecast of capacity costs

Cause: the forecast behind admission, the review of the queue and the reported wait had an entry for each task that fits on a server. At such a server these are 4.3 million for tasks of one core, for each offer, and 4.3 billion for a task that states no processor. The pool's task was busy for so long that offers became outdated and the pool took its process for paused. A task without processor costs 16,000 entries at a usual server, too.

`registry_is_followed_past_each_odd_entry` passed before, too: 28 kinds of odd entries end no process and stop no reader of the registry.

Equal times are now one entry with their number, so a forecast costs what the servers, runs and queued jobs cost. `equal_capacities_are_reserved_like_single_ones` shows against the single times that the forecast is the same.

--- a/crates/cuminkeel_dispatch/src/capacity_forecast.rs
+++ b/crates/cuminkeel_dispatch/src/capacity_forecast.rs
@@ -16,31 +16,57 @@
     pub run_time: time::Duration,
 }
 
-/// Times from now at which capacity for one more task becomes free.
+/// Capacity for some tasks that becomes free at the same time. Ordered by that time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct EqualCapacity {
+    /// Time from now at which it becomes free.
+    free_in: time::Duration,
+    task_count: u64,
+}
+
+/// Times from now at which capacity for more tasks becomes free.
+///
+/// Equal times are kept as one with their number: how often a task fits on a server depends on figures that the
+/// server and the caller declare, and must not decide what a forecast costs.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityForecast {
-    free_times: BinaryHeap<cmp::Reverse<time::Duration>>,
+    capacities: BinaryHeap<cmp::Reverse<EqualCapacity>>,
 }
 
 impl CapacityForecast {
     /// Adds capacity for one task at a time, free from `free_in` on.
     pub fn add_capacity(&mut self, free_in: time::Duration) {
-        self.free_times.push(cmp::Reverse(free_in));
+        self.add_equal_capacities(1, free_in);
+    }
+
+    /// Adds capacity for `task_count` tasks at a time, free from `free_in` on.
+    pub fn add_equal_capacities(&mut self, task_count: u64, free_in: time::Duration) {
+        if task_count > 0 {
+            self.capacities.push(cmp::Reverse(EqualCapacity {
+                free_in,
+                task_count,
+            }));
+        }
     }
 
     /// Whether there is no capacity for any task.
     pub fn is_empty(&self) -> bool {
-        self.free_times.is_empty()
+        self.capacities.is_empty()
     }
 
     /// Reserves the earliest capacity for `work`, after what is reserved already. Returns the
     /// time from now at which its last task starts, or `None` if there is no capacity at all.
     pub fn reserve(&mut self, work: QueuedWork) -> Option<time::Duration> {
         let mut last_start = time::Duration::ZERO;
-        for _ in 0..work.task_count {
-            let cmp::Reverse(start) = self.free_times.pop()?;
-            last_start = last_start.max(start);
-            self.free_times.push(cmp::Reverse(start + work.run_time));
+        let mut waiting = u64::try_from(work.task_count).unwrap_or(u64::MAX);
+        while waiting > 0 {
+            let cmp::Reverse(earliest) = self.capacities.pop()?;
+            let started = earliest.task_count.min(waiting);
+            waiting -= started;
+            last_start = last_start.max(earliest.free_in);
+            self.add_equal_capacities(earliest.task_count - started, earliest.free_in);
+            let ends_in = earliest.free_in.saturating_add(work.run_time);
+            self.add_equal_capacities(started, ends_in);
         }
         Some(last_start)
     }
@@ -52,10 +78,10 @@
         work: QueuedWork,
         latest: time::Duration,
     ) -> Option<time::Duration> {
-        let unchanged = self.free_times.clone();
+        let unchanged = self.capacities.clone();
         let start = self.reserve(work);
         if start.is_none_or(|start| start > latest) {
-            self.free_times = unchanged;
+            self.capacities = unchanged;
         }
         start
     }
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -169,9 +169,8 @@
                 continue;
             }
             min_slowdown = min_slowdown.min(slowdown);
-            for _ in 0..slot.startable_tasks(max_task_cpu_millis, now) {
-                forecast.add_capacity(time::Duration::ZERO);
-            }
+            let startable_tasks = slot.startable_tasks(max_task_cpu_millis, now);
+            forecast.add_equal_capacities(u64::from(startable_tasks), time::Duration::ZERO);
             let mut remaining_times: SmallVec<[time::Duration; 8]> = slot
                 .runs
                 .values()
--- a/crates/cuminkeel_dispatch/src/pool/queue_review.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_review.rs
@@ -182,7 +182,8 @@
             let slowdown = slot.slowdown_factor;
             let free_tasks = slot.free_cpu_millis() / typical_cpu_millis;
             let later_tasks = (slot.entry.cpu_millis / typical_cpu_millis)
-                .saturating_sub(free_tasks + u32::try_from(slot.runs.len()).unwrap_or(u32::MAX));
+                .saturating_sub(free_tasks)
+                .saturating_sub(u32::try_from(slot.runs.len()).unwrap_or(u32::MAX));
             let mut last_end = time::Duration::ZERO;
             for run in slot.runs.values() {
                 let remaining = run.expected_remaining(now);
@@ -191,15 +192,10 @@
                 task_count += 1.0;
                 speed += 1.0 / slowdown;
             }
-            for number in 0..free_tasks + later_tasks {
-                let free_in = if number < free_tasks {
-                    time::Duration::ZERO
-                } else {
-                    last_end
-                };
-                forecast.add_capacity(free_in);
-                task_count += 1.0;
-                speed += 1.0 / slowdown;
+            for (tasks, free_in) in [(free_tasks, time::Duration::ZERO), (later_tasks, last_end)] {
+                forecast.add_equal_capacities(u64::from(tasks), free_in);
+                task_count += f64::from(tasks);
+                speed += f64::from(tasks) / slowdown;
             }
         }
         ServiceForecast {
--- a/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
@@ -21,9 +21,8 @@
         }
         let mut forecast = capacity_forecast::CapacityForecast::default();
         for slot in self.servers.values().filter(|slot| slot.is_usable(now)) {
-            for _ in 0..slot.startable_tasks(typical_cpu_millis, now) {
-                forecast.add_capacity(time::Duration::ZERO);
-            }
+            let startable_tasks = slot.startable_tasks(typical_cpu_millis, now);
+            forecast.add_equal_capacities(u64::from(startable_tasks), time::Duration::ZERO);
             for run in slot.runs.values().filter(|run| run.has_job) {
                 forecast.add_capacity(run.expected_remaining(now));
             }
--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -3,7 +3,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use cuminkeel_dispatch::{job_model, leadership, pool, pool_action, server_model, settings};
+use cuminkeel_dispatch::{
+    capacity_forecast, job_model, leadership, pool, pool_action, server_model, settings,
+};
+use proptest::prelude::ProptestConfig;
 use smallvec::SmallVec;
 
 fn ms(value: u64) -> time::Duration {
@@ -119,3 +122,58 @@
         (u32::MAX, u32::MAX)
     );
 }
+
+/// Without it, a pool at a huge server would be busy with its forecast for so long that it takes itself for paused,
+/// and a task that needs no processor would do the same at any server.
+#[test]
+fn forecast_costs_no_more_for_a_huge_server_or_a_tiny_task() {
+    let mut pool = held_pool(&[(u32::MAX, 32_768, 0), (16_000, 32_768, 0)]);
+    for (id, cpu_millis) in [("tiny", 0), ("small", 1), ("usual", 5_000)] {
+        let (starts, ends) = submit(&mut pool, &offer(id, vec![step(3, cpu_millis)]));
+        assert_eq!((starts, &*ends), (3, &[][..]), "{id}");
+        assert_eq!(pool.room(ms(10)).queue_wait_ms, 0);
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
+
+    /// Guards against a forecast with equal times that differs from one with each time by itself.
+    #[test]
+    fn equal_capacities_are_reserved_like_single_ones(
+        capacities in proptest::collection::vec((0_u64..6, 0_u64..4), 0..5),
+        works in proptest::collection::vec((0_usize..9, 0_u64..4), 1..6),
+        latest in 0_u64..12,
+    ) {
+        let mut equal = capacity_forecast::CapacityForecast::default();
+        let mut single = Vec::new();
+        for (task_count, free_in) in capacities {
+            equal.add_equal_capacities(task_count, ms(free_in));
+            single.extend((0..task_count).map(|_| ms(free_in)));
+        }
+        for (number, (task_count, run_time)) in works.into_iter().enumerate() {
+            let work = capacity_forecast::QueuedWork { task_count, run_time: ms(run_time) };
+            let unchanged = single.clone();
+            let mut expected = Some(time::Duration::ZERO);
+            for _ in 0..task_count {
+                single.sort();
+                match single.first_mut() {
+                    Some(earliest) => {
+                        expected = expected.max(Some(*earliest));
+                        *earliest += work.run_time;
+                    }
+                    None => expected = None,
+                }
+            }
+            if number % 2 == 0 {
+                proptest::prop_assert_eq!(equal.reserve(work), expected);
+            } else {
+                proptest::prop_assert_eq!(equal.reserve_by(work, ms(latest)), expected);
+                if expected.is_none_or(|start| start > ms(latest)) {
+                    single = unchanged;
+                }
+            }
+            proptest::prop_assert_eq!(equal.is_empty(), single.is_empty());
+        }
+    }
+}
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod frontend;
 mod logs;
+mod odd_entries;
 mod offers;
 mod peers;
 mod platform_faults;
--- /dev/null
+++ b/crates/cuminkeel_node/tests/node/odd_entries.rs
@@ -0,0 +1,178 @@
+//! Tests of odd records of other writers among those of the servers and of the processes: no process
+//! ends, all go on following the lists, and calls are served as without them.
+
+use std::time;
+
+use platform_emulator::emulated_server;
+
+use crate::test_platform;
+
+/// Start of a server that is later than those of the emulated ones, in Unix ms.
+const BORN: &str = "1700000000000";
+
+/// Returns the JSON text of a registry entry in failure domain `north` with `fields` in place of the good
+/// ones.
+fn entry_text(address: &str, fields: &[(&str, &str)]) -> String {
+    let address = format!("\"{address}\"");
+    let mut entry = std::collections::BTreeMap::from([
+        ("service", "\"order-desk\""),
+        ("address", &*address),
+        ("zone", "\"north\""),
+        ("state", "\"ready\""),
+        ("seq_no", "1"),
+        ("born", BORN),
+        ("capacity", r#"{"cpu":16000,"mem_mb":32768,"gpu":0}"#),
+        ("labels", r#"["a"]"#),
+        ("cold_remaining_ms", "0"),
+    ]);
+    entry.extend(fields.iter().copied());
+    let fields: Vec<String> = entry
+        .iter()
+        .filter(|(_, value)| !value.is_empty())
+        .map(|(name, value)| format!("\"{name}\":{value}"))
+        .collect();
+    format!("{{{}}}", fields.join(","))
+}
+
+/// Returns odd entries of the registry, each with its kind. Nothing listens at `closed_address`.
+fn odd_entries(closed_address: &str) -> Vec<(&'static str, Vec<u8>)> {
+    let deep_value = format!("{}{}", "[".repeat(60_000), "]".repeat(60_000));
+    let long_label = format!("[\"{}\"]", "x".repeat(100_000));
+    let fields: [(&str, &[(&str, &str)]); 24] = [
+        ("deeply nested field", &[("news", &deep_value)]),
+        ("deeply nested capacity", &[("capacity", &deep_value)]),
+        (
+            "deeply nested cold time",
+            &[("cold_remaining_ms", &deep_value)],
+        ),
+        ("no service", &[("service", "")]),
+        ("service of another type", &[("service", "[7]")]),
+        ("unknown service", &[("service", "\"elsewhere\"")]),
+        ("no address", &[("address", "")]),
+        ("port out of range", &[("address", "\"127.0.0.1:70000\"")]),
+        ("negative port", &[("address", "\"127.0.0.1:-1\"")]),
+        ("port 0", &[("address", "\"127.0.0.1:0\"")]),
+        (
+            "address without sense",
+            &[("address", "\"http://[::\\u0000/ \\r\\n\"")],
+        ),
+        ("empty address", &[("address", "\"\"")]),
+        ("unknown state", &[("state", "\"asleep\"")]),
+        ("negative sequence", &[("seq_no", "-1")]),
+        ("sequence too large", &[("seq_no", "1e40")]),
+        ("born too large", &[("born", "18446744073709551615")]),
+        ("born negative", &[("born", "-5")]),
+        ("negative capacity", &[("capacity", r#"{"cpu":-16000}"#)]),
+        ("capacity too large", &[("capacity", r#"{"cpu":1e300}"#)]),
+        ("capacity not a number", &[("capacity", r#"{"cpu":NaN}"#)]),
+        (
+            "extreme capacity",
+            &[(
+                "capacity",
+                r#"{"cpu":4294967295,"mem_mb":4294967295,"gpu":4294967295}"#,
+            )],
+        ),
+        ("no capacity", &[("capacity", "")]),
+        ("long label", &[("labels", &long_label)]),
+        ("cold for ever", &[("cold_remaining_ms", "1e308")]),
+    ];
+    let mut entries: Vec<(&str, Vec<u8>)> = fields
+        .iter()
+        .map(|(kind, fields)| (*kind, entry_text(closed_address, fields).into_bytes()))
+        .collect();
+    entries.push(("bytes that are no text", vec![0xff, 0xfe, 0x00, 0x80]));
+    entries.push(("JSON array", b"[]".to_vec()));
+    entries.push(("nested array", deep_value.into_bytes()));
+    entries.push((
+        "half an entry",
+        entry_text(closed_address, &[]).into_bytes()[..40].to_vec(),
+    ));
+    entries
+}
+
+/// Returns the sum of the tasks that `servers` have started.
+fn started_count(servers: &[&emulated_server::EmulatedServer]) -> usize {
+    servers
+        .iter()
+        .map(|server| server.started_runs().len())
+        .sum()
+}
+
+/// Guards against callers that are refused as `queue_too_long` while servers idle, because the sum of the
+/// capacities of all servers overflows.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_not_refused_beside_a_server_of_extreme_capacity() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let mut huge_servers = Vec::new();
+    // The first and the last in the order of the ids.
+    for name in ["a-huge", "z-huge"] {
+        let server = emulated_server::EmulatedServer::start(name, "north", u32::MAX)
+            .await
+            .expect("server should start");
+        server.register(&platform.store);
+        huge_servers.push(server);
+    }
+    test_platform::wait_until("servers of extreme capacity to be held", async || {
+        node.gauge_value("held_servers").await == Some(4)
+    })
+    .await;
+    let ids: Vec<String> = (0..60).map(|number| format!("{number:016x}")).collect();
+    let statuses = test_platform::submit_concurrently(&node, &ids, "300", 1).await;
+    assert_eq!(statuses, [200; 60]);
+}
+
+/// Guards against processes that end, or stop following the registry, because of one odd entry among
+/// those of the servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn registry_is_followed_past_each_odd_entry() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let closed_address = platform_emulator::loopback::unique_ip().to_string() + ":9";
+    let mut held_servers = 2;
+    let mut later_servers = Vec::new();
+    for (number, (kind, value)) in odd_entries(&closed_address).into_iter().enumerate() {
+        platform
+            .store
+            .put("keyed.servers", &format!("odd-{number}"), value);
+        if number % 7 != 0 {
+            continue;
+        }
+        let id = format!("{number:016x}");
+        assert_eq!(
+            node.submit(&id, "20", 2).await.0,
+            200,
+            "after an entry: {kind}"
+        );
+        let server =
+            emulated_server::EmulatedServer::start(&format!("later-{number}"), "north", 16_000)
+                .await
+                .expect("server should start");
+        server.register(&platform.store);
+        later_servers.push(server);
+        held_servers += 1;
+        test_platform::wait_until(kind, async || {
+            node.gauge_value("held_servers").await == Some(held_servers)
+        })
+        .await;
+    }
+    let [left, rest @ ..] = &later_servers[..] else {
+        panic!("servers should have registered");
+    };
+    left.drain(&platform.store);
+    platform.store.put("keyed.servers", "later-0", "");
+    test_platform::wait_until("server that left to be released", async || {
+        node.gauge_value("held_servers").await == Some(held_servers - 1)
+    })
+    .await;
+    let before = left.started_runs().len();
+    let ids: Vec<String> = (100..140).map(|number| format!("{number:016x}")).collect();
+    let statuses = test_platform::submit_concurrently(&node, &ids, "300", 2).await;
+    assert_eq!(statuses, [200; 40]);
+    assert_eq!(left.started_runs().len(), before);
+    assert!(started_count(&rest.iter().collect::<Vec<_>>()) > 0);
+    // A process that starts now reads all of these entries at once.
+    let second = platform.start_ready_node("n2", "north").await;
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    assert_eq!(second.submit("00000000000000ff", "20", 2).await.0, 200);
+}
