Average the processor demand of tasks without overflow

Callers saw servers ranked, and waits reported to other pools, by the rest of an overflow (a debug build ends the process): the moving average of the tasks' processor multiplied a u32 by 31. One admitted or resent job with a task of 138,548,000 thousandths of a core suffices.

Evidence: `processor_of_large_tasks_is_averaged_without_overflow` failed before with `pool/jobs.rs:169:28: attempt to multiply with overflow`; the property test `pool_takes_any_capacity_and_any_job` had found it. The average of two u32 is computed in u64 and fits a u32.

--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -166,10 +166,11 @@
     /// tasks.
     fn record_cpu_demand(&mut self, spec: &job_model::JobSpec) {
         for step in &spec.steps {
-            let weighted = self.typical_cpu_millis * (TYPICAL_CPU_SAMPLES - 1) + step.cpu_millis;
+            let earlier = u64::from(self.typical_cpu_millis) * u64::from(TYPICAL_CPU_SAMPLES - 1);
+            let average = (earlier + u64::from(step.cpu_millis)) / u64::from(TYPICAL_CPU_SAMPLES);
             self.typical_cpu_millis = match self.typical_cpu_millis {
                 0 => step.cpu_millis,
-                _ => weighted / TYPICAL_CPU_SAMPLES,
+                _ => u32::try_from(average).unwrap_or(u32::MAX),
             };
         }
     }
--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -6,7 +6,7 @@
 use cuminkeel_dispatch::{
     capacity_forecast, job_model, leadership, pool, pool_action, server_model, settings,
 };
-use proptest::prelude::ProptestConfig;
+use proptest::prelude::{ProptestConfig, any};
 use smallvec::SmallVec;
 
 fn ms(value: u64) -> time::Duration {
@@ -123,6 +123,27 @@
     );
 }
 
+/// The process would end, or rank servers by the rest of an overflow, once a job of large tasks was admitted.
+#[test]
+fn processor_of_large_tasks_is_averaged_without_overflow() {
+    let mut pool = held_pool(&[(u32::MAX, 32_768, 0)]);
+    let steps = vec![step(1, 2_000_000_000), step(1, 2_000_000_000)];
+    assert_eq!(submit(&mut pool, &offer("large", steps)), (2, Vec::new()));
+}
+
+/// Capacities of servers over the whole range, with a mark for the bounds and for usual ones.
+fn any_capacity() -> impl proptest::strategy::Strategy<Value = Capacity> {
+    let any_figure = || {
+        proptest::prop_oneof![
+            proptest::strategy::Just(0),
+            proptest::strategy::Just(u32::MAX),
+            1_000_u32..100_000,
+            any::<u32>(),
+        ]
+    };
+    (any_figure(), any_figure(), any_figure())
+}
+
 /// Without it, a pool at a huge server would be busy with its forecast for so long that it takes itself for paused,
 /// and a task that needs no processor would do the same at any server.
 #[test]
@@ -176,4 +197,49 @@
             proptest::prop_assert_eq!(equal.is_empty(), single.is_empty());
         }
     }
+
+    /// Guards against sums of figures that overflow, or that cost time and memory in proportion to a figure.
+    #[test]
+    fn pool_takes_any_capacity_and_any_job(
+        capacities in proptest::collection::vec(any_capacity(), 0..4),
+        jobs in proptest::collection::vec(
+            proptest::collection::vec((1_u16..4, any::<u32>(), any::<u32>(), any::<u32>(), any::<u32>()), 1..4),
+            1..5,
+        ),
+        (stretch_factor, target_latency_ms) in (proptest::num::f64::ANY, any::<u32>()),
+        (age, time_to_deadline) in (any::<u64>(), any::<u64>()),
+        is_at_once in any::<bool>(),
+    ) {
+        let mut pool = held_pool(&capacities);
+        let held_count = u32::try_from(capacities.len()).expect("few servers");
+        for (number, steps) in jobs.into_iter().enumerate() {
+            let steps = steps
+                .into_iter()
+                .map(|(task_count, cpu_millis, memory_mb, gpus, estimate_ms)| job_model::StepSpec {
+                    memory_mb,
+                    gpus,
+                    estimate_ms,
+                    ..step(task_count, cpu_millis)
+                })
+                .collect();
+            let mut offer = offer(&format!("job{number}"), steps);
+            let spec = Arc::make_mut(&mut offer.spec);
+            spec.stretch_factor = stretch_factor;
+            spec.target_latency_ms = target_latency_ms;
+            offer.age = time::Duration::from_nanos(age);
+            offer.time_to_deadline = time::Duration::from_secs(time_to_deadline);
+            if is_at_once {
+                offer.terms = job_model::OfferTerms::AtOnce;
+            }
+            let _ends = submit(&mut pool, &offer);
+        }
+        for now in (10..300).step_by(20).map(ms) {
+            pool.tick(now);
+            let _actions = pool.take_actions(now);
+            let (load, room) = (pool.load(now), pool.room(now));
+            proptest::prop_assert_eq!(load.held_servers, held_count);
+            proptest::prop_assert!(load.free_cpu_millis <= load.total_cpu_millis);
+            let _tasks = room.startable_tasks(0);
+        }
+    }
 }
