Bound the figures of a server when its registry entry is decoded

Callers' tasks all went to one server: with two servers of 16 cores and one that declares 4,294,967 cores, all 40 of 40 tasks ran there at once, whatever it really has.

Cause: any number of the wire type counted as capacity.

The server gets a log line, `server_figures_implausible`, once, and the gauge `cuminkeel_implausible_servers` counts it.

--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -60,6 +60,7 @@
     queued_jobs: gauge::Gauge,
     config_version: gauge::Gauge,
     evacuated_domains: gauge::Gauge,
+    implausible_servers: gauge::Gauge,
 }
 
 impl StateGauges {
@@ -100,6 +101,11 @@
                 "Failure domains that are evacuated, as far as this process knows",
                 &self.evacuated_domains,
             ),
+            (
+                "implausible_servers",
+                "Backend servers that declare more than any machine has, as far as this process knows",
+                &self.implausible_servers,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -255,6 +261,13 @@
             .set(to_gauge_value(domains));
     }
 
+    /// Sets the gauge for the servers that declare figures which are not believed.
+    pub fn set_implausible_gauge(&self, servers: usize) {
+        self.state_gauges
+            .implausible_servers
+            .set(to_gauge_value(servers));
+    }
+
     /// Counts a connection of a caller as open until the returned guard is dropped.
     pub fn track_connection(&self) -> ConnectionGuard {
         self.caller_connections.inc();
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -167,6 +167,8 @@
     /// Servers of the local failure domain with an entry, or with a removal that is pending, and whether
     /// they are draining.
     registered: BTreeMap<Arc<str>, bool>,
+    /// Servers of them that declare figures which are not believed.
+    implausible: BTreeSet<Arc<str>>,
     pending_removals: PendingRemovals,
 }
 
@@ -178,6 +180,7 @@
     let mut feed = RegistryFeed {
         node,
         registered: BTreeMap::new(),
+        implausible: BTreeSet::new(),
         pending_removals: PendingRemovals::default(),
     };
     loop {
@@ -346,8 +349,10 @@
     }
 
     fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) {
-        match registry::decode_entry(server, value) {
-            Ok(entry) if entry.failure_domain == self.node.hello.failure_domain => {
+        match registry::decode_bounded_entry(server, value) {
+            Ok(bounded) if bounded.entry.failure_domain == self.node.hello.failure_domain => {
+                self.record_implausible_figures(server, &bounded.implausible_figures);
+                let entry = bounded.entry;
                 self.pending_removals.record_registered(server);
                 self.registered.insert(Arc::clone(server), entry.draining);
                 self.node
@@ -362,6 +367,33 @@
         }
     }
 
+    /// Logs the figures of a server that are not believed, once while it declares any.
+    fn record_implausible_figures(
+        &mut self,
+        server: &Arc<str>,
+        figures: &[registry::ImplausibleFigure],
+    ) {
+        if figures.is_empty() {
+            self.forget_implausible(server);
+        } else if self.implausible.insert(Arc::clone(server)) {
+            for figure in figures {
+                slog::warn!(self.node.logger, "server_figures_implausible"; "server" => &**server,
+                    "field" => figure.field, "declared" => figure.declared, "counted" => figure.counted);
+            }
+            self.node
+                .metrics
+                .set_implausible_gauge(self.implausible.len());
+        }
+    }
+
+    fn forget_implausible(&mut self, server: &Arc<str>) {
+        if self.implausible.remove(server) {
+            self.node
+                .metrics
+                .set_implausible_gauge(self.implausible.len());
+        }
+    }
+
     fn handle_removed_entry(&mut self, server: &Arc<str>, now: time::Duration) {
         let Some(is_draining) = self.registered.get(server).copied() else {
             return;
@@ -382,6 +414,7 @@
 
     fn remove_server(&mut self, server: &Arc<str>) {
         self.registered.remove(server);
+        self.forget_implausible(server);
         self.node
             .pool
             .apply_registry_change(pool_driver::RegistryChange::Removed(Arc::clone(server)));
--- a/crates/cuminkeel_node/tests/node/odd_entries.rs
+++ b/crates/cuminkeel_node/tests/node/odd_entries.rs
@@ -122,6 +122,45 @@
     assert_eq!(statuses, [200; 60]);
 }
 
+/// Guards against a server that gets the work of all others, as it declares more than any machine has.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_of_extreme_capacity_gets_a_bounded_share() {
+    const TASK_COUNT: usize = 40;
+    // A multiple of the tasks' processor: no share of it seems wasted.
+    const CPU_MILLIS: u32 = 4_294_967_000;
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let huge = emulated_server::EmulatedServer::start("a-huge", "north", CPU_MILLIS)
+        .await
+        .expect("server should start");
+    huge.register(&platform.store);
+    let node = platform.start_ready_node("n1", "north").await;
+    test_platform::wait_until("all servers to be held", async || {
+        node.gauge_value("held_servers").await == Some(3)
+    })
+    .await;
+    let ids: Vec<String> = (0..TASK_COUNT)
+        .map(|number| format!("{number:016x}"))
+        .collect();
+    let statuses = test_platform::submit_concurrently(&node, &ids, "300", 1).await;
+    assert_eq!(statuses, [200; TASK_COUNT]);
+    let (_, peak_cpu_millis) = huge.runs_and_peak_cpu();
+    assert!(peak_cpu_millis <= 16_000, "{peak_cpu_millis}");
+    assert_eq!(node.gauge_value("implausible_servers").await, Some(1));
+    huge.register(&platform.store);
+    platform.store.put("keyed.servers", "a-huge", "");
+    test_platform::wait_until("server to leave the list", async || {
+        node.gauge_value("implausible_servers").await == Some(0)
+    })
+    .await;
+    let log = String::from_utf8(node.take_log()).expect("log should be UTF-8");
+    let lines: Vec<&str> = log
+        .lines()
+        .filter(|line| line.contains("server_figures_implausible"))
+        .collect();
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("4294967000"), "{lines:?}");
+}
+
 /// Guards against processes that end, or stop following the registry, because of one odd entry among
 /// those of the servers.
 #[tokio::test(flavor = "multi_thread")]
