--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -56,6 +56,8 @@
 /// A run that has ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunRecord {
+    /// Id of the server.
+    pub server: Arc<str>,
     /// Task of the run.
     pub task: job_model::TaskName,
     /// Id of the run.
@@ -215,6 +217,7 @@
         end: Option<server_model::RunEnd>,
     ) {
         self.history.push(RunRecord {
+            server: Arc::clone(&self.entry.id),
             task: task.clone(),
             run_id: run.run_id,
             started_at: run.started_at,
