Let the soak send long tasks with short deadlines to servers with late orders

A soak with servers that leave orders unanswered needs callers that come again while the first runs still work: before, a caller waited 4 s for tasks of 0.4 s, each of which used nearly half of a server, so a server seldom had a second run to renew the lease of the first.

New variables, whose defaults keep the present runs: SOAK_LATE_ORDERS, SOAK_DEADLINE_MS, SOAK_MAX_ESTIMATE_MS (callers declare less than the work, so that the job is admitted) and SOAK_TASK_CPU. Draws have generators of their own, so a seed draws the same faults and jobs as before. At the end the processes are killed and leases run out, so that runs still at work have a record. An overlap is printed with servers, run ids and the times that the logs use, and the orders that each server received are kept beside the logs.

--- a/crates/cuminkeel_node/tests/soak/callers.rs
+++ b/crates/cuminkeel_node/tests/soak/callers.rs
@@ -14,8 +14,6 @@
 
 use crate::{parameters, site};
 
-/// Time that a caller waits for an answer, sent as the deadline of its jobs.
-pub const CALLER_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 /// Time between a job that got no answer, 502 or 504 and its next copy.
 const RESEND_INTERVAL: time::Duration = time::Duration::from_millis(1_300);
 /// Maximum number of times that a job is sent again.
@@ -24,6 +22,8 @@
 const COPIES_SEED: u64 = 0x636f_7069_6573;
 /// Distinguishes the random numbers of deadly jobs from the others.
 const DEADLY_SEED: u64 = 0x6465_6164_6c79;
+/// Deadline of the jobs that show whether a process serves.
+const PROBE_DEADLINE: time::Duration = time::Duration::from_secs(4);
 /// Timeout for all processes to serve after the end of all faults.
 const RECOVERY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
@@ -40,7 +40,7 @@
     pub node: usize,
     /// Time at which the copy was sent.
     pub sent_at: time::Instant,
-    /// Whether no answer arrived within `CALLER_TIMEOUT` although the connection stayed open.
+    /// Whether no answer arrived within the deadline of the job although the connection stayed open.
     pub timed_out: bool,
     /// HTTP status of the answer; 0 if there is none.
     pub status: u16,
@@ -118,6 +118,7 @@
     id: String,
     task_count: u16,
     is_deadly: bool,
+    deadline: time::Duration,
     body: String,
 }
 
@@ -139,6 +140,8 @@
         job_number += 1;
         let task_count = random.random_range(1..5);
         let work_ms = random.random_range(20..parameters.max_work_ms);
+        let cpu_millis = parameters.task_cpu_millis;
+        let estimate_ms = work_ms.min(parameters.max_estimate_ms);
         let always_fails = random.random_bool(0.03);
         let is_deadly = deadly_random.random_bool(parameters.deadly_probability);
         // The payload is `MS:CPU`, with `!` for a task that always fails and `~` for one that crashes its
@@ -153,8 +156,9 @@
             id: format!("{seed:08x}{job_number:08x}"),
             task_count,
             is_deadly,
+            deadline: parameters.caller_deadline,
             body: format!(
-                r#"{{"spec":"{work_ms}:7000{failure_suffix}","best_effort":true,"job_steps":[{{"count":{task_count},"cpu":7000,"mem_mb":1,"estimate_ms":{work_ms}}}]}}"#
+                r#"{{"spec":"{work_ms}:{cpu_millis}{failure_suffix}","best_effort":true,"job_steps":[{{"count":{task_count},"cpu":{cpu_millis},"mem_mb":1,"estimate_ms":{estimate_ms}}}]}}"#
             ),
         };
         let delay = time::Duration::from_millis(random.random_range(5..120));
@@ -167,7 +171,7 @@
         let patience = random_patience(&parameters, &mut job_random);
         let duplicate = async {
             match other_node {
-                Some(other) => send_copy(&mut None, &site, other, &job, CALLER_TIMEOUT).await,
+                Some(other) => send_copy(&mut None, &site, other, &job, job.deadline).await,
                 None => None,
             }
         };
@@ -194,7 +198,7 @@
     if random.random_bool(parameters.hangup_probability) {
         time::Duration::from_millis(random.random_range(20..1_500))
     } else {
-        CALLER_TIMEOUT
+        parameters.caller_deadline
     }
 }
 
@@ -237,7 +241,7 @@
     let sender = connection.as_mut()?;
     let sent_at = time::Instant::now();
     let answer = tokio::time::timeout(patience, submit(sender, job)).await;
-    let timed_out = answer.is_err() && patience == CALLER_TIMEOUT;
+    let timed_out = answer.is_err() && patience == job.deadline;
     let (status, body) = answer.unwrap_or_default();
     if status == 0 {
         *connection = None;
@@ -264,7 +268,7 @@
         .header(http::header::HOST, site::ROUTE_HOST)
         .header(
             "X-Cuminkeel-Deadline-Ms",
-            CALLER_TIMEOUT.as_millis().to_string(),
+            job.deadline.as_millis().to_string(),
         )
         .body(Full::new(Bytes::from(job.body.clone())))
         .expect("request should be valid");
@@ -300,11 +304,12 @@
                 id: format!("ff{node:06x}{attempt:08x}"),
                 task_count: 1,
                 is_deadly: false,
+                deadline: PROBE_DEADLINE,
                 body: String::from(
                     r#"{"spec":"20:1000","best_effort":true,"job_steps":[{"count":1,"cpu":1000,"estimate_ms":20}]}"#,
                 ),
             };
-            let copy = send_copy(&mut None, site, node, &job, CALLER_TIMEOUT).await;
+            let copy = send_copy(&mut None, site, node, &job, job.deadline).await;
             if copy.is_some_and(|copy| copy.status == 200) {
                 break;
             }
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -53,6 +53,8 @@
 /// Distinguishes the random numbers of the later kinds of faults from those of the first kinds, so
 /// that an old seed still draws the same faults of the first kinds.
 const LATER_KINDS_SEED: u64 = 0x6c61_7465_7221;
+/// Distinguishes the random numbers of late orders from the others.
+const LATE_ORDERS_SEED: u64 = 0x6f72_6465_7273;
 /// Number of configurations in a storm.
 const STORM_CONFIGS: u64 = 10;
 
@@ -67,6 +69,10 @@
     let mut later_random = StdRng::seed_from_u64(seed ^ LATER_KINDS_SEED);
     let mut repairs: Vec<(time::Duration, Repair)> = Vec::new();
     tokio::time::sleep(DISCOVERY_TIME).await;
+    for (server, number) in site.servers.iter().zip(0_u64..) {
+        let order_seed = seed ^ LATE_ORDERS_SEED ^ (number << 48);
+        server.set_late_orders(parameters.late_order_share, order_seed);
+    }
     while fault_log.started_at.elapsed() < parameters.fault_phase {
         let now = fault_log.started_at.elapsed();
         let (due, pending) = repairs.into_iter().partition(|(at, _)| *at <= now);
--- a/crates/cuminkeel_node/tests/soak/invariants.rs
+++ b/crates/cuminkeel_node/tests/soak/invariants.rs
@@ -1,8 +1,9 @@
 //! Checks of the invariants against the records of callers and backend servers.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time};
 
 use cuminkeel_replay::{fake_server, run_audit};
+use platform_emulator::emulated_server;
 
 use crate::{callers, site};
 
@@ -33,18 +34,40 @@
     RepeatedCrashes(callers::CallRecord),
     /// A job of which every copy was refused has run.
     RefusedJobRan(callers::CallRecord),
-    /// A process that was not paused in that time did not answer within `CALLER_TIMEOUT`.
+    /// A process that was not paused in that time did not answer within the caller's deadline.
     TimedOut(callers::CallRecord),
     /// Some process does not serve after the end of all faults.
     NotServing,
 }
 
+impl InvariantViolation {
+    /// Returns the two runs of a task that overlapped, with their times as in the logs, if they did.
+    pub fn describe_overlap(&self) -> Option<String> {
+        let Self::OverlappingRuns(runs) = self else {
+            return None;
+        };
+        let [first, second] = runs.each_ref().map(|run| {
+            let [started_ms, ended_ms] =
+                [run.started_at, run.ended_at].map(emulated_server::unix_ms);
+            let (id, server, end) = (run.run_id, &run.server, &run.end);
+            format!("run {id} on {server} from {started_ms} to {ended_ms} ({end:?})")
+        });
+        let overlap = runs[0]
+            .ended_at
+            .min(runs[1].ended_at)
+            .saturating_sub(runs[1].started_at);
+        let task = &runs[0].task;
+        Some(format!("{task}: {first}, {second}: both for {overlap:?}"))
+    }
+}
+
 /// Returns all violations of the invariants in the records of a run.
 pub fn check(
     call_records: &[callers::CallRecord],
     server_histories: &[(Vec<fake_server::RunRecord>, u32)],
     nodes: &[site::SoakNode],
     all_serve: bool,
+    caller_deadline: time::Duration,
 ) -> Vec<InvariantViolation> {
     let mut violations = Vec::new();
     let mut audit = run_audit::RunAudit::default();
@@ -87,10 +110,8 @@
                 violations.push(InvariantViolation::RefusedJobRan(record.clone()));
             }
             () if record.timed_out
-                && !nodes[record.node].was_paused_between(
-                    record.sent_at,
-                    record.sent_at + callers::CALLER_TIMEOUT,
-                ) =>
+                && !nodes[record.node]
+                    .was_paused_between(record.sent_at, record.sent_at + caller_deadline) =>
             {
                 violations.push(InvariantViolation::TimedOut(record.clone()));
             }
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -69,11 +69,13 @@
     let call_records = running_callers.stop().await;
     let all_serve = callers::all_nodes_serve(&site).await;
     restarts.abort();
+    site.end_all_runs().await;
     let violations = invariants::check(
         &call_records,
         &site.server_histories(),
         &site.nodes,
         all_serve,
+        parameters.caller_deadline,
     );
     println!(
         "seed {seed}: {} faults, {} calls, {} completed, {} refused, {} without an answer, {} violations",
@@ -98,6 +100,12 @@
         for (injected_at, description) in fault_log.lock_faults().iter() {
             println!("{injected_at:.3?} {description}");
         }
+        for overlap in violations
+            .iter()
+            .filter_map(invariants::InvariantViolation::describe_overlap)
+        {
+            println!("{overlap}");
+        }
         site.keep_logs();
     }
     violations
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -36,6 +36,15 @@
     pub callers_per_node: u64,
     /// `SOAK_MAX_WORK_MS`: upper limit of the run time of a task, in ms.
     pub max_work_ms: u64,
+    /// `SOAK_MAX_ESTIMATE_MS`: upper limit of the run time that callers declare for a task, in ms.
+    pub max_estimate_ms: u64,
+    /// `SOAK_TASK_CPU`: processor use of a task, in thousandths of a core; each server has 16,000.
+    pub task_cpu_millis: u32,
+    /// `SOAK_DEADLINE_MS`: time in ms that a caller waits for an answer, sent as the deadline of its jobs.
+    pub caller_deadline: time::Duration,
+    /// `SOAK_LATE_ORDERS`: share of the orders to servers that stay unanswered and are carried out 2 to
+    /// 8 s later, from the end of the discovery until the end of all faults.
+    pub late_order_share: f64,
     /// `SOAK_DUPLICATES`: probability that a job is sent to two random processes at once, if they
     /// are of one failure domain.
     pub duplicate_probability: f64,
@@ -62,6 +71,12 @@
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
+            max_estimate_ms: read_variable("SOAK_MAX_ESTIMATE_MS").unwrap_or(u64::MAX),
+            task_cpu_millis: read_variable("SOAK_TASK_CPU").unwrap_or(7_000),
+            caller_deadline: time::Duration::from_millis(
+                read_variable("SOAK_DEADLINE_MS").unwrap_or(4_000),
+            ),
+            late_order_share: read_variable("SOAK_LATE_ORDERS").unwrap_or(0.0),
             duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             deadly_probability: read_variable("SOAK_DEADLY").unwrap_or(0.01),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -24,6 +24,8 @@
     ["north", "south", "east", "west", "centre", "coast"];
 /// Time from the crash of a server until it has restarted.
 const RESTART_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Longest lease that the servers give, in the settings of the processes.
+const MAX_LEASE: time::Duration = time::Duration::from_secs(1);
 /// Time after which a process that does not exit is killed.
 const EXIT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
@@ -189,6 +191,7 @@
                     .expect("server should start");
                 let server_proxy = start_proxy(&server.address()).await;
                 server.set_address(&server_proxy.address);
+                server.record_orders();
                 server.register(&store);
                 servers.push(server);
                 server_proxies.push(server_proxy);
@@ -262,7 +265,7 @@
             "node_name": name, "ip": ip.to_string(), "zone": domain_name,
             "bind_addrs": {"frontend": caller_address, "ready": ready_address, "control_plane": link_address},
             "seed_nodes": [], "limits": {"cpu_share": 0.5},
-            "bounds": {"max_hold_ms": 1000, "stop_timeout_ms": 50, "grace_s": 3, "config_apply_ms": 2000},
+            "bounds": {"max_hold_ms": MAX_LEASE.as_millis(), "stop_timeout_ms": 50, "grace_s": 3, "config_apply_ms": 2000},
             "platform": {"address": store_proxy.address},
         });
         let settings_path = self.directory.join(format!("{name}.json"));
@@ -349,6 +352,7 @@
         self.set_all_proxy_modes(loopback_proxy::ProxyMode::Forward);
         for server in &self.servers {
             server.set_mode(fake_server::ServerMode::Healthy);
+            server.set_late_orders(0.0, 0);
             server.set_draining(false, &self.store);
         }
         for node in &self.nodes {
@@ -365,8 +369,22 @@
             .collect()
     }
 
-    /// Keeps the directory with the logs when the site is dropped.
+    /// Ends all processes, and waits until no run has a lease, so that each run has a record.
+    pub async fn end_all_runs(&self) {
+        for node in &self.nodes {
+            node.signal(Signal::KILL);
+        }
+        tokio::time::sleep(MAX_LEASE + time::Duration::from_millis(200)).await;
+    }
+
+    /// Keeps the directory with the logs when the site is dropped, and adds the orders that each server
+    /// received.
     pub fn keep_logs(&self) {
+        for server in &self.servers {
+            let log_path = self.directory.join(format!("{}.log", server.id()));
+            fs::write(log_path, server.recorded_orders().join("\n"))
+                .expect("log file should be written");
+        }
         println!("logs are kept in {}", self.directory.display());
         self.keeps_logs.store(true, atomic::Ordering::Relaxed);
     }
