Let servers of the soak lose their registry entries while they run on

A server that is cut off from the store alone loses its entry and keeps its runs; its leader keeps them, too. The soak had no such server. SOAK_LOST_ENTRIES is the probability, each 100 ms, that a server loses its entry for 1 to 6 s; draws have a generator of their own, and the default is 0.

--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -48,11 +48,14 @@
     RestoreStore,
     RestoreProxy(usize),
     ReplaceServer(usize),
+    RestoreEntry(usize),
 }
 
 /// Distinguishes the random numbers of the later kinds of faults from those of the first kinds, so
 /// that an old seed still draws the same faults of the first kinds.
 const LATER_KINDS_SEED: u64 = 0x6c61_7465_7221;
+/// Distinguishes the random numbers of lost registry entries from the others.
+const LOST_ENTRIES_SEED: u64 = 0x656e_7472_6965;
 /// Distinguishes the random numbers of late orders from the others.
 const LATE_ORDERS_SEED: u64 = 0x6f72_6465_7273;
 /// Number of configurations in a storm.
@@ -67,6 +70,7 @@
 ) {
     let mut random = StdRng::seed_from_u64(seed);
     let mut later_random = StdRng::seed_from_u64(seed ^ LATER_KINDS_SEED);
+    let mut entry_random = StdRng::seed_from_u64(seed ^ LOST_ENTRIES_SEED);
     let mut repairs: Vec<(time::Duration, Repair)> = Vec::new();
     tokio::time::sleep(DISCOVERY_TIME).await;
     for (server, number) in site.servers.iter().zip(0_u64..) {
@@ -91,6 +95,17 @@
             let fault_duration = time::Duration::from_millis(later_random.random_range(200..2_500));
             injected.push((fault, fault_duration));
         }
+        if entry_random.random_bool(parameters.lost_entry_probability) {
+            let server = entry_random.random_range(0..site.servers.len());
+            let fault_duration =
+                time::Duration::from_millis(entry_random.random_range(1_000..6_000));
+            site.servers[server].set_reaches_store(false, &site.store);
+            let description = format!("server {server} loses its entry for {fault_duration:?}");
+            injected.push((
+                (description, Some(Repair::RestoreEntry(server))),
+                fault_duration,
+            ));
+        }
         for ((description, repair), fault_duration) in injected {
             fault_log.record(description);
             repairs.extend(repair.map(|repair| (now + fault_duration, repair)));
@@ -239,6 +254,9 @@
             site.servers[server].restart(&site.store);
             site.servers[server].set_draining(false, &site.store);
         }
+        Repair::RestoreEntry(server) => {
+            site.servers[server].set_reaches_store(true, &site.store);
+        }
         Repair::RestoreStore => site.store.set_mode(emulated_store::StoreMode::Up),
         Repair::RestoreProxy(index) => {
             site.set_proxy_mode(index, loopback_proxy::ProxyMode::Forward);
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -45,6 +45,9 @@
     /// `SOAK_LATE_ORDERS`: share of the orders to servers that stay unanswered and are carried out 2 to
     /// 8 s later, from the end of the discovery until the end of all faults.
     pub late_order_share: f64,
+    /// `SOAK_LOST_ENTRIES`: probability, each 100 ms, that a server can't reach the store for a while
+    /// and loses its registry entry.
+    pub lost_entry_probability: f64,
     /// `SOAK_DUPLICATES`: probability that a job is sent to two random processes at once, if they
     /// are of one failure domain.
     pub duplicate_probability: f64,
@@ -77,6 +80,7 @@
                 read_variable("SOAK_DEADLINE_MS").unwrap_or(4_000),
             ),
             late_order_share: read_variable("SOAK_LATE_ORDERS").unwrap_or(0.0),
+            lost_entry_probability: read_variable("SOAK_LOST_ENTRIES").unwrap_or(0.0),
             duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             deadly_probability: read_variable("SOAK_DEADLY").unwrap_or(0.01),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -353,6 +353,7 @@
         for server in &self.servers {
             server.set_mode(fake_server::ServerMode::Healthy);
             server.set_late_orders(0.0, 0);
+            server.set_reaches_store(true, &self.store);
             server.set_draining(false, &self.store);
         }
         for node in &self.nodes {
