--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -91,6 +91,7 @@
         terms: job_model::OfferTerms::Useful,
         sent_at: ms(10),
         source: Arc::from("vm"),
+        session: job_model::OfferSession::default(),
     }
 }
 
