Widen the column of decisions in explain for the new kinds

`stop_unconfirmed` and `orphan_withdrawn` have 16 letters. A link from a public method to a private constant, which rustdoc rejects, becomes plain text.

--- a/crates/cuminkeel_dispatch/src/run_evidence.rs
+++ b/crates/cuminkeel_dispatch/src/run_evidence.rs
@@ -70,7 +70,7 @@
 
     /// Returns the time since the first stop order if it is to be logged that the run was reported in
     /// the response to a hold sent at `sent_at`: a stop takes effect within `stop_time`, and the lines
-    /// are [`STOPPED_RUN_LOG_INTERVAL`] apart.
+    /// are `STOPPED_RUN_LOG_INTERVAL` apart.
     pub fn take_reported_log(
         &mut self,
         sent_at: time::Duration,
--- a/crates/cuminkeel_node/src/explain.rs
+++ b/crates/cuminkeel_node/src/explain.rs
@@ -82,13 +82,14 @@
 
 /// Renders the lines as a table, with the time since the first line.
 pub fn render_table(lines: &[ExplainedLine]) -> String {
-    let mut table =
-        String::from("     ms  node                 decision      outcome              inputs\n");
+    let mut table = String::from(
+        "     ms  node                 decision         outcome              inputs\n",
+    );
     let first_ms = lines.first().map_or(0, |line| line.at_ms);
     for line in lines {
         let elapsed_ms = line.at_ms.saturating_sub(first_ms);
         let row = format!(
-            "{elapsed_ms:>7}  {:20} {:13} {:20} {}\n",
+            "{elapsed_ms:>7}  {:20} {:16} {:20} {}\n",
             line.node,
             line.message,
             line.outcome,
