Start no run on a server whose lease outlasts the bound of the job

Callers saw: a task that starts long after the last sign of its coordinator gets the lease that its server has already, for other runs. So it may last longer than until its caller can come again.

Cause: the bound limited the lease that a start asks for, but a lease never shortens.

Fix: such a server is not chosen for the task; one with less lease left, or the next sign, is waited for.

--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -324,6 +324,7 @@
         let task = job.tasks.get(task_index)?;
         let step = job.spec.steps.get(usize::from(task.name.step))?;
         let is_suspected = task.verdict != crash_ledger::TaskVerdict::Unsuspected;
+        let lease_bound = self.lease_bound(job_id, now)?;
         let mut cheapest: Option<(PlacementRank, &Arc<str>, f64)> = None;
         for id in open_servers.with_room(step.cpu_millis) {
             let Some(slot) = self.servers.get(id) else {
@@ -336,6 +337,7 @@
                 || !slot.accepts_task_while_cold(now)
                 || slot.is_reserved()
                 || slot.has_expiring_run(self.settings.hold_wait, now)
+                || !slot.leases_end_by(lease_bound)
                 || !crashes::allows_start(task.verdict, slot)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -444,6 +444,13 @@
         })
     }
 
+    /// Whether no lease that was granted on the server lasts beyond `bound`. A run that starts gets the lease
+    /// that the server has already.
+    pub fn leases_end_by(&self, bound: time::Duration) -> bool {
+        self.lease_expiry_before_ms(bound)
+            .is_some_and(|latest_ms| self.lease_expiry_ms <= latest_ms)
+    }
+
     /// Whether a run that no job uses has to end within `time`, so that the lease of a new run could not
     /// be renewed.
     pub fn has_expiring_run(&self, time: time::Duration, now: time::Duration) -> bool {
