Let the fake server reject the start of a run that was stopped before it arrived

PROTOCOL.md: a stopped run that is not there yet is rejected later, and so is any run that is not higher than one stopped or ended there; a lower token does nothing; a start of a run that is there succeeds. The fake server started all of these, and replaced a run by a second start of itself, and answered a fenced stop with 200 where it did nothing.

--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -96,6 +96,8 @@
     pub runs: BTreeMap<job_model::TaskName, FakeRun>,
     /// Highest fencing token that an order had.
     highest_token: u64,
+    /// Highest id of a stopped or ended run of each task; lower and equal ones are not started.
+    highest_ended_runs: BTreeMap<job_model::TaskName, u64>,
     /// Time at which the leases of all runs expire, on the server's clock.
     lease_expiry_ms: u64,
     /// Ended runs that no hold has acknowledged.
@@ -133,6 +135,7 @@
             long_run_share: 0.0,
             runs: BTreeMap::new(),
             highest_token: 0,
+            highest_ended_runs: BTreeMap::new(),
             lease_expiry_ms: 0,
             unacknowledged_ends: Vec::new(),
             last_end_sequence: 0,
@@ -173,6 +176,7 @@
             self.record_run(&task, &run, now, None);
         }
         self.highest_token = 0;
+        self.highest_ended_runs.clear();
         self.lease_expiry_ms = 0;
         self.unacknowledged_ends.clear();
         self.last_end_sequence = 0;
@@ -216,6 +220,7 @@
         ended_at: time::Duration,
         end: Option<server_model::RunEnd>,
     ) {
+        self.reject_runs_up_to(task, run.run_id);
         self.history.push(RunRecord {
             server: Arc::clone(&self.entry.id),
             task: task.clone(),
@@ -226,6 +231,11 @@
         });
     }
 
+    fn reject_runs_up_to(&mut self, task: &job_model::TaskName, run_id: u64) {
+        let highest = self.highest_ended_runs.entry(task.clone()).or_default();
+        *highest = run_id.max(*highest);
+    }
+
     fn add_reported_end(
         &mut self,
         task: job_model::TaskName,
@@ -241,8 +251,8 @@
         });
     }
 
-    /// Carries out a start order, unless its fencing token is too low or the lease that it
-    /// requests has already expired.
+    /// Carries out a start order, unless its fencing token is too low, the lease that it requests has
+    /// already expired, or the same or a later run of the task was stopped or has ended here.
     pub fn start(
         &mut self,
         order: &server_model::StartOrder,
@@ -259,6 +269,14 @@
             return server_model::StartOutcome::ArrivedLate;
         }
         self.lease_expiry_ms = self.lease_expiry_ms.max(order.lease_expiry_ms);
+        let runs_here = |run: &FakeRun| run.run_id == order.run_id;
+        if self.runs.get(&order.task).is_some_and(runs_here) {
+            return server_model::StartOutcome::Started { clock_ms };
+        }
+        let highest_ended = self.highest_ended_runs.get(&order.task);
+        if highest_ended.is_some_and(|ended| order.run_id <= *ended) {
+            return server_model::StartOutcome::StaleRunId;
+        }
         let (slowdown_factor, fails) = match self.mode {
             ServerMode::Slow(factor) => (self.slowdown_factor * factor, profile.always_fails),
             ServerMode::Hanging => (1e4, profile.always_fails),
@@ -295,18 +313,20 @@
         draw < self.long_run_share * f64::from(u32::MAX)
     }
 
-    /// Carries out a stop order; ignores it if its fencing token is too low or if it names
-    /// another run.
-    pub fn stop(&mut self, order: &server_model::StopOrder, now: time::Duration) {
+    /// Carries out a stop order: ends the run, or rejects its start if that comes later. Returns false,
+    /// and does nothing, if the fencing token is too low.
+    pub fn stop(&mut self, order: &server_model::StopOrder, now: time::Duration) -> bool {
         self.advance(now);
+        if order.token < self.highest_token {
+            return false;
+        }
+        self.highest_token = order.token;
+        self.reject_runs_up_to(&order.task, order.run_id);
         let runs_here = self
             .runs
             .get(&order.task)
             .is_some_and(|run| run.run_id == order.run_id);
-        if order.token >= self.highest_token
-            && runs_here
-            && let Some(run) = self.runs.remove(&order.task)
-        {
+        if runs_here && let Some(run) = self.runs.remove(&order.task) {
             self.record_run(&order.task, &run, now, Some(server_model::RunEnd::Stopped));
             self.add_reported_end(
                 order.task.clone(),
@@ -314,6 +334,7 @@
                 server_model::RunEnd::Stopped,
             );
         }
+        true
     }
 
     /// Applies a hold's fencing token, lease and acknowledgement. Returns false, and applies
