--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -144,6 +144,25 @@
     (any_figure(), any_figure(), any_figure())
 }
 
+/// Numbers of a server, with the bounds of the decoder.
+fn any_number() -> impl proptest::strategy::Strategy<Value = u64> {
+    const MAX_NUMBER: u64 = (1 << 53) - 1;
+    proptest::prop_oneof![
+        0..10_u64,
+        0..=MAX_NUMBER,
+        proptest::strategy::Just(MAX_NUMBER)
+    ]
+}
+
+fn task_name(index: u16) -> job_model::TaskName {
+    job_model::TaskName {
+        job: Arc::from("job"),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
 /// Without it, a pool at a huge server would be busy with its forecast for so long that it takes itself for paused,
 /// and a task that needs no processor would do the same at any server.
 #[test]
@@ -242,4 +261,62 @@
             let _tasks = room.startable_tasks(0);
         }
     }
+
+    /// Guards against sums with a server's clock, runs and ends that overflow. The bound is that of the decoder.
+    #[test]
+    fn pool_takes_any_numbers_of_a_server(
+        reports in proptest::collection::vec(
+            (
+                any_number(),
+                proptest::option::of(0..=7_258_118_400_000_u64),
+                proptest::collection::vec((0_u16..3, any_number(), 0_u8..=100), 0..3),
+                proptest::collection::vec((any_number(), 0_u16..3, any_number()), 0..3),
+            ),
+            1..6,
+        ),
+        may_have_started in any::<bool>(),
+    ) {
+        let mut pool = held_pool(&[(16_000, 32_768, 0)]);
+        let mut offer = offer("job", vec![step(3, 1_000)]);
+        offer.may_have_started = may_have_started;
+        let mut now = ms(10);
+        let mut holds = Vec::new();
+        pool.submit(&offer, pool_action::WaiterId(1), now);
+        for (clock_ms, incarnation, running, finished) in reports {
+            pool.tick(now);
+            holds.extend(pool.take_actions(now).into_iter().filter_map(|action| match action {
+                pool_action::PoolAction::Hold(order) => Some(order),
+                _ => None,
+            }));
+            let report = server_model::HoldReport {
+                clock_ms,
+                incarnation,
+                running: running
+                    .into_iter()
+                    .map(|(index, run_id, percent)| server_model::ReportedRun {
+                        task: task_name(index),
+                        run_id,
+                        percent,
+                    })
+                    .collect(),
+                finished: finished
+                    .into_iter()
+                    .map(|(sequence, index, run_id)| server_model::ReportedEnd {
+                        sequence,
+                        task: task_name(index),
+                        run_id,
+                        end: server_model::RunEnd::Failed,
+                    })
+                    .collect(),
+                unreadable_count: 0,
+            };
+            now += ms(25);
+            if let Some(order) = holds.last() {
+                let outcome = server_model::HoldOutcome::Reported(report);
+                pool.apply_hold_outcome(order, outcome, now);
+            }
+        }
+        pool.tick(now + ms(300));
+        let _load = pool.load(now + ms(300));
+    }
 }
