Answer callers whose refusal states the longest waits

A caller whose job a peer refused with a very long `retry_after` got no answer: the task that offers its job ended, in release builds, too, and its connection closed. The wait without its jitter was computed by a product that overflows. The same holds for the estimate of a peer's clock and for the rest of an overdue run.

The sums and products of times stay at the longest one, which compares as such.

--- a/crates/cuminkeel_dispatch/src/message_delay.rs
+++ b/crates/cuminkeel_dispatch/src/message_delay.rs
@@ -33,7 +33,8 @@
     /// Returns what the peer's clock shows at `now`, less the delay of the message with the reading.
     /// A message that is dated by it therefore never seems newer than it is.
     pub fn estimate(&self, now: time::Duration) -> time::Duration {
-        self.reading + now.saturating_sub(self.received_at)
+        let elapsed = now.saturating_sub(self.received_at);
+        self.reading.saturating_add(elapsed)
     }
 }
 
--- a/crates/cuminkeel_dispatch/src/overdue_run.rs
+++ b/crates/cuminkeel_dispatch/src/overdue_run.rs
@@ -47,10 +47,10 @@
     pub fn action(&self) -> OverdueAction {
         // Extrapolates the progress so far; a run without progress counts as 1 % done.
         let percent = u32::from(self.percent.clamp(1, 100));
-        let remaining = self.elapsed * (100 - percent) / percent;
+        let remaining = self.elapsed.saturating_mul(100 - percent) / percent;
         let is_stalled = self.percent <= MAX_STALLED_PERCENT;
         match () {
-            () if remaining <= self.reschedule_time * MIN_GAIN_FACTOR
+            () if remaining <= self.reschedule_time.saturating_mul(MIN_GAIN_FACTOR)
                 || self.reschedule_time >= self.time_to_expiry =>
             {
                 OverdueAction::Wait
--- a/crates/cuminkeel_dispatch/src/retry_advice.rs
+++ b/crates/cuminkeel_dispatch/src/retry_advice.rs
@@ -14,7 +14,8 @@
 pub fn jittered_retry_after(job: &str, wait: time::Duration) -> time::Duration {
     let [jitter, ..] = *blake3::hash(job.as_bytes()).as_bytes();
     let jitter_range = wait.max(MIN_JITTER_RANGE);
-    wait + jitter_range * u32::from(jitter) / u32::from(u8::MAX)
+    let jitter = jitter_range.saturating_mul(u32::from(jitter)) / u32::from(u8::MAX);
+    wait.saturating_add(jitter)
 }
 
 /// Returns the wait from which [`jittered_retry_after`] got `retry_after` for `job`.
@@ -26,6 +27,6 @@
     if short_wait <= MIN_JITTER_RANGE {
         short_wait
     } else {
-        retry_after * whole / (whole + u32::from(jitter))
+        retry_after.saturating_mul(whole) / (whole + u32::from(jitter))
     }
 }
