Answer callers whose jobs state the longest run times

A caller of a job of 5,700 dependent steps with the longest estimates, 256 KiB, got no answer while other jobs of this process were on their way to a full pool: the task that offers the job ended, in release builds, too, and its connection closed. The wait in the pool was computed by the product of the job's critical path and the processor of the jobs sent.

Evidence: `job_of_the_longest_estimates_gets_an_answer` failed before with `overflow when multiplying duration by scalar`, and so did `each_job_gets_an_answer_from_any_pools`.

The product and the sums with it stay at the longest time, which is after every deadline. The sums of the pool's forecast do the same.

--- a/crates/cuminkeel_dispatch/src/offer_plan.rs
+++ b/crates/cuminkeel_dispatch/src/offer_plan.rs
@@ -661,14 +661,19 @@
         let wait = match pool.room {
             Some(room) if room.largest_cpu_millis < self.largest_task_cpu_millis() => return None,
             Some(room) => {
-                let sent_wait = critical_path * pool.sent_cpu_millis / pool.total_cpu_millis.max(1);
+                // Callers declare the run times of their jobs, and the pool its capacity.
+                let sent_wait = critical_path.saturating_mul(pool.sent_cpu_millis)
+                    / pool.total_cpu_millis.max(1);
                 let stale_wait = pool.room_age.saturating_sub(ROOM_VALIDITY);
-                time::Duration::from_millis(u64::from(room.queue_wait_ms)) + sent_wait + stale_wait
+                time::Duration::from_millis(u64::from(room.queue_wait_ms))
+                    .saturating_add(sent_wait)
+                    .saturating_add(stale_wait)
             }
             None if pool.queued_jobs == 0 => time::Duration::ZERO,
             None => UNKNOWN_QUEUE_WAIT,
         };
-        (now + wait + critical_path <= self.limits.answer_deadline).then_some(wait)
+        let end = now.saturating_add(wait).saturating_add(critical_path);
+        (end <= self.limits.answer_deadline).then_some(wait)
     }
 
     /// Returns the rank of `candidate` in a draw in which each one comes first with a probability in
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -68,7 +68,8 @@
             ));
         };
         let critical_path = job.critical_path.mul_f64(slowdown);
-        let meets_objective = now + start + critical_path <= job.objective_at;
+        let end = now.saturating_add(start).saturating_add(critical_path);
+        let meets_objective = end <= job.objective_at;
         let is_admitted = match terms {
             job_model::OfferTerms::AtOnce => {
                 let slack = job.objective_at.saturating_sub(now + critical_path);
@@ -77,7 +78,10 @@
             // A late job is queued behind all jobs that can still meet their objective, also those
             // that arrive after it, so its wait is assumed to be twice the forecast one.
             job_model::OfferTerms::Useful => {
-                meets_objective || now + start * 2 + critical_path <= job.expires_at
+                let end = now
+                    .saturating_add(start.saturating_mul(2))
+                    .saturating_add(critical_path);
+                meets_objective || end <= job.expires_at
             }
         };
         if is_admitted {
@@ -203,7 +207,7 @@
             && let Some(run_time) = job.nominal_run_times.get(usize::from(task.name.step))
         {
             task_count += 1;
-            total_run_time += *run_time;
+            total_run_time = total_run_time.saturating_add(*run_time);
         }
     }
     capacity_forecast::QueuedWork {
--- a/crates/cuminkeel_dispatch/tests/peer_figures.rs
+++ b/crates/cuminkeel_dispatch/tests/peer_figures.rs
@@ -112,6 +112,24 @@
     panic!("the plan should end");
 }
 
+/// Guards against a caller whose connection closes without an answer: the task that offers its job ended.
+#[test]
+fn job_of_the_longest_estimates_gets_an_answer() {
+    let steps = (0..MOST_STEPS).map(|position| step(position, (1, 1_000, u32::MAX)));
+    let spec = job_spec(steps.collect(), 1.5);
+    let pool = offer_plan::OtherPool {
+        sent_cpu_millis: u32::MAX,
+        ..other_pool(0)
+    };
+    let retry_after = time::Duration::from_secs(1);
+    let answer = answer_of(spec, vec![pool], retry_after);
+    let expected = offer_plan::JobAnswer::Refused {
+        reason: job_model::RefusalReason::QueueTooLong,
+        retry_after,
+    };
+    assert_eq!(answer, expected);
+}
+
 /// Guards against a caller whose connection closes without an answer, because of a peer's wait.
 #[test]
 fn job_refused_for_the_longest_wait_gets_an_answer() {
@@ -152,9 +170,54 @@
     ]
 }
 
+fn any_pool(number: usize) -> impl Strategy<Value = offer_plan::OtherPool> {
+    let room = (
+        any_figure(),
+        any::<[u16; pool_room::BIN_COUNT]>(),
+        any_figure(),
+    );
+    let capacity = (any_figure(), any_figure(), any_figure(), any_figure());
+    (
+        proptest::option::of(room),
+        capacity,
+        any::<u64>(),
+        any::<bool>(),
+    )
+        .prop_map(
+            move |(room, (free, total, queued, sent), room_age, is_near)| offer_plan::OtherPool {
+                is_near,
+                free_cpu_millis: free,
+                total_cpu_millis: total,
+                queued_jobs: queued,
+                sent_cpu_millis: sent,
+                room: room.map(|(largest_cpu_millis, server_counts, queue_wait_ms)| {
+                    pool_room::PoolRoom {
+                        largest_cpu_millis,
+                        server_counts,
+                        queue_wait_ms,
+                    }
+                }),
+                room_age: time::Duration::from_nanos(room_age),
+                ..other_pool(number)
+            },
+        )
+}
+
 proptest::proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(500) })]
 
+    #[test]
+    fn each_job_gets_an_answer_from_any_pools(
+        pools in (any_pool(0), any_pool(1), any_pool(2)),
+        steps in proptest::collection::vec((any::<u16>(), any_figure(), any_figure()), 0..4),
+        stretch_factor in proptest::num::f64::ANY,
+        retry_after in any_duration(),
+    ) {
+        let (first, second, third) = pools;
+        let steps = (0..).zip(steps).map(|(position, figures)| step(position, figures)).collect();
+        let _answer = answer_of(job_spec(steps, stretch_factor), vec![first, second, third], retry_after);
+    }
+
     #[test]
     fn waits_and_clocks_of_any_length_do_not_overflow(
         one in any_duration(),
