Keep the slowdown of a kind of server known after 4,294,967,296 runs

All callers of a pool would get no answers, and its servers no tasks: after 2^32 runs on servers of a kind, about 13 days at a sixth of the target's 23,000 starts a second, the number of runs wraps to 0 in a release build. The weight of the next run then is infinite and the kind's slowdown no number, for good, and a time multiplied by it ends the pool's task.

Runs are counted only as long as the number matters, up to 255, and the count stays there. `slowdown_of_a_kind_stays_known_after_many_runs` guards the smaller count; it passed before, as 2^32 runs are too long for a test.

--- a/crates/cuminkeel_dispatch/src/health.rs
+++ b/crates/cuminkeel_dispatch/src/health.rs
@@ -30,7 +30,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct KindSlowdown {
     log_slowdown: f64,
-    samples: u32,
+    /// Number of recorded runs, up to 255: from the 34th on, the weight of a new one is constant.
+    samples: u8,
 }
 
 impl KindSlowdown {
@@ -42,7 +43,7 @@
     /// Records a run that took `actual` and whose nominal run time is `nominal`.
     pub fn record(&mut self, actual: time::Duration, nominal: time::Duration) {
         let log_slowdown = log_ratio(actual, nominal);
-        self.samples += 1;
+        self.samples = self.samples.saturating_add(1);
         // An arithmetic mean at first, then an exponential moving average.
         let weight = KIND_SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
         self.log_slowdown += weight * (log_slowdown - self.log_slowdown);
--- a/crates/cuminkeel_dispatch/tests/decisions.rs
+++ b/crates/cuminkeel_dispatch/tests/decisions.rs
@@ -711,3 +711,15 @@
         "{linked:?}"
     );
 }
+
+/// Guards against a number of runs that overflows: the slowdown of a kind of server then is no number, and no task can
+/// be placed at its servers.
+#[test]
+fn slowdown_of_a_kind_stays_known_after_many_runs() {
+    let mut kind = health::KindSlowdown::default();
+    for _ in 0..100_000 {
+        kind.record(ms(120), ms(100));
+    }
+    let factor = kind.slowdown_factor();
+    assert!((factor - 1.2).abs() < 1e-6, "{factor}");
+}
