Take a process's address only from the record under its own name

Callers got 503 (`no_pool`) at a process that had just started while the leader lived: a record of another writer in the peer list, under a key of its own, named the leader and an address at which nothing listens. It replaced the leader's entry, status and link.

Evidence: `peer_list_is_followed_past_odd_records` failed before, at the first calls: `left: 503`, `right: 200`.

Each process writes its record under its own name, so a record that names another process than its key is logged as `peer_entry_ignored` and left out. Records are read and written as before.

--- a/crates/cuminkeel_node/src/peer_discovery.rs
+++ b/crates/cuminkeel_node/src/peer_discovery.rs
@@ -121,6 +121,11 @@
         return;
     };
     match serde_json::from_slice::<link_frame::PeerHello>(value) {
+        // A process writes only under its own name: another writer must not replace its address.
+        Ok(hello) if hello.name != record.key => {
+            slog::info!(node.logger, "peer_entry_ignored"; "peer" => &*record.key,
+                "error" => "the record names another process than its key");
+        }
         Ok(hello) => {
             let is_known = node
                 .peers()
--- a/crates/cuminkeel_node/tests/node/odd_entries.rs
+++ b/crates/cuminkeel_node/tests/node/odd_entries.rs
@@ -215,3 +215,65 @@
     tokio::time::sleep(time::Duration::from_millis(100)).await;
     assert_eq!(second.submit("00000000000000ff", "20", 2).await.0, 200);
 }
+
+/// Returns odd records of the peer list, each with its key. Nothing listens at `closed_address`.
+fn odd_peer_records(closed_address: &str) -> Vec<(String, Vec<u8>)> {
+    let deep_value = format!("{}{}", "[".repeat(60_000), "]".repeat(60_000));
+    let record = |name: &str, address: &str, cpu_millis: &str, boot: &str| {
+        format!(
+            r#"{{"name":"{name}","failure_domain":"north","link_address":"{address}","cpu_millis":{cpu_millis},"boot":{boot}}}"#
+        )
+    };
+    let mut records: Vec<(String, Vec<u8>)> = [
+        record("odd-0", "127.0.0.1:70000", "250", "1"),
+        record("odd-1", "127.0.0.1:-1", "250", "1"),
+        record("odd-2", "", "250", "1"),
+        record("odd-3", "http://[::/", "4294967295", "18446744073709551615"),
+        record("odd-4", closed_address, "4294967295", "0"),
+        record("odd-5", closed_address, "4294967296", "1"),
+        record("odd-6", closed_address, "-1", "1"),
+        record("odd-7", closed_address, "NaN", "1e300"),
+        record("odd-8", closed_address, &deep_value, "1"),
+        record(&"x".repeat(60_000), closed_address, "250", "1"),
+        record("", closed_address, "250", "1"),
+        // In the place of other processes.
+        record("n1", closed_address, "250", "7"),
+        record("n2", closed_address, "250", "7"),
+        deep_value,
+        String::from("[]"),
+        String::from("{}"),
+    ]
+    .into_iter()
+    .enumerate()
+    .map(|(number, value)| (format!("odd-{number}"), value.into_bytes()))
+    .collect();
+    records.push((String::from("odd-raw"), vec![0xff, 0xfe, 0x00]));
+    records
+}
+
+/// Guards against processes that end, stop following the peer list, or lose each other, because of odd records in it:
+/// a process that does not find the leader takes its servers, and calls fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn peer_list_is_followed_past_odd_records() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let closed_address = platform_emulator::loopback::unique_ip().to_string() + ":9";
+    let put_odd_records = || {
+        for (key, value) in odd_peer_records(&closed_address) {
+            platform.store.put("keyed.peers", &key, value);
+        }
+    };
+    let first = platform.start_ready_node("n1", "north").await;
+    put_odd_records();
+    let second = platform.start_ready_node("n2", "north").await;
+    for number in 0..10 {
+        let node = [&first, &second][number % 2];
+        let id = format!("{number:016x}");
+        assert_eq!(node.submit(&id, "100", 2).await.0, 200);
+        assert_eq!(first.gauge_value("held_servers").await, Some(2));
+        assert_eq!(second.gauge_value("held_servers").await, Some(0));
+    }
+    put_odd_records();
+    let third = platform.start_ready_node("n3", "north").await;
+    assert_eq!(third.submit("00000000000000ff", "20", 2).await.0, 200);
+    assert_eq!(first.gauge_value("held_servers").await, Some(2));
+}
