--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -617,7 +617,9 @@
                     self.check_invariants(&order.task, server_id);
                 }
             }
-            LateOrder::Stop(order) => server.stop(order, now),
+            LateOrder::Stop(order) => {
+                server.stop(order, now);
+            }
             LateOrder::Hold(order) => {
                 server.apply_hold(order, now);
             }
