Forget a peer that is leaving only when it can't be dialled

Cause: a connection that breaks was taken for the end of a process that had said that it is leaving. A reset made two processes that were being stopped forget each other, until both led.

Fix: the link dials once more. A process that has ended refuses that, or does not answer; until then the peer stays a member that is leaving, which leads only if no other is left.

Evidence: peers::peer_that_is_leaving_is_forgotten_only_when_it_can_not_be_dialled failed before (the link never dialled again) and passes.

--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -248,9 +248,10 @@
         if self.current_entry(&mut peers).is_none() {
             return;
         }
+        // A broken connection doesn't show that the process has ended; a dial that fails after it does.
         let has_left = peers
             .get(&self.name)
-            .is_some_and(|peer| peer.status.leaving && peer.connected);
+            .is_some_and(|peer| peer.status.leaving && !peer.connected);
         if has_left {
             // If the VM starts again, its new process announces itself.
             slog::info!(node.logger, "peer_left"; "peer" => &*self.name);
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -231,6 +231,68 @@
     assert_eq!(end, job_model::JobEnd::NotLeader);
 }
 
+/// Answers the dial of a link as the process `n1`, which is about to stop.
+async fn accept_as_leaving(
+    listener: &tokio::net::TcpListener,
+    address: &str,
+) -> tokio::net::TcpStream {
+    let dial = tokio::time::timeout(test_platform::TEST_TIMEOUT, listener.accept()).await;
+    let (mut stream, _) = dial
+        .expect("the link should dial in time")
+        .expect("the dial should be accepted");
+    let status = link_frame::PeerStatus {
+        leaving: true,
+        ..link_frame::PeerStatus::default()
+    };
+    let frames = [
+        link_frame::LinkFrame::Hello(hello("n1", address)),
+        link_frame::LinkFrame::Status(status),
+    ];
+    link_frame::write_frames(&mut stream, &frames)
+        .await
+        .expect("frames should be sent");
+    stream
+}
+
+/// Two processes that are about to stop forgot each other when their connection was reset. Both then led and
+/// used the same servers (soak seed 3106).
+#[tokio::test]
+async fn peer_that_is_leaving_is_forgotten_only_when_it_can_not_be_dialled() {
+    let node = idle_node().await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port should be free");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    node_state::upsert_peer(&node, hello("n1", &address));
+    let link = peer_link::start_link(&node, &hello("n1", &address));
+    if let Some(peer) = node.peers().get_mut("n1") {
+        peer.link = Some(link);
+    }
+    let is_leaving = || {
+        node.peers()
+            .get("n1")
+            .is_some_and(|peer| peer.status.leaving)
+    };
+    let connection = accept_as_leaving(&listener, &address).await;
+    test_platform::wait_until("the peer to leave", async || is_leaving()).await;
+    drop(connection);
+    let connection = accept_as_leaving(&listener, &address).await;
+    assert!(
+        is_leaving(),
+        "a broken connection doesn't show that the process has ended"
+    );
+    test_platform::wait_until("the peer to be connected again", async || {
+        node.peers().get("n1").is_some_and(|peer| peer.connected)
+    })
+    .await;
+    drop(listener);
+    drop(connection);
+    test_platform::wait_until("the peer that has ended to be forgotten", async || {
+        node.peers().get("n1").is_none()
+    })
+    .await;
+}
+
 /// Connection to a process as one of its peers.
 pub struct RawPeer {
     stream: tokio::net::TcpStream,
