Ignore epochs of peers that no process can have

Callers would get 503 from then on: a status of a peer with an epoch beyond the last one was taken as the last one. At it, tokens differ only by the random number of their process, so a server obeys no process with a lower number than that of its last claimant, whatever becomes of the leader.

The statuses are sent and decoded as before.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -250,9 +250,11 @@
         self.epoch
     }
 
-    /// Records an epoch that another process uses.
+    /// Records an epoch that another process uses; one that no process can use is ignored.
     pub fn observe_epoch(&mut self, epoch: u64) {
-        self.epoch = self.epoch.max(epoch.min(MAX_EPOCH));
+        if is_epoch(epoch) {
+            self.epoch = self.epoch.max(epoch);
+        }
     }
 
     /// Records that servers with runs may be missing from the registry until `until`.
@@ -411,5 +413,10 @@
     }
 }
 
+/// Whether `epoch` can be that of a fencing token.
+pub fn is_epoch(epoch: u64) -> bool {
+    epoch <= MAX_EPOCH
+}
+
 /// Inputs of a decision record without inputs.
 const NO_INPUTS: [(&str, i64); 0] = [];
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -159,10 +159,11 @@
     /// Records the epoch of a peer's fencing tokens, if it is higher than all recorded before, so
     /// that later claims of this process use a higher one.
     pub fn observe_epoch(&self, epoch: u64) {
-        if self
-            .highest_epoch
-            .fetch_max(epoch, atomic::Ordering::Relaxed)
-            < epoch
+        if pool::is_epoch(epoch)
+            && self
+                .highest_epoch
+                .fetch_max(epoch, atomic::Ordering::Relaxed)
+                < epoch
         {
             self.send(PoolEvent::PeerEpoch(epoch));
         }
