--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -131,6 +131,27 @@
     assert_eq!(submit(&mut pool, &offer("large", steps)), (2, Vec::new()));
 }
 
+/// Guards against callers that are refused as `queue_too_long` while servers idle, as a job with many steps is ahead: only
+/// one of its tasks can run at a time.
+#[test]
+fn job_of_dependent_steps_keeps_no_servers_from_others() {
+    let mut pool = held_pool(&[(16_000, 32_768, 0), (16_000, 32_768, 0)]);
+    let hour_ms = 3_600_000;
+    let steps = (0..100_u16).map(|position| job_model::StepSpec {
+        estimate_ms: hour_ms,
+        depends_on: position.checked_sub(1).into_iter().collect(),
+        ..step(1, 1_000)
+    });
+    let mut chain = offer("chain", steps.collect());
+    chain.time_to_deadline = ms(u64::from(hour_ms) * 24);
+    let mut other = offer("other", vec![step(1, 1_000)]);
+    for (id, offer) in [("chain", &mut chain), ("other", &mut other)] {
+        // The other job is served behind the first.
+        Arc::make_mut(&mut offer.spec).stretch_factor = 1.0;
+        assert_eq!(submit(&mut pool, offer), (1, Vec::new()), "{id}");
+    }
+}
+
 /// Capacities of servers over the whole range, with a mark for the bounds and for usual ones.
 fn any_capacity() -> impl proptest::strategy::Strategy<Value = Capacity> {
     let any_figure = || {
--- a/crates/cuminkeel_node/tests/node/odd_entries.rs
+++ b/crates/cuminkeel_node/tests/node/odd_entries.rs
@@ -277,3 +277,87 @@
     assert_eq!(third.submit("00000000000000ff", "20", 2).await.0, 200);
     assert_eq!(first.gauge_value("held_servers").await, Some(2));
 }
+
+/// Returns the body of a job of one step with these fields.
+fn step_body(fields: &str) -> String {
+    format!(r#"{{"spec":"20","best_effort":true,"job_steps":[{{{fields}}}]}}"#)
+}
+
+/// Guards against callers without an answer, and against others that are refused, because of odd figures in a job, a
+/// deadline or the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_odd_figures_get_answers_beside_others() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let config = format!(
+        r#"{{"version":9007199254740993,"routes":[{{"name":"orders","host":"{}","path_prefix":"{}","type":"idempotent",
+        "timeout_ms":1.7e308,"target_latency_ms":1e300,"priority":4294967295,"service":"order-desk",
+        "max_attempts":4294967295,"stretch_factor":-1.7e308}}],"services":[],"limits":{{"max_body_bytes":300000}}}}"#,
+        test_platform::HOST,
+        test_platform::PREFIX
+    );
+    platform.store.put("keyed.op", "config", config);
+    let node = platform.start_ready_node("n1", "north").await;
+    let chain: Vec<String> = (0..5_000_u32)
+        .map(|position| {
+            let earlier = position.checked_sub(1);
+            let earlier = earlier.map_or(String::new(), |earlier| earlier.to_string());
+            format!(r#"{{"cpu":1,"estimate_ms":4294967295,"depends_on":[{earlier}]}}"#)
+        })
+        .collect();
+    let small_job = step_body(r#""count":1,"cpu":1000,"mem_mb":1,"estimate_ms":20"#);
+    let cases = [
+        (
+            step_body(r#""cpu":4294967295,"mem_mb":4294967295,"gpu":4294967295"#),
+            "8000",
+            503,
+        ),
+        (step_body(r#""count":65535,"cpu":4294967295"#), "8000", 503),
+        (
+            step_body(r#""count":18446744073709551615,"cpu":1"#),
+            "8000",
+            503,
+        ),
+        (
+            step_body(r#""count":18446744073709551616,"cpu":1"#),
+            "8000",
+            400,
+        ),
+        (step_body(r#""count":-1"#), "8000", 400),
+        (step_body(r#""cpu":1e300"#), "8000", 400),
+        (step_body(r#""cpu":4294967296"#), "8000", 400),
+        (step_body(r#""depends_on":[65535]"#), "8000", 503),
+        (step_body(r#""cpu":0,"estimate_ms":0"#), "8000", 200),
+        (
+            step_body(r#""cpu":1000,"estimate_ms":4294967295"#),
+            "8000",
+            200,
+        ),
+        // Its first task starts before the pool ends the job, so it is no refusal.
+        (
+            format!(
+                r#"{{"spec":"20","best_effort":true,"job_steps":[{}]}}"#,
+                chain.join(",")
+            ),
+            "8000",
+            504,
+        ),
+        (small_job.clone(), "18446744073709551615", 200),
+        (small_job.clone(), "18446744073709551616", 200),
+        (small_job.clone(), "-1", 200),
+        (small_job.clone(), "NaN", 200),
+    ];
+    for (number, (body, deadline_ms, expected)) in cases.into_iter().enumerate() {
+        let id = format!("{number:016x}");
+        let other_id = format!("{:016x}", 1_000 + number);
+        let ((status, _), (other_status, _)) = tokio::join!(
+            node.submit_with_deadline(&id, &body, deadline_ms),
+            node.submit_with_deadline(&other_id, &small_job, "8000")
+        );
+        let shown: String = body.chars().take(120).collect();
+        assert_eq!(
+            (status, other_status),
+            (expected, 200),
+            "{shown} {deadline_ms}"
+        );
+    }
+}
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -65,6 +65,19 @@
         send_from_caller(&client, method, path, body, Some("8000")).await
     }
 
+    /// Submits the job `body` under `id` for a caller that states this deadline. Returns the same as
+    /// [`Self::send`].
+    pub async fn submit_with_deadline(
+        &self,
+        id: &str,
+        body: &str,
+        deadline_ms: &str,
+    ) -> (u16, Bytes) {
+        let client = http_client::HttpClient::new(&self.settings.caller_address);
+        let path = format!("{PREFIX}{id}");
+        send_from_caller(&client, "POST", &path, body, Some(deadline_ms)).await
+    }
+
     /// Submits the job of [`job_body`] under `id` for a caller that states no deadline. Returns the
     /// same as [`Self::send`].
     pub async fn submit_without_deadline(
