--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -488,3 +488,41 @@
         1
     );
 }
+
+/// A server rejects a start that the stop of its run overtook. One that runs it shows overlaps that the
+/// platform's servers don't have.
+#[test]
+fn start_that_its_stop_overtook_is_rejected() {
+    let mut server = fake_server::FakeServer::new("s1", 16_000, 1.0, "a");
+    let task = job_model::TaskName::parse("job.0.0.0").expect("task name should be valid");
+    let (id, address) = (
+        Arc::clone(&server.entry.id),
+        Arc::clone(&server.entry.address),
+    );
+    let stop = server_model::StopOrder {
+        server: Arc::clone(&id),
+        address: Arc::clone(&address),
+        task: task.clone(),
+        run_id: 2,
+        token: 7,
+    };
+    let start = |run_id, token| server_model::StartOrder {
+        server: Arc::clone(&id),
+        address: Arc::clone(&address),
+        task: task.clone(),
+        run_id,
+        payload: Arc::from(""),
+        lease_expiry_ms: 1_000,
+        token,
+    };
+    let profile = fixtures::task_profile(fixtures::LONG_RUN);
+    let now = fixtures::ms(1);
+    assert!(server.stop(&stop, now));
+    for (run_id, token, outcome) in [
+        (2, 7, server_model::StartOutcome::StaleRunId),
+        (3, 6, server_model::StartOutcome::Fenced),
+        (3, 7, server_model::StartOutcome::Started { clock_ms: 1 }),
+    ] {
+        assert_eq!(server.start(&start(run_id, token), profile, now), outcome);
+    }
+}
