Let the soak kill each next leader of a domain soon after it leads

SOAK_LOST_LEADERS is the number of series that do so each time: they kill 2 to 4 leaders in turn, 0.1 to 0.35 s after each leads; each starts again after 0.2 to 0.8 s. Draws have generators of their own; the default is 0.

--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -32,6 +32,9 @@
     /// a domain, 4 kills leaders, 8 restarts processes in turn, 16 isolates one, 32 splits a domain.
     /// Without it, all but the last are drawn.
     series_kinds: u32,
+    /// `SOAK_LOST_LEADERS`: number of series, at the same time, in each of which a leader is killed, and then
+    /// each of its successors soon after it leads.
+    pub lost_leader_series: u64,
     /// `SOAK_CALLERS`: number of callers per process.
     pub callers_per_node: u64,
     /// `SOAK_MAX_WORK_MS`: upper limit of the run time of a task, in ms.
@@ -72,6 +75,7 @@
             series_kinds: read_variable("SOAK_SERIES_KINDS")
                 .unwrap_or(DEFAULT_SERIES_KINDS)
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
+            lost_leader_series: read_variable("SOAK_LOST_LEADERS").unwrap_or(0),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
             max_estimate_ms: read_variable("SOAK_MAX_ESTIMATE_MS").unwrap_or(u64::MAX),
--- a/crates/cuminkeel_node/tests/soak/series.rs
+++ b/crates/cuminkeel_node/tests/soak/series.rs
@@ -13,6 +13,11 @@
 /// seed still draws the same single faults.
 const SERIES_SEED: u64 = 0x7365_7269_6573;
 
+/// Distinguishes the random numbers of leaders that are lost in turn from those of the other series.
+const LOST_LEADERS_SEED: u64 = 0x6c6f_7374;
+/// Longest time that a domain may be without a leader before a series of lost leaders ends.
+const LEADER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Starts `parameters.series_count` tasks, each of which injects one series of faults after the
 /// other until the end of `parameters.fault_phase`. A series that has begun is finished.
 pub fn start_series(
@@ -31,9 +36,70 @@
             *parameters,
         ));
     }
+    for number in 0..parameters.lost_leader_series {
+        let random = StdRng::seed_from_u64(seed ^ LOST_LEADERS_SEED ^ (number << 56));
+        series.spawn(inject_lost_leaders(
+            Arc::clone(site),
+            Arc::clone(fault_log),
+            random,
+            parameters.fault_phase,
+        ));
+    }
     series
 }
 
+async fn inject_lost_leaders(
+    site: Arc<site::SoakSite>,
+    fault_log: Arc<faults::FaultLog>,
+    mut random: StdRng,
+    fault_phase: time::Duration,
+) {
+    tokio::time::sleep(faults::DISCOVERY_TIME).await;
+    while fault_log.started_at.elapsed() < fault_phase {
+        tokio::time::sleep(random_ms(&mut random, 500..3_000)).await;
+        let domain = random.random_range(0..site.domain_count);
+        let count = random.random_range(2..5);
+        fault_log.record(format!(
+            "{count} leaders of domain {domain} are lost in turn"
+        ));
+        lose_leaders(&site, domain, count, &mut random).await;
+    }
+}
+
+/// Kills a leader of `domain` and each of its successors before it has led for 0.35 s; each starts again.
+async fn lose_leaders(
+    site: &Arc<site::SoakSite>,
+    domain: usize,
+    count: usize,
+    random: &mut StdRng,
+) {
+    let mut returning = task::JoinSet::new();
+    for _ in 0..count {
+        let leads = |node: &usize| site.nodes[*node].leads_now();
+        let deadline = time::Instant::now() + LEADER_TIMEOUT;
+        let leader = loop {
+            let leader = site.domain_nodes(domain).into_iter().find(leads);
+            if leader.is_some() || time::Instant::now() > deadline {
+                break leader;
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        };
+        let Some(leader) = leader else {
+            break;
+        };
+        tokio::time::sleep(random_ms(random, 100..350)).await;
+        site.nodes[leader].signal(Signal::KILL);
+        site.nodes[leader].wait_for_exit().await;
+        let absence = random_ms(random, 200..800);
+        let site = Arc::clone(site);
+        returning.spawn(async move {
+            tokio::time::sleep(absence).await;
+            site.nodes[leader].start();
+        });
+    }
+    returning.join_all().await;
+}
+
 async fn inject_series(
     site: Arc<site::SoakSite>,
     fault_log: Arc<faults::FaultLog>,
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -134,6 +134,19 @@
         }
     }
 
+    /// Returns whether the process runs and leads shards of its domain, by the lines of its log since its start.
+    pub fn leads_now(&self) -> bool {
+        let log = fs::read_to_string(&self.log_path).unwrap_or_default();
+        let is_change = |line: &&str| {
+            line.contains(r#""msg":"leadership""#) || line.contains(r#""msg":"started""#)
+        };
+        running_child(&mut lock(&self.child)).is_some()
+            && log
+                .lines()
+                .rfind(is_change)
+                .is_some_and(|line| line.contains(r#""leads":true"#))
+    }
+
     /// Returns whether the process leads shards of its domain, by the last line of its log on that.
     pub fn is_leader(&self) -> bool {
         let log = fs::read_to_string(&self.log_path).unwrap_or_default();
