--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -2,11 +2,11 @@
 //!
 //! Runs the seeds in `DEFAULT_SEEDS`. To run others, set `SOAK_FIRST_SEED` and `SOAK_SEEDS`, the
 //! number of seeds (default: 1; ignored without `SOAK_FIRST_SEED`):
-//! `SOAK_FIRST_SEED=100 SOAK_SEEDS=50 cargo test -p cuminkeel_node --test soak`.
+//! `SOAK_FIRST_SEED=100 SOAK_SEEDS=50 cargo test -p cuminkeel_node --test soak invariants`.
 //!
 //! [`parameters::SoakParameters`] lists the variables for the size and the load of a run. One with
 //! 60 processes: `SOAK_FIRST_SEED=100 SOAK_DOMAINS=5 SOAK_NODES=60 SOAK_SERVERS=6 SOAK_FAULT_S=30
-//! SOAK_CALLERS=1 SOAK_SERIES=4 cargo test -p cuminkeel_node --test soak -- --nocapture`.
+//! SOAK_CALLERS=1 SOAK_SERIES=4 cargo test -p cuminkeel_node --test soak invariants -- --nocapture`.
 //! `SOAK_PROGRAM` is the path of another `cuminkeel-node`, for example of an earlier release.
 
 mod callers;
@@ -18,6 +18,8 @@
 
 use std::sync::Arc;
 
+use tokio::sync;
+
 /// Seeds that run by default: 1 and 2, and every seed that has failed, with its cause.
 ///
 /// Seed 7: after a pause, a previous leader led again and started a queued job that its successor
@@ -30,6 +32,12 @@
 /// replaced while it drained, which the leader could not read from the store.
 const DEFAULT_SEEDS: [u64; 5] = [1, 2, 7, 719, 22_022];
 
+/// Seed of the run with late orders.
+const LATE_ORDERS_SEED: u64 = 50_201;
+
+/// Held during a run, so that the processes of two runs don't compete for the processor.
+static RUN_LOCK: sync::Mutex<()> = sync::Mutex::const_new(());
+
 fn seeds() -> Vec<u64> {
     let seed_count = parameters::read_variable("SOAK_SEEDS").unwrap_or(1);
     match parameters::read_variable("SOAK_FIRST_SEED") {
@@ -54,10 +62,24 @@
     );
 }
 
+/// Guards against a run that its server was told to stop, in an order that it leaves unanswered: it must
+/// not be at work when the job, answered with 504, comes again in another failure domain.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_when_servers_carry_out_orders_late() {
+    let parameters = parameters::SoakParameters::with_late_orders();
+    let violations = run_seed(LATE_ORDERS_SEED, &parameters).await;
+    let overlaps: Vec<String> = violations
+        .iter()
+        .filter_map(invariants::InvariantViolation::describe_overlap)
+        .collect();
+    assert!(overlaps.is_empty(), "tasks ran twice: {overlaps:#?}");
+}
+
 async fn run_seed(
     seed: u64,
     parameters: &parameters::SoakParameters,
 ) -> Vec<invariants::InvariantViolation> {
+    let _run = RUN_LOCK.lock().await;
     let site = Arc::new(site::SoakSite::start(parameters).await);
     let restarts = tokio::spawn(Arc::clone(&site).restart_crashed_servers());
     let running_callers = callers::start_callers(&site, seed, parameters);
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -91,6 +91,31 @@
         }
     }
 
+    /// Returns the parameters of runs whose only fault is late orders. A task may take longer than its
+    /// caller waits, and the job comes again while a run that was not stopped is at work. Several runs
+    /// share a server, so that holds for the others renew the lease of that run.
+    pub fn with_late_orders() -> Self {
+        Self {
+            domain_count: 3,
+            node_count: 9,
+            servers_per_domain: 4,
+            fault_phase: time::Duration::from_secs(20),
+            fault_rate: 0.0,
+            series_count: 0,
+            callers_per_node: 2,
+            max_work_ms: 3_600,
+            max_estimate_ms: 900,
+            task_cpu_millis: 2_000,
+            caller_deadline: time::Duration::from_millis(1_500),
+            late_order_share: 0.03,
+            lost_leader_series: 0,
+            lost_entry_probability: 0.0,
+            duplicate_probability: 0.0,
+            deadly_probability: 0.0,
+            ..Self::from_environment()
+        }
+    }
+
     /// Returns the probability `usual` at the fault rate of this run.
     pub fn scaled_probability(&self, usual: f64) -> f64 {
         (usual * self.fault_rate).clamp(0.0, 1.0)
