--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -35,6 +35,9 @@
 /// Seed of the run with late orders.
 const LATE_ORDERS_SEED: u64 = 50_201;
 
+/// Seed of the run with lost leaders.
+const LOST_LEADERS_SEED: u64 = 50_602;
+
 /// Held during a run, so that the processes of two runs don't compete for the processor.
 static RUN_LOCK: sync::Mutex<()> = sync::Mutex::const_new(());
 
@@ -66,8 +69,26 @@
 /// not be at work when the job, answered with 504, comes again in another failure domain.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_runs_twice_when_servers_carry_out_orders_late() {
-    let parameters = parameters::SoakParameters::with_late_orders();
-    let violations = run_seed(LATE_ORDERS_SEED, &parameters).await;
+    assert_no_overlaps(
+        LATE_ORDERS_SEED,
+        &parameters::SoakParameters::with_late_orders(),
+    )
+    .await;
+}
+
+/// Guards against a run that the next leaders of its failure domain keep, while the caller, told that the
+/// leader was lost, sends the job again to another domain.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_when_leaders_are_lost_in_turn() {
+    assert_no_overlaps(
+        LOST_LEADERS_SEED,
+        &parameters::SoakParameters::with_lost_leaders(),
+    )
+    .await;
+}
+
+async fn assert_no_overlaps(seed: u64, parameters: &parameters::SoakParameters) {
+    let violations = run_seed(seed, parameters).await;
     let overlaps: Vec<String> = violations
         .iter()
         .filter_map(invariants::InvariantViolation::describe_overlap)
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Returns the parameters of runs whose only fault are leaders that are lost soon after each other.
+    /// Callers wait for the longest task, so jobs come again only because of the lost processes.
+    pub fn with_lost_leaders() -> Self {
+        Self {
+            fault_phase: time::Duration::from_secs(18),
+            lost_leader_series: 1,
+            caller_deadline: time::Duration::from_secs(4),
+            late_order_share: 0.0,
+            ..Self::with_late_orders()
+        }
+    }
+
     /// Returns the probability `usual` at the fault rate of this run.
     pub fn scaled_probability(&self, usual: f64) -> f64 {
         (usual * self.fault_rate).clamp(0.0, 1.0)
