--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -32,6 +32,9 @@
     /// a domain, 4 kills leaders, 8 restarts processes in turn, 16 isolates one, 32 splits a domain.
     /// Without it, all but the last are drawn.
     series_kinds: u32,
+    /// `SOAK_LOST_LEADERS`: number of series, at the same time, in each of which a leader is killed, and then
+    /// each of its successors soon after it leads.
+    pub lost_leader_series: u64,
     /// `SOAK_CALLERS`: number of callers per process.
     pub callers_per_node: u64,
     /// `SOAK_MAX_WORK_MS`: upper limit of the run time of a task, in ms.
@@ -72,6 +75,7 @@
             series_kinds: read_variable("SOAK_SERIES_KINDS")
                 .unwrap_or(DEFAULT_SERIES_KINDS)
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
+            lost_leader_series: read_variable("SOAK_LOST_LEADERS").unwrap_or(0),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
             max_estimate_ms: read_variable("SOAK_MAX_ESTIMATE_MS").unwrap_or(u64::MAX),
@@ -87,6 +91,43 @@
         }
     }
 
+    /// Returns the parameters of runs whose only fault is late orders. A task may take longer than its
+    /// caller waits, and the job comes again while a run that was not stopped is at work. Several runs
+    /// share a server, so that holds for the others renew the lease of that run.
+    pub fn with_late_orders() -> Self {
+        Self {
+            domain_count: 3,
+            node_count: 9,
+            servers_per_domain: 4,
+            fault_phase: time::Duration::from_secs(20),
+            fault_rate: 0.0,
+            series_count: 0,
+            callers_per_node: 2,
+            max_work_ms: 3_600,
+            max_estimate_ms: 900,
+            task_cpu_millis: 2_000,
+            caller_deadline: time::Duration::from_millis(1_500),
+            late_order_share: 0.03,
+            lost_leader_series: 0,
+            lost_entry_probability: 0.0,
+            duplicate_probability: 0.0,
+            deadly_probability: 0.0,
+            ..Self::from_environment()
+        }
+    }
+
+    /// Returns the parameters of runs whose only fault are leaders that are lost soon after each other.
+    /// Callers wait for the longest task, so jobs come again only because of the lost processes.
+    pub fn with_lost_leaders() -> Self {
+        Self {
+            fault_phase: time::Duration::from_secs(18),
+            lost_leader_series: 1,
+            caller_deadline: time::Duration::from_secs(4),
+            late_order_share: 0.0,
+            ..Self::with_late_orders()
+        }
+    }
+
     /// Returns the probability `usual` at the fault rate of this run.
     pub fn scaled_probability(&self, usual: f64) -> f64 {
         (usual * self.fault_rate).clamp(0.0, 1.0)
