Reproduce runs that are left when their caller returns in replays, failing

Callers see: a task runs twice at a time, in one failure domain or two, after a 504, a 502 or a lost leader.

--- /dev/null
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -0,0 +1,434 @@
+//! Callers send a job again some time after it has ended without a result, at any process of any failure
+//! domain. No run of the earlier attempt may be left by then, whatever orders stay unanswered.
+
+use std::{collections::BTreeSet, ops, sync::Arc, time};
+
+use cuminkeel_dispatch::{job_model, leadership, settings};
+use cuminkeel_replay::{fake_server, pool_simulation};
+use rand::{SeedableRng, rngs};
+
+use crate::fixtures;
+
+/// Time after which callers send a job again.
+const RETRANSMIT_TIME: time::Duration = time::Duration::from_millis(1_300);
+/// Time to the deadline of a job that does not end in time.
+const DEADLINE: time::Duration = time::Duration::from_millis(1_500);
+/// Run that is in progress at [`DEADLINE`] and after the caller's return.
+const OVERLONG_RUN: time::Duration = time::Duration::from_millis(3_600);
+/// Run of the jobs beside which an overlong run is to be stopped.
+const NEIGHBOUR_RUN: time::Duration = time::Duration::from_secs(6);
+/// Latest end of a simulated test.
+const SIMULATION_END: time::Duration = time::Duration::from_secs(14);
+
+/// First and next leader of the first failure domain, and leader of the second one.
+const FIRST_LEADER: usize = 0;
+const NEXT_LEADER: usize = 1;
+const OTHER_DOMAIN: usize = 2;
+
+/// How a job ends without a result.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    /// Its deadline passes.
+    Expiry,
+    /// Its caller has left, so its coordinator withdraws it.
+    Withdrawal,
+}
+
+/// Creates two failure domains at 100 ms: one with the given servers and two pools, of which the first
+/// leads, and one with the server `b1` and a pool.
+fn two_domains(servers: &[&str]) -> pool_simulation::PoolSimulation {
+    let other_domain = ["b1"];
+    let all_servers = servers.iter().chain(&other_domain);
+    let mut simulation = pool_simulation::PoolSimulation::new(
+        3,
+        all_servers.map(|name| fixtures::server(name)).collect(),
+        settings::PoolPolicies::default(),
+    );
+    for (pool_index, foreign) in [
+        (FIRST_LEADER, &other_domain[..]),
+        (NEXT_LEADER, &other_domain[..]),
+        (OTHER_DOMAIN, servers),
+    ] {
+        for server in foreign {
+            simulation.pools[pool_index].remove_registry_entry(server);
+        }
+    }
+    simulation.lead(FIRST_LEADER);
+    simulation.lead(OTHER_DOMAIN);
+    simulation.run_until(fixtures::ms(100));
+    simulation
+}
+
+/// Returns the offer of a job that is estimated to end before its deadline.
+fn overlong_offer(task_count: u16) -> job_model::JobOffer {
+    job_model::JobOffer {
+        time_to_deadline: DEADLINE,
+        ..fixtures::offer("job", task_count, fixtures::LONG_RUN)
+    }
+}
+
+/// Returns the offer of a job that takes [`NEIGHBOUR_RUN`].
+fn neighbour_offer(id: &str) -> job_model::JobOffer {
+    job_model::JobOffer {
+        time_to_deadline: fixtures::ms(12_000),
+        ..fixtures::offer(id, 1, NEIGHBOUR_RUN)
+    }
+}
+
+fn submit_overlong(
+    simulation: &mut pool_simulation::PoolSimulation,
+    pool_index: usize,
+    task_count: u16,
+) {
+    simulation.submit(
+        pool_index,
+        &overlong_offer(task_count),
+        fixtures::task_profile(OVERLONG_RUN),
+    );
+}
+
+fn submit_neighbour(
+    simulation: &mut pool_simulation::PoolSimulation,
+    pool_index: usize,
+    offer: &job_model::JobOffer,
+) {
+    simulation.submit(pool_index, offer, fixtures::task_profile(NEIGHBOUR_RUN));
+}
+
+/// Lets a pool claim the servers `wanted` and release all others.
+fn claim(simulation: &mut pool_simulation::PoolSimulation, pool_index: usize, wanted: &[&str]) {
+    let wanted: BTreeSet<Arc<str>> = wanted.iter().map(|server| Arc::from(*server)).collect();
+    let now = simulation.now();
+    simulation.pools[pool_index].reconcile_claims(&wanted, leadership::ShardSet::ALL, now);
+    simulation.pools[pool_index].record_registry_read(now);
+    // Withdrawing an unknown job changes nothing; it makes the simulation send the claims.
+    simulation.withdraw(pool_index, "no such job");
+}
+
+/// Returns a rule by which all stops that reach `server` in `arrival` are left unanswered and carried out after
+/// `delay`.
+fn late_stops(
+    server: &str,
+    arrival: ops::Range<time::Duration>,
+    delay: time::Duration,
+) -> pool_simulation::LateOrderRule {
+    pool_simulation::LateOrderRule {
+        kinds: vec![pool_simulation::OrderKind::Stop],
+        server: Some(Arc::from(server)),
+        arrival,
+        share: 1.0,
+        delay: delay..=delay,
+        rng: rngs::StdRng::seed_from_u64(0),
+    }
+}
+
+fn has_run(simulation: &mut pool_simulation::PoolSimulation, server: &str, job: &str) -> bool {
+    let server = simulation.server_mut(server);
+    server.runs.keys().any(|task| &*task.job == job)
+}
+
+/// Returns the time of the latest end of a run of `job`; the present time if one is in progress.
+fn latest_run_end(simulation: &pool_simulation::PoolSimulation, job: &str) -> time::Duration {
+    let is_in_progress =
+        |server: &fake_server::FakeServer| server.runs.keys().any(|task| &*task.job == job);
+    if simulation.servers.values().any(is_in_progress) {
+        return simulation.now();
+    }
+    simulation
+        .servers
+        .values()
+        .flat_map(|server| &server.history)
+        .filter(|run| &*run.task.job == job)
+        .map(|run| run.ended_at)
+        .max()
+        .expect("the job should have run")
+}
+
+/// Asserts that all runs of `job`, which its caller was told at `ended_at` to have failed, are over when
+/// the caller sends it again.
+fn assert_over_when_caller_returns(
+    simulation: &pool_simulation::PoolSimulation,
+    job: &str,
+    ended_at: time::Duration,
+    case: &str,
+) {
+    let left_for = latest_run_end(simulation, job).saturating_sub(ended_at);
+    assert!(
+        left_for <= RETRANSMIT_TIME,
+        "{case}: a run of {job} was left for {left_for:?} after its end at {ended_at:?}"
+    );
+}
+
+impl Ending {
+    /// Returns the time at which a job that was sent at 100 ms ends.
+    fn due_at(self) -> time::Duration {
+        match self {
+            Self::Expiry => fixtures::ms(100) + DEADLINE,
+            Self::Withdrawal => fixtures::ms(1_000),
+        }
+    }
+}
+
+/// Ends the overlong job, which the first leader runs, and returns the time of its end.
+fn end_overlong(
+    simulation: &mut pool_simulation::PoolSimulation,
+    ending: Ending,
+) -> time::Duration {
+    simulation.run_until(ending.due_at());
+    match ending {
+        Ending::Expiry => {
+            while fixtures::job_ends(simulation, "job").is_empty() {
+                let next = simulation.now() + fixtures::ms(1);
+                simulation.run_until(next);
+            }
+            assert_eq!(
+                fixtures::job_ends(simulation, "job"),
+                [job_model::JobEnd::Failed(
+                    job_model::FailureReason::OutOfTime
+                )]
+            );
+        }
+        Ending::Withdrawal => simulation.withdraw(FIRST_LEADER, "job"),
+    }
+    simulation.now()
+}
+
+/// A server leaves the first stop of a run unanswered and carries it out late, when a newer claim fences it,
+/// while holds renew the lease of the run with that of another job's. The run would go on to its end. The
+/// other job is not disturbed, as further stops are answered.
+#[test]
+fn stop_that_a_server_leaves_unanswered_is_sent_again() {
+    for ending in [Ending::Expiry, Ending::Withdrawal] {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+        // The first stop arrives within this time.
+        let arrival = ending.due_at()..ending.due_at() + fixtures::ms(100);
+        let rule = late_stops("s1", arrival, fixtures::ms(6_000));
+        simulation.late_order_rules.push(rule);
+        submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+        submit_overlong(&mut simulation, FIRST_LEADER, 1);
+        simulation.run_until(fixtures::ms(900));
+        assert!(has_run(&mut simulation, "s1", "job"));
+        let ended_at = end_overlong(&mut simulation, ending);
+        simulation.run_until(SIMULATION_END);
+        let case = format!("{ending:?}");
+        assert_over_when_caller_returns(&simulation, "job", ended_at, &case);
+        assert_eq!(
+            fixtures::job_ends(&simulation, "neighbour"),
+            [job_model::JobEnd::Completed],
+            "{case}"
+        );
+    }
+}
+
+/// A server leaves all stops unanswered for 5 s and carries them out late, while it answers all holds. Only a
+/// lease that isn't renewed ends the run in time.
+#[test]
+fn run_of_an_ended_job_whose_stops_stay_unanswered_is_over_when_the_caller_returns() {
+    for ending in [Ending::Expiry, Ending::Withdrawal] {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+        let rule = late_stops(
+            "s1",
+            time::Duration::ZERO..fixtures::ms(6_600),
+            fixtures::ms(6_000),
+        );
+        simulation.late_order_rules.push(rule);
+        submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+        submit_overlong(&mut simulation, FIRST_LEADER, 1);
+        simulation.run_until(fixtures::ms(900));
+        assert!(has_run(&mut simulation, "s1", "job"));
+        let ended_at = end_overlong(&mut simulation, ending);
+        simulation.run_until(SIMULATION_END);
+        assert_over_when_caller_returns(&simulation, "job", ended_at, &format!("{ending:?}"));
+    }
+}
+
+/// The registry has lost the entry of a server that can't reach the store. Its leader keeps its runs, and is
+/// lost. The next leader would start their tasks elsewhere at once, as nothing tells it of the server.
+#[test]
+fn run_on_a_server_without_a_registry_entry_does_not_overlap_after_the_leader_is_lost() {
+    for may_have_started in [true, false] {
+        let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+        let job = neighbour_offer("job");
+        submit_neighbour(&mut simulation, 0, &job);
+        simulation.run_until(fixtures::ms(1_000));
+        let server_with_run = ["s1", "s2"]
+            .into_iter()
+            .find(|server| has_run(&mut simulation, server, "job"))
+            .expect("the leader should have started the job");
+        for pool_index in 0..2 {
+            simulation.pools[pool_index].remove_registry_entry(server_with_run);
+            // As a process does when an entry is gone.
+            simulation.pools[pool_index].mark_registry_incomplete(fixtures::ms(3_600));
+        }
+        simulation.run_until(fixtures::ms(4_000));
+        assert!(has_run(&mut simulation, server_with_run, "job"));
+        simulation.pause(0);
+        simulation.run_until(fixtures::ms(4_010));
+        simulation.lead(1);
+        let offered_again = job_model::JobOffer {
+            may_have_started,
+            ..job
+        };
+        submit_neighbour(&mut simulation, 1, &offered_again);
+        simulation.run_until(SIMULATION_END);
+        assert_eq!(
+            simulation.violations,
+            [],
+            "may have started: {may_have_started}"
+        );
+    }
+}
+
+/// A job ends at its deadline in one failure domain, and its caller sends it again in another one, whose pool
+/// can't know of the run that a server of the first one has not stopped.
+#[test]
+fn job_sent_again_in_another_domain_does_not_run_beside_a_run_whose_stop_is_late() {
+    let mut failed_cases = Vec::new();
+    for late_for_ms in [0, 100, 5_000] {
+        for delay_ms in [500, 1_600, 2_000, 6_000] {
+            let mut simulation = two_domains(&["a1"]);
+            let until = Ending::Expiry.due_at() + fixtures::ms(late_for_ms);
+            let rule = late_stops("a1", time::Duration::ZERO..until, fixtures::ms(delay_ms));
+            simulation.late_order_rules.push(rule);
+            submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+            submit_overlong(&mut simulation, FIRST_LEADER, 1);
+            let ended_at = end_overlong(&mut simulation, Ending::Expiry);
+            simulation.run_until(ended_at + RETRANSMIT_TIME);
+            submit_overlong(&mut simulation, OTHER_DOMAIN, 1);
+            simulation.run_until(SIMULATION_END);
+            if !simulation.violations.is_empty() {
+                failed_cases.push((late_for_ms, delay_ms));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(ms after the deadline in which stops are late, their delay in ms) with overlapping runs"
+    );
+}
+
+/// The leader is lost at the deadline of a job, so that nobody has stopped its run. The next leader adopts the
+/// run of another job on the same server, and renews the leases of both. Its stop stays unanswered.
+#[test]
+fn job_sent_again_in_another_domain_does_not_run_beside_a_run_that_the_next_leader_keeps() {
+    let mut failed_cases = Vec::new();
+    for is_stop_late in [false, true] {
+        // A killed leader is replaced at once, a frozen one when it has been silent for 0.6 s.
+        for takeover_after_ms in [5, 200, 600, 700] {
+            let mut simulation = two_domains(&["a1", "a2"]);
+            if is_stop_late {
+                let rule = late_stops(
+                    "a1",
+                    time::Duration::ZERO..fixtures::ms(6_600),
+                    fixtures::ms(6_000),
+                );
+                simulation.late_order_rules.push(rule);
+            }
+            let neighbour = neighbour_offer("neighbour");
+            submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour);
+            submit_overlong(&mut simulation, FIRST_LEADER, 1);
+            simulation.run_until(fixtures::ms(98) + DEADLINE);
+            assert!(has_run(&mut simulation, "a1", "job"));
+            assert!(has_run(&mut simulation, "a1", "neighbour"));
+            simulation.pause(FIRST_LEADER);
+            // The coordinator answers 504.
+            let ended_at = simulation.now();
+            simulation.run_until(ended_at + fixtures::ms(takeover_after_ms));
+            simulation.lead(NEXT_LEADER);
+            let offered_again = job_model::JobOffer {
+                may_have_started: true,
+                ..neighbour
+            };
+            submit_neighbour(&mut simulation, NEXT_LEADER, &offered_again);
+            simulation.run_until(ended_at + RETRANSMIT_TIME);
+            submit_overlong(&mut simulation, OTHER_DOMAIN, 1);
+            simulation.run_until(SIMULATION_END);
+            if !simulation.violations.is_empty() {
+                failed_cases.push((is_stop_late, takeover_after_ms));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(whether stops are late, takeover in ms after the loss) with overlapping runs"
+    );
+}
+
+/// Leaders are lost one after the other, each before the grace period of inherited runs is over. Each adopts
+/// the run of another job on the same server, whose leases it would renew with those of the run that nobody
+/// waits for.
+#[test]
+fn run_of_an_ended_job_is_not_kept_beside_another_by_leaders_that_follow_each_other() {
+    let mut simulation = fixtures::simulation_with_leader(3, &["s1", "s2"]);
+    let neighbour = neighbour_offer("neighbour");
+    submit_neighbour(&mut simulation, 0, &neighbour);
+    submit_overlong(&mut simulation, 0, 1);
+    simulation.run_until(fixtures::ms(1_000));
+    assert!(has_run(&mut simulation, "s1", "job"));
+    assert!(has_run(&mut simulation, "s1", "neighbour"));
+    simulation.pause(0);
+    // The coordinator answers 502.
+    let ended_at = simulation.now();
+    // The first leader is frozen, and replaced when it has been silent for 0.6 s; the next one is killed.
+    simulation.run_until(ended_at + fixtures::ms(600));
+    for (leader, lost_after_ms) in [(1, 950), (2, 10_000)] {
+        simulation.lead(leader);
+        let offered_again = job_model::JobOffer {
+            may_have_started: true,
+            ..neighbour.clone()
+        };
+        submit_neighbour(&mut simulation, leader, &offered_again);
+        simulation.run_until(ended_at + fixtures::ms(lost_after_ms));
+        simulation.pause(leader);
+    }
+    assert_over_when_caller_returns(&simulation, "job", ended_at, "");
+}
+
+/// Another pool claims one of the servers of a job, which the first pool abandons. Its run on the other server
+/// is stopped after the grace period, but the stop stays unanswered and holds for another job renew its lease.
+#[test]
+fn run_of_an_abandoned_job_whose_stop_is_late_is_over_when_the_caller_returns() {
+    let mut failed_cases = Vec::new();
+    for is_stop_late in [false, true] {
+        let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+        if is_stop_late {
+            let rule = late_stops(
+                "s1",
+                time::Duration::ZERO..fixtures::ms(8_000),
+                fixtures::ms(6_000),
+            );
+            simulation.late_order_rules.push(rule);
+        }
+        submit_neighbour(&mut simulation, 0, &neighbour_offer("neighbour"));
+        simulation.run_until(fixtures::ms(110));
+        assert!(has_run(&mut simulation, "s1", "neighbour"));
+        submit_overlong(&mut simulation, 0, 2);
+        simulation.run_until(fixtures::ms(1_000));
+        for server in ["s1", "s2"] {
+            assert!(has_run(&mut simulation, server, "job"));
+        }
+        claim(&mut simulation, 1, &["s2"]);
+        while fixtures::job_ends(&simulation, "job").is_empty() {
+            let next = simulation.now() + fixtures::ms(1);
+            simulation.run_until(next);
+        }
+        // The coordinator answers 502.
+        assert_eq!(
+            fixtures::job_ends(&simulation, "job"),
+            [job_model::JobEnd::PoolLost]
+        );
+        let ended_at = simulation.now();
+        simulation.run_until(SIMULATION_END);
+        let left_for = latest_run_end(&simulation, "job").saturating_sub(ended_at);
+        if left_for > RETRANSMIT_TIME {
+            failed_cases.push((is_stop_late, left_for));
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(whether stops are late, time for which a run was left)"
+    );
+}
