Reproduce runs of a lost coordinator, and those that only another leader renews

Callers see: a task runs twice at a time.

- A leader that can't reach one server starts its tasks elsewhere when the leases that it granted have expired.
Another leader has claimed the server, adopted another run there and renewed the leases of both.

--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -64,6 +64,16 @@
     Hold(server_model::HoldOrder),
 }
 
+impl LateOrder {
+    fn server(&self) -> &Arc<str> {
+        match self {
+            Self::Start(order) => &order.server,
+            Self::Stop(order) => &order.server,
+            Self::Hold(order) => &order.server,
+        }
+    }
+}
+
 /// Kind of an order to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderKind {
@@ -80,6 +90,8 @@
 pub struct LateOrderRule {
     /// Kinds of the orders.
     pub kinds: Vec<OrderKind>,
+    /// Index of the pool that sends the orders; `None` for all pools.
+    pub pool_index: Option<usize>,
     /// Server of the orders; `None` for all servers.
     pub server: Option<Arc<str>>,
     /// Time of arrival of the orders.
@@ -97,10 +109,12 @@
     fn draw_delay(
         &mut self,
         kind: OrderKind,
+        pool_index: usize,
         server: &Arc<str>,
         now: time::Duration,
     ) -> Option<time::Duration> {
         let applies = self.kinds.contains(&kind)
+            && self.pool_index.is_none_or(|only| only == pool_index)
             && self.server.as_ref().is_none_or(|only| only == server)
             && self.arrival.contains(&now);
         (applies && self.rng.random_bool(self.share))
@@ -488,8 +502,7 @@
                 self.push(now + TICK_INTERVAL, Event::Tick(pool_index));
             }
             Event::StartOrderArrives(pool_index, order) => {
-                let late_order = LateOrder::Start(order.clone());
-                if self.delay_order(OrderKind::Start, &order.server, late_order) {
+                if self.delay_order(pool_index, LateOrder::Start(order.clone())) {
                     let unanswered = server_model::StartOutcome::Unanswered;
                     let outcome = Event::StartOutcomeArrives(pool_index, order, unanswered);
                     self.push(now + ORDER_TIMEOUT, outcome);
@@ -498,8 +511,7 @@
                 }
             }
             Event::StopOrderArrives(pool_index, order) => {
-                let late_order = LateOrder::Stop(order.clone());
-                if self.delay_order(OrderKind::Stop, &order.server, late_order) {
+                if self.delay_order(pool_index, LateOrder::Stop(order.clone())) {
                     let unconfirmed = server_model::StopOutcome::Unconfirmed;
                     let outcome = Event::StopOutcomeArrives(pool_index, order, unconfirmed);
                     self.push(now + ORDER_TIMEOUT, outcome);
@@ -508,8 +520,7 @@
                 }
             }
             Event::HoldOrderArrives(pool_index, order) => {
-                let late_order = LateOrder::Hold(order.clone());
-                if self.delay_order(OrderKind::Hold, &order.server, late_order) {
+                if self.delay_order(pool_index, LateOrder::Hold(order.clone())) {
                     let timeout_at = now + ORDER_TIMEOUT + order.wait;
                     let unanswered = server_model::HoldOutcome::Unanswered;
                     let outcome = Event::HoldOutcomeArrives(pool_index, order, unanswered);
@@ -568,12 +579,18 @@
     }
 
     /// Schedules `order` to be carried out late if a rule says so, and returns whether it does.
-    fn delay_order(&mut self, kind: OrderKind, server: &Arc<str>, order: LateOrder) -> bool {
+    fn delay_order(&mut self, pool_index: usize, order: LateOrder) -> bool {
         let now = self.now;
+        let kind = match order {
+            LateOrder::Start(_) => OrderKind::Start,
+            LateOrder::Stop(_) => OrderKind::Stop,
+            LateOrder::Hold(_) => OrderKind::Hold,
+        };
+        let server = order.server();
         let delay = self
             .late_order_rules
             .iter_mut()
-            .find_map(|rule| rule.draw_delay(kind, server, now));
+            .find_map(|rule| rule.draw_delay(kind, pool_index, server, now));
         if let Some(delay) = delay {
             self.push(now + delay, Event::LateOrderDue(order));
         }
@@ -583,11 +600,7 @@
     /// Carries out an order to which the pool gets no answer any more, unless its server is down.
     fn carry_out_late(&mut self, order: &LateOrder) {
         let now = self.now;
-        let server_id = match order {
-            LateOrder::Start(order) => &order.server,
-            LateOrder::Stop(order) => &order.server,
-            LateOrder::Hold(order) => &order.server,
-        };
+        let server_id = order.server();
         let Some(server) = self.servers.get_mut(server_id) else {
             return;
         };
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeSet, ops, sync::Arc, time};
 
-use cuminkeel_dispatch::{job_model, leadership, settings};
+use cuminkeel_dispatch::{job_model, leadership, pool_action, settings};
 use cuminkeel_replay::{fake_server, pool_simulation};
 use rand::{SeedableRng, rngs};
 
@@ -114,6 +114,7 @@
 ) -> pool_simulation::LateOrderRule {
     pool_simulation::LateOrderRule {
         kinds: vec![pool_simulation::OrderKind::Stop],
+        pool_index: None,
         server: Some(Arc::from(server)),
         arrival,
         share: 1.0,
@@ -432,3 +433,124 @@
         "(whether stops are late, time for which a run was left)"
     );
 }
+
+/// The process that received the caller's request is cut off, with the caller. The pool counts its connection as
+/// lost up to 1.04 s later. The lease of the run would last for 0.8 s from then on if the stop stays unanswered,
+/// and for longer beside another job's run.
+#[test]
+fn run_of_a_job_whose_coordinator_is_cut_off_is_over_when_the_caller_returns() {
+    let mut failed_cases = Vec::new();
+    for is_stop_late in [false, true] {
+        for has_neighbour in [false, true] {
+            let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+            if is_stop_late {
+                let arrival = time::Duration::ZERO..fixtures::ms(6_600);
+                let rule = late_stops("s1", arrival, fixtures::ms(6_000));
+                simulation.late_order_rules.push(rule);
+            }
+            if has_neighbour {
+                submit_neighbour(&mut simulation, 0, &neighbour_offer("neighbour"));
+            }
+            let job = neighbour_offer("job");
+            submit_neighbour(&mut simulation, 0, &job);
+            let cut_off_at = fixtures::ms(1_000);
+            simulation.run_until(cut_off_at + fixtures::ms(1_040));
+            assert!(has_run(&mut simulation, "s1", "job"));
+            simulation.withdraw(0, "job");
+            simulation.run_until(SIMULATION_END);
+            let left_for = latest_run_end(&simulation, "job").saturating_sub(cut_off_at);
+            if left_for > RETRANSMIT_TIME {
+                failed_cases.push((is_stop_late, has_neighbour, left_for));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(whether stops are late, whether another job runs, time for which a run was left)"
+    );
+}
+
+/// A leader gets no answer from one server, as only its path to that server is cut. Another leader claims the
+/// server and is offered the job of one of its two runs, so that it renews the leases of both. The first leader would
+/// start the task of the other run elsewhere when the leases that it remembers have expired.
+#[test]
+fn task_of_a_silent_server_is_not_started_beside_its_run_whose_lease_another_leader_renews() {
+    let mut failed_cases = Vec::new();
+    for is_stop_late in [false, true] {
+        for claim_after_ms in [100, 300, 500, 700] {
+            let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+            let cut_at = fixtures::ms(2_000);
+            let never = fixtures::ms(3_600_000);
+            simulation
+                .late_order_rules
+                .push(pool_simulation::LateOrderRule {
+                    kinds: vec![
+                        pool_simulation::OrderKind::Start,
+                        pool_simulation::OrderKind::Stop,
+                        pool_simulation::OrderKind::Hold,
+                    ],
+                    pool_index: Some(0),
+                    ..late_stops("s1", cut_at..never, never)
+                });
+            if is_stop_late {
+                let rule = late_stops("s1", time::Duration::ZERO..never, never);
+                simulation.late_order_rules.push(rule);
+            }
+            let neighbour = neighbour_offer("neighbour");
+            submit_neighbour(&mut simulation, 0, &neighbour);
+            submit_neighbour(&mut simulation, 0, &neighbour_offer("job"));
+            simulation.run_until(cut_at);
+            for job in ["job", "neighbour"] {
+                assert!(has_run(&mut simulation, "s1", job));
+            }
+            simulation.run_until(cut_at + fixtures::ms(claim_after_ms));
+            claim(&mut simulation, 1, &["s1"]);
+            // The coordinator of this job takes the first leader for lost.
+            simulation.withdraw(0, "neighbour");
+            let offered_again = job_model::JobOffer {
+                may_have_started: true,
+                ..neighbour
+            };
+            submit_neighbour(&mut simulation, 1, &offered_again);
+            simulation.run_until(SIMULATION_END);
+            if !simulation.violations.is_empty() {
+                let violations = std::mem::take(&mut simulation.violations);
+                failed_cases.push((is_stop_late, claim_after_ms, violations));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(whether stops are late, time of the claim in ms after the cut, violations)"
+    );
+}
+
+/// A stop is carried out at once and its answer is lost, so that its server is claimed again. The other run on
+/// the server would be lost if the pool let its lease expire.
+#[test]
+fn run_beside_a_stop_whose_answer_is_lost_goes_on() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+    let rule = late_stops(
+        "s1",
+        time::Duration::ZERO..SIMULATION_END,
+        time::Duration::ZERO,
+    );
+    simulation.late_order_rules.push(rule);
+    submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+    submit_overlong(&mut simulation, FIRST_LEADER, 1);
+    simulation.run_until(fixtures::ms(900));
+    assert!(has_run(&mut simulation, "s1", "job"));
+    let ended_at = end_overlong(&mut simulation, Ending::Withdrawal);
+    simulation.run_until(SIMULATION_END);
+    assert_over_when_caller_returns(&simulation, "job", ended_at, "answer lost");
+    assert_eq!(
+        fixtures::job_ends(&simulation, "neighbour"),
+        [job_model::JobEnd::Completed]
+    );
+    assert_eq!(
+        fixtures::decision_count(&simulation, pool_action::DecisionKind::Placed),
+        2
+    );
+}
