--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -11,4 +11,5 @@
 mod jobs;
 mod leaders;
 mod resent_jobs;
+mod return_schedules;
 mod servers;
--- /dev/null
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -0,0 +1,595 @@
+//! Random schedules of two failure domains whose leaders, coordinators, callers and registry entries are lost, while
+//! orders stay unanswered and are carried out late.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops,
+    sync::Arc,
+    time,
+};
+
+use cuminkeel_dispatch::{job_model, settings};
+use cuminkeel_replay::pool_simulation;
+use rand::{RngExt, SeedableRng, rngs};
+
+use crate::fixtures;
+
+/// Number of random schedules of each kind.
+const SCHEDULE_COUNT: u64 = 200;
+/// Time after which callers send a job again.
+const RETRANSMIT_TIME: time::Duration = time::Duration::from_millis(1_300);
+/// Time until which jobs are sent and processes are lost.
+const DISTURBED_TIME: time::Duration = time::Duration::from_secs(10);
+/// Time at which all runs have ended.
+const SCHEDULE_END: time::Duration = time::Duration::from_secs(18);
+/// Interval of the events of a schedule.
+const STEP_TIME: time::Duration = time::Duration::from_millis(10);
+/// Longest time until a pool counts the connection of a coordinator that was cut off as lost.
+const COORDINATOR_LOSS_MS: u64 = 1_040;
+/// Number of pools, one of them a leader, and servers of each failure domain.
+const POOLS_PER_DOMAIN: usize = 4;
+const DOMAIN_SERVERS: [&[&str]; 2] = [&["a1", "a2", "a3"], &["b1", "b2"]];
+/// Time for which the registry may be incomplete after an entry is gone, as in a process.
+const REREGISTRATION_GRACE: time::Duration = time::Duration::from_millis(2_600);
+/// Times of sending of a job, including the first one.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// What callers do after an attempt that failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CallerPolicy {
+    /// They never return, so that all runs of a job belong to its only attempt.
+    Leave,
+    /// They send the job again, at the leader of any failure domain.
+    SendAgain,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProcessState {
+    Running,
+    /// Frozen until this time.
+    Frozen(time::Duration),
+    Killed,
+}
+
+#[derive(Debug)]
+struct Domain {
+    pools: ops::Range<usize>,
+    leader: usize,
+    /// Time at which the loss of the leader is noticed.
+    loss_noticed_at: Option<time::Duration>,
+}
+
+/// One sending of a job, from its request to its answer.
+#[derive(Clone, Debug)]
+struct Attempt {
+    offer: job_model::JobOffer,
+    run_time: time::Duration,
+    number: u32,
+    domain: usize,
+    /// Pool that has the job.
+    pool: usize,
+    deadline_at: time::Duration,
+    /// Time at which the job is offered to the next leader.
+    offer_again_at: Option<time::Duration>,
+    /// Time at which the pool learns that the coordinator is lost.
+    withdraw_at: Option<time::Duration>,
+    /// Whether the caller has an answer after which it doesn't return.
+    is_settled: bool,
+    /// Time from which the caller has no result to expect: of an answer of 502 or 504, or of the last sign of
+    /// life of its coordinator.
+    failed_at: Option<time::Duration>,
+}
+
+impl Attempt {
+    fn is_live(&self) -> bool {
+        !self.is_settled && self.failed_at.is_none()
+    }
+}
+
+struct ReturnSchedule {
+    simulation: pool_simulation::PoolSimulation,
+    rng: rngs::StdRng,
+    policy: CallerPolicy,
+    domains: Vec<Domain>,
+    states: Vec<ProcessState>,
+    attempts: Vec<Attempt>,
+    read_answers: usize,
+    job_count: u32,
+    /// Servers whose registry entries are missing, with the times at which they are back.
+    missing_entries: BTreeMap<&'static str, time::Duration>,
+    /// Times at which callers return, with the attempt that failed.
+    returns: Vec<(time::Duration, Attempt)>,
+}
+
+impl ReturnSchedule {
+    fn new(seed: u64, policy: CallerPolicy) -> Self {
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        let servers = DOMAIN_SERVERS.concat();
+        let mut simulation = pool_simulation::PoolSimulation::new(
+            POOLS_PER_DOMAIN * DOMAIN_SERVERS.len(),
+            servers.iter().map(|name| fixtures::server(name)).collect(),
+            settings::PoolPolicies::default(),
+        );
+        let domains: Vec<Domain> = (0..DOMAIN_SERVERS.len())
+            .map(|domain| {
+                let first_pool = domain * POOLS_PER_DOMAIN;
+                Domain {
+                    pools: first_pool..first_pool + POOLS_PER_DOMAIN,
+                    leader: first_pool,
+                    loss_noticed_at: None,
+                }
+            })
+            .collect();
+        for (domain, own) in domains.iter().zip(DOMAIN_SERVERS) {
+            for pool_index in domain.pools.clone() {
+                for foreign in servers.iter().filter(|server| !own.contains(server)) {
+                    simulation.pools[pool_index].remove_registry_entry(foreign);
+                }
+            }
+            simulation.lead(domain.leader);
+        }
+        simulation.late_order_rules = late_order_rules(&mut rng);
+        simulation.run_until(fixtures::ms(100));
+        Self {
+            states: vec![ProcessState::Running; simulation.pools.len()],
+            simulation,
+            rng,
+            policy,
+            domains,
+            attempts: Vec::new(),
+            read_answers: 0,
+            job_count: 0,
+            missing_entries: BTreeMap::new(),
+            returns: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        while self.simulation.now() < SCHEDULE_END {
+            let next = self.simulation.now() + STEP_TIME;
+            self.simulation.run_until(next);
+            self.resume_frozen();
+            self.return_entries();
+            self.apply_answers();
+            self.change_leaders();
+            self.advance_attempts();
+            self.return_callers();
+            if next < DISTURBED_TIME {
+                self.draw_events();
+            }
+            for domain in 0..self.domains.len() {
+                let leader = self.domains[domain].leader;
+                if self.states[leader] == ProcessState::Running {
+                    self.simulation.lead(leader);
+                }
+            }
+            // A leader may have ended jobs as it was fenced.
+            self.apply_answers();
+        }
+    }
+
+    fn draw_events(&mut self) {
+        if self.rng.random_bool(0.12) {
+            self.send_new_job();
+        }
+        if self.rng.random_bool(0.01) {
+            self.lose_leader();
+        }
+        if self.rng.random_bool(0.01) {
+            self.lose_caller_or_coordinator();
+        }
+        if self.rng.random_bool(0.002) {
+            self.lose_registry_entry();
+        }
+    }
+
+    /// Lets the registry lose the entry of a server that can't reach the store.
+    fn lose_registry_entry(&mut self) {
+        let now = self.simulation.now();
+        let domain = self.rng.random_range(0..self.domains.len());
+        let servers = DOMAIN_SERVERS[domain];
+        let server = servers[self.rng.random_range(0..servers.len())];
+        let missing_for = fixtures::ms(self.rng.random_range(2_000..6_000));
+        self.missing_entries.insert(server, now + missing_for);
+        for pool in self.domains[domain].pools.clone() {
+            if self.states[pool] == ProcessState::Running {
+                let pool = &mut self.simulation.pools[pool];
+                pool.remove_registry_entry(server);
+                pool.mark_registry_incomplete(now + REREGISTRATION_GRACE);
+            }
+        }
+    }
+
+    fn return_entries(&mut self) {
+        let now = self.simulation.now();
+        let returned: Vec<&str> = self
+            .missing_entries
+            .extract_if(.., |_, until| *until <= now)
+            .map(|(server, _)| server)
+            .collect();
+        for server in returned {
+            for (domain, own) in self.domains.iter().zip(DOMAIN_SERVERS) {
+                for pool in domain.pools.clone().filter(|_| own.contains(&server)) {
+                    if self.states[pool] == ProcessState::Running {
+                        self.simulation.update_registry_entry(pool, server);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets a pool that goes on after a pause read the registry.
+    fn read_registry(&mut self, pool: usize) {
+        let now = self.simulation.now();
+        for server in DOMAIN_SERVERS[pool / POOLS_PER_DOMAIN] {
+            if self.missing_entries.contains_key(server) {
+                let pool = &mut self.simulation.pools[pool];
+                pool.remove_registry_entry(server);
+                pool.mark_registry_incomplete(now + REREGISTRATION_GRACE);
+            } else {
+                self.simulation.update_registry_entry(pool, server);
+            }
+        }
+    }
+
+    fn send_new_job(&mut self) {
+        let (estimate, run_time, deadline_ms) = match self.rng.random_range(0..4) {
+            0 => (fixtures::SHORT_RUN, fixtures::SHORT_RUN, 1_500),
+            1 => (fixtures::LONG_RUN, fixtures::LONG_RUN, 3_000),
+            2 => (fixtures::LONG_RUN, fixtures::LONG_RUN * 4, 1_500),
+            _ => (fixtures::LONG_RUN * 4, fixtures::LONG_RUN * 4, 8_000),
+        };
+        self.job_count += 1;
+        let id = format!("job{}", self.job_count);
+        let offer = job_model::JobOffer {
+            time_to_deadline: fixtures::ms(deadline_ms),
+            ..fixtures::offer(&id, self.rng.random_range(1..3), estimate)
+        };
+        let domain = self.rng.random_range(0..self.domains.len());
+        self.send(offer, run_time, 1, domain);
+    }
+
+    /// Sends a job to the leader of `domain`; a frozen or lost one doesn't read the offer.
+    fn send(
+        &mut self,
+        offer: job_model::JobOffer,
+        run_time: time::Duration,
+        number: u32,
+        domain: usize,
+    ) {
+        let pool = self.domains[domain].leader;
+        if self.states[pool] != ProcessState::Running {
+            return;
+        }
+        let profile = fixtures::task_profile(run_time);
+        self.simulation.submit(pool, &offer, profile);
+        self.attempts.push(Attempt {
+            deadline_at: self.simulation.now() + offer.time_to_deadline,
+            offer,
+            run_time,
+            number,
+            domain,
+            pool,
+            offer_again_at: None,
+            withdraw_at: None,
+            is_settled: false,
+            failed_at: None,
+        });
+    }
+
+    /// Kills a leader, or freezes it, for less time than its peers wait for it or for more.
+    fn lose_leader(&mut self) {
+        let domain = self.rng.random_range(0..self.domains.len());
+        let leader = self.domains[domain].leader;
+        let has_successor = self.domains[domain]
+            .pools
+            .clone()
+            .any(|pool| pool != leader && self.states[pool] == ProcessState::Running);
+        if self.states[leader] != ProcessState::Running || !has_successor {
+            return;
+        }
+        let now = self.simulation.now();
+        let (state, noticed_after_ms) = match self.rng.random_range(0..3) {
+            0 => (ProcessState::Killed, Some(self.rng.random_range(0..50))),
+            1 => {
+                let frozen_for = fixtures::ms(self.rng.random_range(50..390));
+                (ProcessState::Frozen(now + frozen_for), None)
+            }
+            _ => {
+                let frozen_for = fixtures::ms(self.rng.random_range(750..3_000));
+                let noticed_after_ms = self.rng.random_range(600..710);
+                (
+                    ProcessState::Frozen(now + frozen_for),
+                    Some(noticed_after_ms),
+                )
+            }
+        };
+        self.simulation.pause(leader);
+        self.states[leader] = state;
+        self.domains[domain].loss_noticed_at =
+            noticed_after_ms.map(|after_ms| now + fixtures::ms(after_ms));
+    }
+
+    fn resume_frozen(&mut self) {
+        let now = self.simulation.now();
+        for pool in 0..self.states.len() {
+            if matches!(self.states[pool], ProcessState::Frozen(until) if until <= now) {
+                self.simulation.resume(pool);
+                self.states[pool] = ProcessState::Running;
+                // The process steps down before it does anything else.
+                self.simulation.run_until(now);
+                self.read_registry(pool);
+            }
+        }
+    }
+
+    /// Lets another pool lead each domain whose leader is found to be lost. Coordinators offer their jobs to the
+    /// next leader, or tell their callers that the pool is lost.
+    fn change_leaders(&mut self) {
+        let now = self.simulation.now();
+        for domain in 0..self.domains.len() {
+            let lost = self.domains[domain].leader;
+            if self.domains[domain]
+                .loss_noticed_at
+                .is_none_or(|at| now < at)
+            {
+                continue;
+            }
+            let successor = self.domains[domain]
+                .pools
+                .clone()
+                .find(|pool| *pool != lost && self.states[*pool] == ProcessState::Running);
+            let Some(successor) = successor else {
+                continue;
+            };
+            self.domains[domain].loss_noticed_at = None;
+            self.domains[domain].leader = successor;
+            self.simulation.lead(successor);
+            for index in 0..self.attempts.len() {
+                if self.attempts[index].pool == lost && self.attempts[index].is_live() {
+                    self.lose_pool(index);
+                }
+            }
+        }
+    }
+
+    /// Handles the loss of the pool that has an attempt.
+    fn lose_pool(&mut self, index: usize) {
+        let now = self.simulation.now();
+        let id = Arc::clone(&self.attempts[index].offer.spec.id);
+        self.simulation.forget_waiters(&id);
+        if self.rng.random_bool(0.5) {
+            let delay = fixtures::ms(self.rng.random_range(0..250));
+            self.attempts[index].offer_again_at = Some(now + delay);
+        } else {
+            self.fail(index, now);
+        }
+    }
+
+    fn fail(&mut self, index: usize, at: time::Duration) {
+        let attempt = &mut self.attempts[index];
+        attempt.failed_at = Some(at);
+        if self.policy == CallerPolicy::SendAgain && attempt.number < MAX_ATTEMPTS {
+            self.returns.push((at + RETRANSMIT_TIME, attempt.clone()));
+        }
+    }
+
+    fn apply_answers(&mut self) {
+        while let Some(answer) = self.simulation.answers.get(self.read_answers).cloned() {
+            self.read_answers += 1;
+            let Some(index) = self
+                .attempts
+                .iter()
+                .position(|attempt| attempt.is_live() && attempt.offer.spec.id == answer.job)
+            else {
+                continue;
+            };
+            match answer.end {
+                job_model::JobEnd::Completed => self.attempts[index].is_settled = true,
+                // A copy may have run elsewhere, so that a refusal is no proof that none has.
+                job_model::JobEnd::Refused { .. }
+                    if !self.attempts[index].offer.may_have_started =>
+                {
+                    self.attempts[index].is_settled = true;
+                }
+                job_model::JobEnd::Refused { .. } | job_model::JobEnd::Failed(_) => {
+                    self.fail(index, answer.at);
+                }
+                job_model::JobEnd::PoolLost | job_model::JobEnd::NotLeader => self.lose_pool(index),
+            }
+        }
+    }
+
+    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on; one that is lost
+    /// gives up its jobs by itself.
+    fn withdraw(&mut self, index: usize) {
+        let attempt = &mut self.attempts[index];
+        let (pool, id) = (attempt.pool, Arc::clone(&attempt.offer.spec.id));
+        let is_lost = self.domains[attempt.domain].loss_noticed_at.is_some()
+            || self.domains[attempt.domain].leader != pool;
+        if self.states[pool] != ProcessState::Running && !is_lost {
+            attempt.withdraw_at.get_or_insert(self.simulation.now());
+            return;
+        }
+        attempt.withdraw_at = None;
+        if self.states[pool] == ProcessState::Running {
+            self.simulation.withdraw(pool, &id);
+        }
+        self.simulation.forget_waiters(&id);
+    }
+
+    /// Ends attempts at their deadlines, and carries out what their coordinators do later.
+    fn advance_attempts(&mut self) {
+        let now = self.simulation.now();
+        for index in 0..self.attempts.len() {
+            let attempt = &self.attempts[index];
+            if attempt.withdraw_at.is_some_and(|at| at <= now) {
+                self.withdraw(index);
+            } else if attempt.is_live() && attempt.deadline_at <= now {
+                self.withdraw(index);
+                self.fail(index, now);
+            } else if attempt.is_live() && attempt.offer_again_at.is_some_and(|at| at <= now) {
+                self.offer_again(index);
+            }
+        }
+    }
+
+    fn offer_again(&mut self, index: usize) {
+        let now = self.simulation.now();
+        let attempt = &mut self.attempts[index];
+        let leader = self.domains[attempt.domain].leader;
+        if self.states[leader] != ProcessState::Running {
+            return;
+        }
+        attempt.offer_again_at = None;
+        attempt.pool = leader;
+        attempt.offer.may_have_started = true;
+        attempt.offer.time_to_deadline = attempt.deadline_at.saturating_sub(now);
+        let (offer, run_time) = (attempt.offer.clone(), attempt.run_time);
+        let profile = fixtures::task_profile(run_time);
+        self.simulation.submit(leader, &offer, profile);
+    }
+
+    /// A caller leaves, which its coordinator notices at once, or the coordinator is cut off with its caller,
+    /// which the pool notices later.
+    fn lose_caller_or_coordinator(&mut self) {
+        let live: Vec<usize> = (0..self.attempts.len())
+            .filter(|index| self.attempts[*index].is_live())
+            .collect();
+        if live.is_empty() {
+            return;
+        }
+        let now = self.simulation.now();
+        let index = live[self.rng.random_range(0..live.len())];
+        if self.rng.random_bool(0.5) {
+            self.withdraw(index);
+        } else {
+            let delay = fixtures::ms(self.rng.random_range(0..COORDINATOR_LOSS_MS));
+            self.attempts[index].withdraw_at = Some(now + delay);
+        }
+        self.fail(index, now);
+    }
+
+    fn return_callers(&mut self) {
+        let now = self.simulation.now();
+        let (due, later) = std::mem::take(&mut self.returns)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.returns = later;
+        let due: Vec<(time::Duration, Attempt)> = due;
+        for (_, attempt) in due {
+            let offer = job_model::JobOffer {
+                may_have_started: false,
+                time_to_deadline: fixtures::ms(3_000),
+                ..attempt.offer
+            };
+            let domain = self.rng.random_range(0..self.domains.len());
+            self.send(offer, attempt.run_time, attempt.number + 1, domain);
+        }
+    }
+
+    /// Returns the runs that were left when the caller of their job may have returned, with the time for which
+    /// they were.
+    fn overdue_runs(&self) -> Vec<(job_model::TaskName, time::Duration)> {
+        let runs = self
+            .simulation
+            .servers
+            .values()
+            .flat_map(|server| &server.history);
+        runs.filter_map(|run| {
+            let failed_at = self
+                .attempts
+                .iter()
+                .find(|attempt| attempt.offer.spec.id == run.task.job)?
+                .failed_at?;
+            let left_for = run.ended_at.saturating_sub(failed_at);
+            (left_for > RETRANSMIT_TIME).then(|| (run.task.clone(), left_for))
+        })
+        .collect()
+    }
+}
+
+/// Draws a share of all orders that are late, and times in which one kind of orders to a server is.
+fn late_order_rules(rng: &mut rngs::StdRng) -> Vec<pool_simulation::LateOrderRule> {
+    let all_kinds = [
+        pool_simulation::OrderKind::Start,
+        pool_simulation::OrderKind::Stop,
+        pool_simulation::OrderKind::Hold,
+    ];
+    let delay = fixtures::ms(200)..=fixtures::ms(8_000);
+    let mut rules = vec![pool_simulation::LateOrderRule {
+        kinds: all_kinds.to_vec(),
+        pool_index: None,
+        server: None,
+        arrival: time::Duration::ZERO..SCHEDULE_END,
+        share: [0.0, 0.01, 0.03, 0.1][rng.random_range(0..4)],
+        delay: delay.clone(),
+        rng: rngs::StdRng::seed_from_u64(rng.random()),
+    }];
+    let servers = DOMAIN_SERVERS.concat();
+    for _ in 0..rng.random_range(0..4) {
+        let from = fixtures::ms(rng.random_range(0..10_000));
+        rules.push(pool_simulation::LateOrderRule {
+            // Most of these are stops, as holds go on then.
+            kinds: match rng.random_range(0..4) {
+                0 => vec![all_kinds[rng.random_range(0..all_kinds.len())]],
+                _ => vec![pool_simulation::OrderKind::Stop],
+            },
+            pool_index: None,
+            server: Some(Arc::from(servers[rng.random_range(0..servers.len())])),
+            arrival: from..from + fixtures::ms(rng.random_range(200..5_000)),
+            share: 1.0,
+            delay: delay.clone(),
+            rng: rngs::StdRng::seed_from_u64(rng.random()),
+        });
+    }
+    rules
+}
+
+/// Returns the seeds of the schedules in `seeds` for which `has_failed` holds.
+fn failed_seeds(
+    seeds: ops::Range<u64>,
+    policy: CallerPolicy,
+    has_failed: impl Fn(&ReturnSchedule) -> bool,
+) -> BTreeSet<u64> {
+    seeds
+        .filter(|seed| {
+            let mut schedule = ReturnSchedule::new(*seed, policy);
+            schedule.run();
+            has_failed(&schedule)
+        })
+        .collect()
+}
+
+/// Orders stay unanswered, leaders, coordinators, callers and registry entries are lost, in random order. A run that is left when its
+/// caller can return would run beside the next one.
+#[test]
+fn no_run_is_left_when_the_caller_of_a_failed_job_can_return() {
+    let seeds = failed_seeds(0..SCHEDULE_COUNT, CallerPolicy::Leave, |schedule| {
+        !schedule.overdue_runs().is_empty()
+    });
+    assert!(
+        seeds.is_empty(),
+        "runs left in {} of {SCHEDULE_COUNT} schedules, seeds {seeds:?}",
+        seeds.len()
+    );
+}
+
+/// The same with callers that return, to any failure domain.
+#[test]
+fn no_runs_overlap_when_callers_return_to_any_domain() {
+    let seeds = failed_seeds(0..SCHEDULE_COUNT, CallerPolicy::SendAgain, |schedule| {
+        let violations = &schedule.simulation.violations;
+        violations.iter().any(|violation| {
+            matches!(
+                violation,
+                pool_simulation::InvariantViolation::OverlappingRuns(_)
+            )
+        })
+    });
+    assert!(
+        seeds.is_empty(),
+        "overlapping runs in {} of {SCHEDULE_COUNT} schedules, seeds {seeds:?}",
+        seeds.len()
+    );
+}
