Lose leaders of servers without a registry entry in the random schedules, at loads that leave room

Now a leader is often killed while an entry is missing, some jobs last 6.3 s, and the load goes from half of what the servers can run to five times as much.

--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -21,7 +21,7 @@
 /// Time until which jobs are sent and processes are lost.
 const DISTURBED_TIME: time::Duration = time::Duration::from_secs(10);
 /// Time at which all runs have ended.
-const SCHEDULE_END: time::Duration = time::Duration::from_secs(18);
+const SCHEDULE_END: time::Duration = time::Duration::from_secs(22);
 /// Interval of the events of a schedule.
 const STEP_TIME: time::Duration = time::Duration::from_millis(10);
 /// Longest time until a pool counts the connection of a coordinator that was cut off as lost.
@@ -57,6 +57,8 @@
     leader: usize,
     /// Time at which the loss of the leader is noticed.
     loss_noticed_at: Option<time::Duration>,
+    /// Time at which the leader is killed.
+    leader_killed_at: Option<time::Duration>,
 }
 
 /// One sending of a job, from its request to its answer.
@@ -94,6 +96,8 @@
     states: Vec<ProcessState>,
     attempts: Vec<Attempt>,
     read_answers: usize,
+    /// Share of the steps in which a job is sent.
+    job_share: f64,
     job_count: u32,
     /// Servers whose registry entries are missing, with the times at which they are back.
     missing_entries: BTreeMap<&'static str, time::Duration>,
@@ -117,6 +121,7 @@
                     pools: first_pool..first_pool + POOLS_PER_DOMAIN,
                     leader: first_pool,
                     loss_noticed_at: None,
+                    leader_killed_at: None,
                 }
             })
             .collect();
@@ -133,6 +138,8 @@
         Self {
             states: vec![ProcessState::Running; simulation.pools.len()],
             simulation,
+            // From half of what the servers can run to five times as much.
+            job_share: [0.01, 0.02, 0.05, 0.12][rng.random_range(0..4)],
             rng,
             policy,
             domains,
@@ -150,6 +157,7 @@
             self.simulation.run_until(next);
             self.resume_frozen();
             self.return_entries();
+            self.kill_due_leaders();
             self.apply_answers();
             self.change_leaders();
             self.advance_attempts();
@@ -169,7 +177,7 @@
     }
 
     fn draw_events(&mut self) {
-        if self.rng.random_bool(0.12) {
+        if self.rng.random_bool(self.job_share) {
             self.send_new_job();
         }
         if self.rng.random_bool(0.01) {
@@ -178,19 +186,24 @@
         if self.rng.random_bool(0.01) {
             self.lose_caller_or_coordinator();
         }
-        if self.rng.random_bool(0.002) {
+        if self.rng.random_bool(0.004) {
             self.lose_registry_entry();
         }
     }
 
-    /// Lets the registry lose the entry of a server that can't reach the store.
+    /// Lets the registry lose the entry of a server that can't reach the store. Often, the leader is killed while
+    /// the entry is missing.
     fn lose_registry_entry(&mut self) {
         let now = self.simulation.now();
         let domain = self.rng.random_range(0..self.domains.len());
         let servers = DOMAIN_SERVERS[domain];
         let server = servers[self.rng.random_range(0..servers.len())];
-        let missing_for = fixtures::ms(self.rng.random_range(2_000..6_000));
+        let missing_for = fixtures::ms(self.rng.random_range(3_000..8_000));
         self.missing_entries.insert(server, now + missing_for);
+        if self.rng.random_bool(0.5) {
+            let killed_after = missing_for.mul_f64(self.rng.random_range(0.0..1.0));
+            self.domains[domain].leader_killed_at = Some(now + killed_after);
+        }
         for pool in self.domains[domain].pools.clone() {
             if self.states[pool] == ProcessState::Running {
                 let pool = &mut self.simulation.pools[pool];
@@ -237,7 +250,7 @@
             0 => (fixtures::SHORT_RUN, fixtures::SHORT_RUN, 1_500),
             1 => (fixtures::LONG_RUN, fixtures::LONG_RUN, 3_000),
             2 => (fixtures::LONG_RUN, fixtures::LONG_RUN * 4, 1_500),
-            _ => (fixtures::LONG_RUN * 4, fixtures::LONG_RUN * 4, 8_000),
+            _ => (fixtures::LONG_RUN * 7, fixtures::LONG_RUN * 7, 10_000),
         };
         self.job_count += 1;
         let id = format!("job{}", self.job_count);
@@ -280,14 +293,6 @@
     /// Kills a leader, or freezes it, for less time than its peers wait for it or for more.
     fn lose_leader(&mut self) {
         let domain = self.rng.random_range(0..self.domains.len());
-        let leader = self.domains[domain].leader;
-        let has_successor = self.domains[domain]
-            .pools
-            .clone()
-            .any(|pool| pool != leader && self.states[pool] == ProcessState::Running);
-        if self.states[leader] != ProcessState::Running || !has_successor {
-            return;
-        }
         let now = self.simulation.now();
         let (state, noticed_after_ms) = match self.rng.random_range(0..3) {
             0 => (ProcessState::Killed, Some(self.rng.random_range(0..50))),
@@ -304,10 +309,44 @@
                 )
             }
         };
-        self.simulation.pause(leader);
-        self.states[leader] = state;
-        self.domains[domain].loss_noticed_at =
-            noticed_after_ms.map(|after_ms| now + fixtures::ms(after_ms));
+        self.stop_leader(
+            domain,
+            state,
+            noticed_after_ms.map(|after_ms| now + fixtures::ms(after_ms)),
+        );
+    }
+
+    fn kill_due_leaders(&mut self) {
+        let now = self.simulation.now();
+        for domain in 0..self.domains.len() {
+            let is_due = |at: &mut time::Duration| *at <= now;
+            if self.domains[domain]
+                .leader_killed_at
+                .take_if(is_due)
+                .is_some()
+            {
+                self.stop_leader(domain, ProcessState::Killed, Some(now));
+            }
+        }
+    }
+
+    /// Stops the leader of a domain unless it is stopped already or nobody could follow it.
+    fn stop_leader(
+        &mut self,
+        domain: usize,
+        state: ProcessState,
+        loss_noticed_at: Option<time::Duration>,
+    ) {
+        let leader = self.domains[domain].leader;
+        let has_successor = self.domains[domain]
+            .pools
+            .clone()
+            .any(|pool| pool != leader && self.states[pool] == ProcessState::Running);
+        if self.states[leader] == ProcessState::Running && has_successor {
+            self.simulation.pause(leader);
+            self.states[leader] = state;
+            self.domains[domain].loss_noticed_at = loss_noticed_at;
+        }
     }
 
     fn resume_frozen(&mut self) {
