--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -323,29 +323,29 @@
         self.push(self.now, Event::Tick(pool_index));
     }
 
-    /// Offers a job to a pool, which reads the offer at once. `profile` holds for each task of the
-    /// job.
+    /// Offers a job to a pool, which reads the offer at once, and returns its waiter. `profile` holds for each
+    /// task of the job.
     pub fn submit(
         &mut self,
         pool_index: usize,
         offer: &job_model::JobOffer,
         profile: fake_server::TaskProfile,
-    ) {
+    ) -> pool_action::WaiterId {
         let offer = job_model::JobOffer {
             sent_at: self.now,
             ..offer.clone()
         };
-        self.deliver_offer(pool_index, &offer, profile);
+        self.deliver_offer(pool_index, &offer, profile)
     }
 
     /// Lets a pool read an offer that was sent at its `sent_at`, for example after a pause of the
-    /// process. `profile` holds for each task of the job.
+    /// process, and returns its waiter. `profile` holds for each task of the job.
     pub fn deliver_offer(
         &mut self,
         pool_index: usize,
         offer: &job_model::JobOffer,
         profile: fake_server::TaskProfile,
-    ) {
+    ) -> pool_action::WaiterId {
         self.task_profiles
             .insert(Arc::clone(&offer.spec.id), profile);
         self.last_sequence += 1;
@@ -361,6 +361,7 @@
         if had_room && is_refused {
             self.refused_with_room.push(Arc::clone(&offer.spec.id));
         }
+        waiter
     }
 
     /// Adds an answer to a caller.
@@ -411,9 +412,22 @@
         self.execute_actions(pool_index);
     }
 
-    /// Drops the answers to all callers that wait for `job`, whose coordinators have given up their offers.
-    pub fn forget_waiters(&mut self, job: &str) {
-        self.waiters.retain(|_, waited_job| &**waited_job != job);
+    /// Withdraws the offer of a job by one waiter, which gets no answer any more. A paused pool must not get
+    /// the withdrawal before it is resumed.
+    pub fn withdraw_waiter(
+        &mut self,
+        pool_index: usize,
+        job: &Arc<str>,
+        waiter: pool_action::WaiterId,
+    ) {
+        self.forget_waiter(waiter);
+        self.pools[pool_index].withdraw(job, waiter, self.now);
+        self.execute_actions(pool_index);
+    }
+
+    /// Drops the answer to a waiter that has given up its offer.
+    pub fn forget_waiter(&mut self, waiter: pool_action::WaiterId) {
+        self.waiters.remove(&waiter);
     }
 
     /// Sends the present registry entry of the server `server_id` to a pool.
--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -8,7 +8,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, settings};
+use cuminkeel_dispatch::{job_model, pool_action, settings};
 use cuminkeel_replay::pool_simulation;
 use rand::{RngExt, SeedableRng, rngs};
 
@@ -68,8 +68,9 @@
     run_time: time::Duration,
     number: u32,
     domain: usize,
-    /// Pool that has the job.
+    /// Pool that has the job, and the number of the offer.
     pool: usize,
+    waiter: pool_action::WaiterId,
     deadline_at: time::Duration,
     /// Time at which the job is offered to the next leader.
     offer_again_at: Option<time::Duration>,
@@ -99,6 +100,8 @@
     /// Share of the steps in which a job is sent.
     job_share: f64,
     job_count: u32,
+    /// Withdrawals that frozen pools have not read.
+    unread_withdrawals: Vec<(usize, Arc<str>, pool_action::WaiterId)>,
     /// Servers whose registry entries are missing, with the times at which they are back.
     missing_entries: BTreeMap<&'static str, time::Duration>,
     /// Times at which callers return, with the attempt that failed.
@@ -146,6 +149,7 @@
             attempts: Vec::new(),
             read_answers: 0,
             job_count: 0,
+            unread_withdrawals: Vec::new(),
             missing_entries: BTreeMap::new(),
             returns: Vec::new(),
         }
@@ -275,7 +279,7 @@
             return;
         }
         let profile = fixtures::task_profile(run_time);
-        self.simulation.submit(pool, &offer, profile);
+        let waiter = self.simulation.submit(pool, &offer, profile);
         self.attempts.push(Attempt {
             deadline_at: self.simulation.now() + offer.time_to_deadline,
             offer,
@@ -283,6 +287,7 @@
             number,
             domain,
             pool,
+            waiter,
             offer_again_at: None,
             withdraw_at: None,
             is_settled: false,
@@ -358,6 +363,7 @@
                 // The process steps down before it does anything else.
                 self.simulation.run_until(now);
                 self.read_registry(pool);
+                self.read_withdrawals(pool);
             }
         }
     }
@@ -395,8 +401,7 @@
     /// Handles the loss of the pool that has an attempt.
     fn lose_pool(&mut self, index: usize) {
         let now = self.simulation.now();
-        let id = Arc::clone(&self.attempts[index].offer.spec.id);
-        self.simulation.forget_waiters(&id);
+        self.withdraw(index);
         if self.rng.random_bool(0.5) {
             let delay = fixtures::ms(self.rng.random_range(0..250));
             self.attempts[index].offer_again_at = Some(now + delay);
@@ -439,22 +444,32 @@
         }
     }
 
-    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on; one that is lost
-    /// gives up its jobs by itself.
+    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on.
     fn withdraw(&mut self, index: usize) {
         let attempt = &mut self.attempts[index];
-        let (pool, id) = (attempt.pool, Arc::clone(&attempt.offer.spec.id));
-        let is_lost = self.domains[attempt.domain].loss_noticed_at.is_some()
-            || self.domains[attempt.domain].leader != pool;
-        if self.states[pool] != ProcessState::Running && !is_lost {
-            attempt.withdraw_at.get_or_insert(self.simulation.now());
-            return;
-        }
         attempt.withdraw_at = None;
-        if self.states[pool] == ProcessState::Running {
-            self.simulation.withdraw(pool, &id);
+        let (pool, waiter) = (attempt.pool, attempt.waiter);
+        let id = Arc::clone(&attempt.offer.spec.id);
+        match self.states[pool] {
+            ProcessState::Running => self.simulation.withdraw_waiter(pool, &id, waiter),
+            ProcessState::Frozen(_) => {
+                self.simulation.forget_waiter(waiter);
+                self.unread_withdrawals.push((pool, id, waiter));
+            }
+            ProcessState::Killed => self.simulation.forget_waiter(waiter),
+        }
+    }
+
+    /// Lets a pool that goes on after a pause read the withdrawals that were sent meanwhile.
+    fn read_withdrawals(&mut self, pool: usize) {
+        let (read, others) = std::mem::take(&mut self.unread_withdrawals)
+            .into_iter()
+            .partition(|(receiver, ..)| *receiver == pool);
+        self.unread_withdrawals = others;
+        let read: Vec<(usize, Arc<str>, pool_action::WaiterId)> = read;
+        for (_, id, waiter) in read {
+            self.simulation.withdraw_waiter(pool, &id, waiter);
         }
-        self.simulation.forget_waiters(&id);
     }
 
     /// Ends attempts at their deadlines, and carries out what their coordinators do later.
@@ -486,7 +501,7 @@
         attempt.offer.time_to_deadline = attempt.deadline_at.saturating_sub(now);
         let (offer, run_time) = (attempt.offer.clone(), attempt.run_time);
         let profile = fixtures::task_profile(run_time);
-        self.simulation.submit(leader, &offer, profile);
+        self.attempts[index].waiter = self.simulation.submit(leader, &offer, profile);
     }
 
     /// A caller leaves, which its coordinator notices at once, or the coordinator is cut off with its caller,
