--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -9,7 +9,7 @@
 };
 
 use cuminkeel_dispatch::{job_model, pool_action, settings};
-use cuminkeel_replay::pool_simulation;
+use cuminkeel_replay::{fake_server, pool_simulation};
 use rand::{RngExt, SeedableRng, rngs};
 
 use crate::fixtures;
@@ -78,6 +78,8 @@
     withdraw_at: Option<time::Duration>,
     /// Whether the caller has an answer after which it doesn't return.
     is_settled: bool,
+    /// Whether the caller was told that the job has not run.
+    is_refused: bool,
     /// Time from which the caller has no result to expect: of an answer of 502 or 504, or of the last sign of
     /// life of its coordinator.
     failed_at: Option<time::Duration>,
@@ -291,6 +293,7 @@
             offer_again_at: None,
             withdraw_at: None,
             is_settled: false,
+            is_refused: false,
             failed_at: None,
         });
     }
@@ -435,6 +438,7 @@
                     if !self.attempts[index].offer.may_have_started =>
                 {
                     self.attempts[index].is_settled = true;
+                    self.attempts[index].is_refused = true;
                 }
                 job_model::JobEnd::Refused { .. } | job_model::JobEnd::Failed(_) => {
                     self.fail(index, answer.at);
@@ -542,6 +546,17 @@
         }
     }
 
+    /// Returns whether a task ran of a job whose caller was told that it has not run.
+    fn has_refused_job_run(&self) -> bool {
+        let is_refused = |run: &fake_server::RunRecord| {
+            self.attempts
+                .iter()
+                .any(|attempt| attempt.is_refused && attempt.offer.spec.id == run.task.job)
+        };
+        let mut servers = self.simulation.servers.values();
+        servers.any(|server| server.history.iter().any(is_refused))
+    }
+
     /// Returns the runs that were left when the caller of their job may have returned, with the time for which
     /// they were.
     fn overdue_runs(&self) -> Vec<(job_model::TaskName, time::Duration)> {
@@ -647,3 +662,19 @@
         seeds.len()
     );
 }
+
+/// A start that stays unanswered may be carried out, and a lost leader may have started a task. Callers would be told
+/// that such a job has not run.
+#[test]
+fn no_job_runs_whose_caller_was_told_that_it_has_not() {
+    let seeds = failed_seeds(
+        0..SCHEDULE_COUNT,
+        CallerPolicy::Leave,
+        ReturnSchedule::has_refused_job_run,
+    );
+    assert!(
+        seeds.is_empty(),
+        "refused jobs ran in {} of {SCHEDULE_COUNT} schedules, seeds {seeds:?}",
+        seeds.len()
+    );
+}
