--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -20,7 +20,7 @@
 const RETRANSMIT_TIME: time::Duration = time::Duration::from_millis(1_300);
 /// Time until which jobs are sent and processes are lost.
 const DISTURBED_TIME: time::Duration = time::Duration::from_secs(10);
-/// Time at which all runs have ended.
+/// Time at which all jobs have ended.
 const SCHEDULE_END: time::Duration = time::Duration::from_secs(22);
 /// Interval of the events of a schedule.
 const STEP_TIME: time::Duration = time::Duration::from_millis(10);
@@ -560,19 +560,20 @@
     /// Returns the runs that were left when the caller of their job may have returned, with the time for which
     /// they were.
     fn overdue_runs(&self) -> Vec<(job_model::TaskName, time::Duration)> {
-        let runs = self
-            .simulation
-            .servers
-            .values()
-            .flat_map(|server| &server.history);
-        runs.filter_map(|run| {
+        let servers = self.simulation.servers.values();
+        let runs = servers.flat_map(|server| {
+            let ended = server.history.iter().map(|run| (&run.task, run.ended_at));
+            let in_progress = server.runs.keys().map(|task| (task, SCHEDULE_END));
+            ended.chain(in_progress)
+        });
+        runs.filter_map(|(task, ended_at)| {
             let failed_at = self
                 .attempts
                 .iter()
-                .find(|attempt| attempt.offer.spec.id == run.task.job)?
+                .find(|attempt| attempt.offer.spec.id == task.job)?
                 .failed_at?;
-            let left_for = run.ended_at.saturating_sub(failed_at);
-            (left_for > RETRANSMIT_TIME).then(|| (run.task.clone(), left_for))
+            let left_for = ended_at.saturating_sub(failed_at);
+            (left_for > RETRANSMIT_TIME).then(|| (task.clone(), left_for))
         })
         .collect()
     }
