--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -24,7 +24,9 @@
 const SCHEDULE_END: time::Duration = time::Duration::from_secs(22);
 /// Interval of the events of a schedule.
 const STEP_TIME: time::Duration = time::Duration::from_millis(10);
-/// Longest time until a pool counts the connection of a coordinator that was cut off as lost.
+/// Times until a process counts a silent connection as lost and a pool stops the jobs of one: 55% and 80% of
+/// [`RETRANSMIT_TIME`].
+const MIN_LOSS_MS: u64 = 715;
 const COORDINATOR_LOSS_MS: u64 = 1_040;
 /// Number of pools, one of them a leader, and servers of each failure domain.
 const POOLS_PER_DOMAIN: usize = 4;
@@ -91,6 +93,15 @@
     }
 }
 
+/// Withdrawal of an offer that its pool has not read.
+struct UnreadWithdrawal {
+    pool: usize,
+    job: Arc<str>,
+    waiter: pool_action::WaiterId,
+    /// Time at which it reaches the process of the pool.
+    at: time::Duration,
+}
+
 struct ReturnSchedule {
     simulation: pool_simulation::PoolSimulation,
     rng: rngs::StdRng,
@@ -102,8 +113,9 @@
     /// Share of the steps in which a job is sent.
     job_share: f64,
     job_count: u32,
-    /// Withdrawals that frozen pools have not read.
-    unread_withdrawals: Vec<(usize, Arc<str>, pool_action::WaiterId)>,
+    /// Pools that live while others take them for lost, with the times from and until which they do.
+    cut_off: BTreeMap<usize, ops::Range<time::Duration>>,
+    unread_withdrawals: Vec<UnreadWithdrawal>,
     /// Servers whose registry entries are missing, with the times at which they are back.
     missing_entries: BTreeMap<&'static str, time::Duration>,
     /// Times at which callers return, with the attempt that failed.
@@ -151,6 +163,7 @@
             attempts: Vec::new(),
             read_answers: 0,
             job_count: 0,
+            cut_off: BTreeMap::new(),
             unread_withdrawals: Vec::new(),
             missing_entries: BTreeMap::new(),
             returns: Vec::new(),
@@ -162,6 +175,8 @@
             let next = self.simulation.now() + STEP_TIME;
             self.simulation.run_until(next);
             self.resume_frozen();
+            self.reconnect_pools();
+            self.read_withdrawals();
             self.return_entries();
             self.kill_due_leaders();
             self.apply_answers();
@@ -268,7 +283,7 @@
         self.send(offer, run_time, 1, domain);
     }
 
-    /// Sends a job to the leader of `domain`; a frozen or lost one doesn't read the offer.
+    /// Sends a job to the leader of `domain`; one that is frozen, lost or cut off doesn't read the offer.
     fn send(
         &mut self,
         offer: job_model::JobOffer,
@@ -277,7 +292,7 @@
         domain: usize,
     ) {
         let pool = self.domains[domain].leader;
-        if self.states[pool] != ProcessState::Running {
+        if self.states[pool] != ProcessState::Running || self.cut_off.contains_key(&pool) {
             return;
         }
         let profile = fixtures::task_profile(run_time);
@@ -302,13 +317,13 @@
     fn lose_leader(&mut self) {
         let domain = self.rng.random_range(0..self.domains.len());
         let now = self.simulation.now();
-        let (state, noticed_after_ms) = match self.rng.random_range(0..3) {
+        let (state, noticed_after_ms) = match self.rng.random_range(0..4) {
             0 => (ProcessState::Killed, Some(self.rng.random_range(0..50))),
             1 => {
                 let frozen_for = fixtures::ms(self.rng.random_range(50..390));
                 (ProcessState::Frozen(now + frozen_for), None)
             }
-            _ => {
+            2 => {
                 let frozen_for = fixtures::ms(self.rng.random_range(750..3_000));
                 let noticed_after_ms = self.rng.random_range(600..710);
                 (
@@ -316,6 +331,10 @@
                     Some(noticed_after_ms),
                 )
             }
+            _ => {
+                self.cut_off_leader(domain);
+                return;
+            }
         };
         self.stop_leader(
             domain,
@@ -338,6 +357,33 @@
         }
     }
 
+    /// Cuts a leader off from all other processes, which take it for lost, but not from the servers.
+    fn cut_off_leader(&mut self, domain: usize) {
+        let now = self.simulation.now();
+        let leader = self.domains[domain].leader;
+        let is_free = self.domains[domain].loss_noticed_at.is_none();
+        if self.states[leader] == ProcessState::Running && is_free && self.has_successor(domain) {
+            let noticed_at = now + fixtures::ms(self.rng.random_range(0..MIN_LOSS_MS));
+            let until = noticed_at + fixtures::ms(self.rng.random_range(200..2_000));
+            self.cut_off.insert(leader, now..until);
+            self.domains[domain].loss_noticed_at = Some(noticed_at);
+        }
+    }
+
+    /// Whether another pool could lead the domain.
+    fn has_successor(&self, domain: usize) -> bool {
+        self.successor(domain).is_some()
+    }
+
+    fn successor(&self, domain: usize) -> Option<usize> {
+        let leader = self.domains[domain].leader;
+        self.domains[domain].pools.clone().find(|pool| {
+            *pool != leader
+                && self.states[*pool] == ProcessState::Running
+                && !self.cut_off.contains_key(pool)
+        })
+    }
+
     /// Stops the leader of a domain unless it is stopped already or nobody could follow it.
     fn stop_leader(
         &mut self,
@@ -346,11 +392,9 @@
         loss_noticed_at: Option<time::Duration>,
     ) {
         let leader = self.domains[domain].leader;
-        let has_successor = self.domains[domain]
-            .pools
-            .clone()
-            .any(|pool| pool != leader && self.states[pool] == ProcessState::Running);
-        if self.states[leader] == ProcessState::Running && has_successor {
+        let is_lost = self.cut_off.contains_key(&leader);
+        let is_running = self.states[leader] == ProcessState::Running;
+        if is_running && !is_lost && self.has_successor(domain) {
             self.simulation.pause(leader);
             self.states[leader] = state;
             self.domains[domain].loss_noticed_at = loss_noticed_at;
@@ -366,7 +410,6 @@
                 // The process steps down before it does anything else.
                 self.simulation.run_until(now);
                 self.read_registry(pool);
-                self.read_withdrawals(pool);
             }
         }
     }
@@ -383,11 +426,7 @@
             {
                 continue;
             }
-            let successor = self.domains[domain]
-                .pools
-                .clone()
-                .find(|pool| *pool != lost && self.states[*pool] == ProcessState::Running);
-            let Some(successor) = successor else {
+            let Some(successor) = self.successor(domain) else {
                 continue;
             };
             self.domains[domain].loss_noticed_at = None;
@@ -448,31 +487,56 @@
         }
     }
 
-    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on.
+    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on, and one that is cut
+    /// off counts the connection as lost after a while.
     fn withdraw(&mut self, index: usize) {
+        let now = self.simulation.now();
         let attempt = &mut self.attempts[index];
-        attempt.withdraw_at = None;
+        let is_loss_noticed = attempt.withdraw_at.take().is_some();
         let (pool, waiter) = (attempt.pool, attempt.waiter);
-        let id = Arc::clone(&attempt.offer.spec.id);
-        match self.states[pool] {
-            ProcessState::Running => self.simulation.withdraw_waiter(pool, &id, waiter),
-            ProcessState::Frozen(_) => {
-                self.simulation.forget_waiter(waiter);
-                self.unread_withdrawals.push((pool, id, waiter));
+        let job = Arc::clone(&attempt.offer.spec.id);
+        let at = match self.cut_off.get(&pool) {
+            Some(cut) if !is_loss_noticed => {
+                let loss_ms = self.rng.random_range(MIN_LOSS_MS..COORDINATOR_LOSS_MS);
+                now.max(cut.start + fixtures::ms(loss_ms))
             }
-            ProcessState::Killed => self.simulation.forget_waiter(waiter),
-        }
+            _ => now,
+        };
+        self.simulation.forget_waiter(waiter);
+        self.unread_withdrawals.push(UnreadWithdrawal {
+            pool,
+            job,
+            waiter,
+            at,
+        });
+        self.read_withdrawals();
     }
 
-    /// Lets a pool that goes on after a pause read the withdrawals that were sent meanwhile.
-    fn read_withdrawals(&mut self, pool: usize) {
-        let (read, others) = std::mem::take(&mut self.unread_withdrawals)
-            .into_iter()
-            .partition(|(receiver, ..)| *receiver == pool);
+    /// Lets pools read the withdrawals that have reached them.
+    fn read_withdrawals(&mut self) {
+        let now = self.simulation.now();
+        let (read, others): (Vec<UnreadWithdrawal>, Vec<UnreadWithdrawal>) =
+            std::mem::take(&mut self.unread_withdrawals)
+                .into_iter()
+                .partition(|withdrawal| {
+                    withdrawal.at <= now && self.states[withdrawal.pool] == ProcessState::Running
+                });
         self.unread_withdrawals = others;
-        let read: Vec<(usize, Arc<str>, pool_action::WaiterId)> = read;
-        for (_, id, waiter) in read {
-            self.simulation.withdraw_waiter(pool, &id, waiter);
+        for UnreadWithdrawal {
+            pool, job, waiter, ..
+        } in read
+        {
+            self.simulation.withdraw_waiter(pool, &job, waiter);
+        }
+    }
+
+    /// Lets pools step down that have learnt that others have taken them for lost.
+    fn reconnect_pools(&mut self) {
+        let now = self.simulation.now();
+        for (pool, _) in self.cut_off.extract_if(.., |_, cut| cut.end <= now) {
+            if self.states[pool] == ProcessState::Running {
+                self.simulation.step_down(pool);
+            }
         }
     }
 
@@ -496,7 +560,7 @@
         let now = self.simulation.now();
         let attempt = &mut self.attempts[index];
         let leader = self.domains[attempt.domain].leader;
-        if self.states[leader] != ProcessState::Running {
+        if self.states[leader] != ProcessState::Running || self.cut_off.contains_key(&leader) {
             return;
         }
         attempt.offer_again_at = None;
