Reproduce a start after a pause for a coordinator that is cut off, failing

Callers see: a task runs twice at a time for a moment. Cause: a leader that was frozen for less than 0.4 s goes on, and starts a queued task on the strength of an offer whose coordinator it has not heard of for 1.4 s, before it counts the connection as lost and reads what came meanwhile.

--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -471,6 +471,39 @@
     );
 }
 
+/// The process that received the caller's request is cut off, with the caller, while the job is queued. The leader
+/// is frozen for less time than its peers wait for it, before it counts the connection as lost, and would start the
+/// task when it goes on, as the last that it heard of the coordinator is that it waits.
+#[test]
+fn queued_job_of_a_coordinator_that_is_cut_off_is_not_started_after_a_pause() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+    let blocker_run = fixtures::ms(2_100);
+    let blocker = fixtures::offer("blocker", 2, blocker_run);
+    simulation.submit(0, &blocker, fixtures::task_profile(blocker_run));
+    let job = neighbour_offer("job");
+    submit_neighbour(&mut simulation, 0, &job);
+    let cut_off_at = fixtures::ms(1_000);
+    simulation.run_until(cut_off_at + fixtures::ms(1_030));
+    assert!(!has_run(&mut simulation, "s1", "job"));
+    simulation.pause(0);
+    simulation.run_until(cut_off_at + fixtures::ms(1_410));
+    simulation.resume(0);
+    simulation.run_until(cut_off_at + fixtures::ms(1_450));
+    simulation.withdraw(0, "job");
+    simulation.run_until(SIMULATION_END);
+    let late_start = simulation
+        .server_mut("s1")
+        .history
+        .iter()
+        .filter(|run| &*run.task.job == "job")
+        .map(|run| run.started_at.saturating_sub(cut_off_at))
+        .find(|after| *after > RETRANSMIT_TIME);
+    assert_eq!(
+        late_start, None,
+        "start of the task after the coordinator was cut off"
+    );
+}
+
 /// A leader gets no answer from one server, as only its path to that server is cut. Another leader claims the
 /// server and is offered the job of one of its two runs, so that it renews the leases of both. The first leader would
 /// start the task of the other run elsewhere when the leases that it remembers have expired.
