--- a/crates/cuminkeel_replay/tests/promises/return_schedules.rs
+++ b/crates/cuminkeel_replay/tests/promises/return_schedules.rs
@@ -8,8 +8,8 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, settings};
-use cuminkeel_replay::pool_simulation;
+use cuminkeel_dispatch::{job_model, pool_action, settings};
+use cuminkeel_replay::{fake_server, pool_simulation};
 use rand::{RngExt, SeedableRng, rngs};
 
 use crate::fixtures;
@@ -20,11 +20,13 @@
 const RETRANSMIT_TIME: time::Duration = time::Duration::from_millis(1_300);
 /// Time until which jobs are sent and processes are lost.
 const DISTURBED_TIME: time::Duration = time::Duration::from_secs(10);
-/// Time at which all runs have ended.
+/// Time at which all jobs have ended.
 const SCHEDULE_END: time::Duration = time::Duration::from_secs(22);
 /// Interval of the events of a schedule.
 const STEP_TIME: time::Duration = time::Duration::from_millis(10);
-/// Longest time until a pool counts the connection of a coordinator that was cut off as lost.
+/// Times until a process counts a silent connection as lost and a pool stops the jobs of one: 55% and 80% of
+/// [`RETRANSMIT_TIME`].
+const MIN_LOSS_MS: u64 = 715;
 const COORDINATOR_LOSS_MS: u64 = 1_040;
 /// Interval at which the coordinator of an attempt shows that it waits: that of statuses to a leader.
 const SIGN_INTERVAL_MS: u128 = 150;
@@ -70,8 +72,9 @@
     run_time: time::Duration,
     number: u32,
     domain: usize,
-    /// Pool that has the job.
+    /// Pool that has the job, and the number of the offer.
     pool: usize,
+    waiter: pool_action::WaiterId,
     deadline_at: time::Duration,
     /// Time at which the job is offered to the next leader.
     offer_again_at: Option<time::Duration>,
@@ -79,6 +82,8 @@
     withdraw_at: Option<time::Duration>,
     /// Whether the caller has an answer after which it doesn't return.
     is_settled: bool,
+    /// Whether the caller was told that the job has not run.
+    is_refused: bool,
     /// Time from which the caller has no result to expect: of an answer of 502 or 504, or of the last sign of
     /// life of its coordinator.
     failed_at: Option<time::Duration>,
@@ -90,6 +95,15 @@
     }
 }
 
+/// Withdrawal of an offer that its pool has not read.
+struct UnreadWithdrawal {
+    pool: usize,
+    job: Arc<str>,
+    waiter: pool_action::WaiterId,
+    /// Time at which it reaches the process of the pool.
+    at: time::Duration,
+}
+
 struct ReturnSchedule {
     simulation: pool_simulation::PoolSimulation,
     rng: rngs::StdRng,
@@ -102,6 +116,9 @@
     job_share: f64,
     job_count: u32,
     session_count: u64,
+    /// Pools that live while others take them for lost, with the times from and until which they do.
+    cut_off: BTreeMap<usize, ops::Range<time::Duration>>,
+    unread_withdrawals: Vec<UnreadWithdrawal>,
     /// Servers whose registry entries are missing, with the times at which they are back.
     missing_entries: BTreeMap<&'static str, time::Duration>,
     /// Times at which callers return, with the attempt that failed.
@@ -150,6 +167,8 @@
             read_answers: 0,
             job_count: 0,
             session_count: 0,
+            cut_off: BTreeMap::new(),
+            unread_withdrawals: Vec::new(),
             missing_entries: BTreeMap::new(),
             returns: Vec::new(),
         }
@@ -160,6 +179,8 @@
             let next = self.simulation.now() + STEP_TIME;
             self.simulation.run_until(next);
             self.resume_frozen();
+            self.reconnect_pools();
+            self.read_withdrawals();
             self.return_entries();
             self.kill_due_leaders();
             self.apply_answers();
@@ -267,14 +288,16 @@
         self.send(offer, run_time, 1, domain);
     }
 
-    /// Lets the coordinators that wait show it to their pools.
+    /// Lets the coordinators that wait show it to the pools that they reach.
     fn send_signs(&mut self) {
         let now = self.simulation.now();
         if !now.as_millis().is_multiple_of(SIGN_INTERVAL_MS) {
             return;
         }
         for attempt in self.attempts.iter().filter(|attempt| attempt.is_live()) {
-            if self.states[attempt.pool] == ProcessState::Running {
+            let is_reached = self.states[attempt.pool] == ProcessState::Running
+                && !self.cut_off.contains_key(&attempt.pool);
+            if is_reached {
                 self.simulation.pools[attempt.pool].record_session_sign(attempt.offer.session, now);
             }
         }
@@ -286,7 +309,7 @@
         job_model::OfferSession(self.session_count)
     }
 
-    /// Sends a job to the leader of `domain`; a frozen or lost one doesn't read the offer.
+    /// Sends a job to the leader of `domain`; one that is frozen, lost or cut off doesn't read the offer.
     fn send(
         &mut self,
         offer: job_model::JobOffer,
@@ -295,7 +318,7 @@
         domain: usize,
     ) {
         let pool = self.domains[domain].leader;
-        if self.states[pool] != ProcessState::Running {
+        if self.states[pool] != ProcessState::Running || self.cut_off.contains_key(&pool) {
             return;
         }
         let profile = fixtures::task_profile(run_time);
@@ -303,7 +326,7 @@
             session: self.new_session(),
             ..offer
         };
-        self.simulation.submit(pool, &offer, profile);
+        let waiter = self.simulation.submit(pool, &offer, profile);
         self.attempts.push(Attempt {
             deadline_at: self.simulation.now() + offer.time_to_deadline,
             offer,
@@ -311,9 +334,11 @@
             number,
             domain,
             pool,
+            waiter,
             offer_again_at: None,
             withdraw_at: None,
             is_settled: false,
+            is_refused: false,
             failed_at: None,
         });
     }
@@ -322,13 +347,13 @@
     fn lose_leader(&mut self) {
         let domain = self.rng.random_range(0..self.domains.len());
         let now = self.simulation.now();
-        let (state, noticed_after_ms) = match self.rng.random_range(0..3) {
+        let (state, noticed_after_ms) = match self.rng.random_range(0..4) {
             0 => (ProcessState::Killed, Some(self.rng.random_range(0..50))),
             1 => {
                 let frozen_for = fixtures::ms(self.rng.random_range(50..390));
                 (ProcessState::Frozen(now + frozen_for), None)
             }
-            _ => {
+            2 => {
                 let frozen_for = fixtures::ms(self.rng.random_range(750..3_000));
                 let noticed_after_ms = self.rng.random_range(600..710);
                 (
@@ -336,6 +361,10 @@
                     Some(noticed_after_ms),
                 )
             }
+            _ => {
+                self.cut_off_leader(domain);
+                return;
+            }
         };
         self.stop_leader(
             domain,
@@ -358,6 +387,33 @@
         }
     }
 
+    /// Cuts a leader off from all other processes, which take it for lost, but not from the servers.
+    fn cut_off_leader(&mut self, domain: usize) {
+        let now = self.simulation.now();
+        let leader = self.domains[domain].leader;
+        let is_free = self.domains[domain].loss_noticed_at.is_none();
+        if self.states[leader] == ProcessState::Running && is_free && self.has_successor(domain) {
+            let noticed_at = now + fixtures::ms(self.rng.random_range(0..MIN_LOSS_MS));
+            let until = noticed_at + fixtures::ms(self.rng.random_range(200..2_000));
+            self.cut_off.insert(leader, now..until);
+            self.domains[domain].loss_noticed_at = Some(noticed_at);
+        }
+    }
+
+    /// Whether another pool could lead the domain.
+    fn has_successor(&self, domain: usize) -> bool {
+        self.successor(domain).is_some()
+    }
+
+    fn successor(&self, domain: usize) -> Option<usize> {
+        let leader = self.domains[domain].leader;
+        self.domains[domain].pools.clone().find(|pool| {
+            *pool != leader
+                && self.states[*pool] == ProcessState::Running
+                && !self.cut_off.contains_key(pool)
+        })
+    }
+
     /// Stops the leader of a domain unless it is stopped already or nobody could follow it.
     fn stop_leader(
         &mut self,
@@ -366,11 +422,9 @@
         loss_noticed_at: Option<time::Duration>,
     ) {
         let leader = self.domains[domain].leader;
-        let has_successor = self.domains[domain]
-            .pools
-            .clone()
-            .any(|pool| pool != leader && self.states[pool] == ProcessState::Running);
-        if self.states[leader] == ProcessState::Running && has_successor {
+        let is_lost = self.cut_off.contains_key(&leader);
+        let is_running = self.states[leader] == ProcessState::Running;
+        if is_running && !is_lost && self.has_successor(domain) {
             self.simulation.pause(leader);
             self.states[leader] = state;
             self.domains[domain].loss_noticed_at = loss_noticed_at;
@@ -402,11 +456,7 @@
             {
                 continue;
             }
-            let successor = self.domains[domain]
-                .pools
-                .clone()
-                .find(|pool| *pool != lost && self.states[*pool] == ProcessState::Running);
-            let Some(successor) = successor else {
+            let Some(successor) = self.successor(domain) else {
                 continue;
             };
             self.domains[domain].loss_noticed_at = None;
@@ -423,8 +473,7 @@
     /// Handles the loss of the pool that has an attempt.
     fn lose_pool(&mut self, index: usize) {
         let now = self.simulation.now();
-        let id = Arc::clone(&self.attempts[index].offer.spec.id);
-        self.simulation.forget_waiters(&id);
+        self.withdraw(index);
         if self.rng.random_bool(0.5) {
             let delay = fixtures::ms(self.rng.random_range(0..250));
             self.attempts[index].offer_again_at = Some(now + delay);
@@ -458,6 +507,7 @@
                     if !self.attempts[index].offer.may_have_started =>
                 {
                     self.attempts[index].is_settled = true;
+                    self.attempts[index].is_refused = true;
                 }
                 job_model::JobEnd::Refused { .. } | job_model::JobEnd::Failed(_) => {
                     self.fail(index, answer.at);
@@ -467,22 +517,57 @@
         }
     }
 
-    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on; one that is lost
-    /// gives up its jobs by itself.
+    /// Withdraws an attempt from its pool. A frozen pool reads the message when it goes on, and one that is cut
+    /// off counts the connection as lost after a while.
     fn withdraw(&mut self, index: usize) {
+        let now = self.simulation.now();
         let attempt = &mut self.attempts[index];
-        let (pool, id) = (attempt.pool, Arc::clone(&attempt.offer.spec.id));
-        let is_lost = self.domains[attempt.domain].loss_noticed_at.is_some()
-            || self.domains[attempt.domain].leader != pool;
-        if self.states[pool] != ProcessState::Running && !is_lost {
-            attempt.withdraw_at.get_or_insert(self.simulation.now());
-            return;
+        let is_loss_noticed = attempt.withdraw_at.take().is_some();
+        let (pool, waiter) = (attempt.pool, attempt.waiter);
+        let job = Arc::clone(&attempt.offer.spec.id);
+        let at = match self.cut_off.get(&pool) {
+            Some(cut) if !is_loss_noticed => {
+                let loss_ms = self.rng.random_range(MIN_LOSS_MS..COORDINATOR_LOSS_MS);
+                now.max(cut.start + fixtures::ms(loss_ms))
+            }
+            _ => now,
+        };
+        self.simulation.forget_waiter(waiter);
+        self.unread_withdrawals.push(UnreadWithdrawal {
+            pool,
+            job,
+            waiter,
+            at,
+        });
+        self.read_withdrawals();
+    }
+
+    /// Lets pools read the withdrawals that have reached them.
+    fn read_withdrawals(&mut self) {
+        let now = self.simulation.now();
+        let (read, others): (Vec<UnreadWithdrawal>, Vec<UnreadWithdrawal>) =
+            std::mem::take(&mut self.unread_withdrawals)
+                .into_iter()
+                .partition(|withdrawal| {
+                    withdrawal.at <= now && self.states[withdrawal.pool] == ProcessState::Running
+                });
+        self.unread_withdrawals = others;
+        for UnreadWithdrawal {
+            pool, job, waiter, ..
+        } in read
+        {
+            self.simulation.withdraw_waiter(pool, &job, waiter);
         }
-        attempt.withdraw_at = None;
-        if self.states[pool] == ProcessState::Running {
-            self.simulation.withdraw(pool, &id);
+    }
+
+    /// Lets pools step down that have learnt that others have taken them for lost.
+    fn reconnect_pools(&mut self) {
+        let now = self.simulation.now();
+        for (pool, _) in self.cut_off.extract_if(.., |_, cut| cut.end <= now) {
+            if self.states[pool] == ProcessState::Running {
+                self.simulation.step_down(pool);
+            }
         }
-        self.simulation.forget_waiters(&id);
     }
 
     /// Ends attempts at their deadlines, and carries out what their coordinators do later.
@@ -504,7 +589,7 @@
     fn offer_again(&mut self, index: usize) {
         let now = self.simulation.now();
         let leader = self.domains[self.attempts[index].domain].leader;
-        if self.states[leader] != ProcessState::Running {
+        if self.states[leader] != ProcessState::Running || self.cut_off.contains_key(&leader) {
             return;
         }
         let session = self.new_session();
@@ -516,7 +601,7 @@
         attempt.offer.time_to_deadline = attempt.deadline_at.saturating_sub(now);
         let (offer, run_time) = (attempt.offer.clone(), attempt.run_time);
         let profile = fixtures::task_profile(run_time);
-        self.simulation.submit(leader, &offer, profile);
+        self.attempts[index].waiter = self.simulation.submit(leader, &offer, profile);
     }
 
     /// A caller leaves, which its coordinator notices at once, or the coordinator is cut off with its caller,
@@ -557,22 +642,34 @@
         }
     }
 
+    /// Returns whether a task ran of a job whose caller was told that it has not run.
+    fn has_refused_job_run(&self) -> bool {
+        let is_refused = |run: &fake_server::RunRecord| {
+            self.attempts
+                .iter()
+                .any(|attempt| attempt.is_refused && attempt.offer.spec.id == run.task.job)
+        };
+        let mut servers = self.simulation.servers.values();
+        servers.any(|server| server.history.iter().any(is_refused))
+    }
+
     /// Returns the runs that were left when the caller of their job may have returned, with the time for which
     /// they were.
     fn overdue_runs(&self) -> Vec<(job_model::TaskName, time::Duration)> {
-        let runs = self
-            .simulation
-            .servers
-            .values()
-            .flat_map(|server| &server.history);
-        runs.filter_map(|run| {
+        let servers = self.simulation.servers.values();
+        let runs = servers.flat_map(|server| {
+            let ended = server.history.iter().map(|run| (&run.task, run.ended_at));
+            let in_progress = server.runs.keys().map(|task| (task, SCHEDULE_END));
+            ended.chain(in_progress)
+        });
+        runs.filter_map(|(task, ended_at)| {
             let failed_at = self
                 .attempts
                 .iter()
-                .find(|attempt| attempt.offer.spec.id == run.task.job)?
+                .find(|attempt| attempt.offer.spec.id == task.job)?
                 .failed_at?;
-            let left_for = run.ended_at.saturating_sub(failed_at);
-            (left_for > RETRANSMIT_TIME).then(|| (run.task.clone(), left_for))
+            let left_for = ended_at.saturating_sub(failed_at);
+            (left_for > RETRANSMIT_TIME).then(|| (task.clone(), left_for))
         })
         .collect()
     }
@@ -662,3 +759,19 @@
         seeds.len()
     );
 }
+
+/// A start that stays unanswered may be carried out, and a lost leader may have started a task. Callers would be told
+/// that such a job has not run.
+#[test]
+fn no_job_runs_whose_caller_was_told_that_it_has_not() {
+    let seeds = failed_seeds(
+        0..SCHEDULE_COUNT,
+        CallerPolicy::Leave,
+        ReturnSchedule::has_refused_job_run,
+    );
+    assert!(
+        seeds.is_empty(),
+        "refused jobs ran in {} of {SCHEDULE_COUNT} schedules, seeds {seeds:?}",
+        seeds.len()
+    );
+}
