--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -7,7 +7,9 @@
 //! [`parameters::SoakParameters`] lists the variables for the size and the load of a run. One with
 //! 60 processes: `SOAK_FIRST_SEED=100 SOAK_DOMAINS=5 SOAK_NODES=60 SOAK_SERVERS=6 SOAK_FAULT_S=30
 //! SOAK_CALLERS=1 SOAK_SERIES=4 cargo test -p cuminkeel_node --test soak invariants -- --nocapture`.
-//! `SOAK_PROGRAM` is the path of another `cuminkeel-node`, for example of an earlier release.
+//! `SOAK_PROGRAM` is the path of another `cuminkeel-node`, for example of an earlier release. With
+//! `SOAK_EARLIER_PROGRAM`, each process runs that program until it is started again, so that both releases run
+//! side by side.
 
 mod callers;
 mod faults;
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -50,6 +50,8 @@
     /// Proxies between this process alone and the servers of its domain.
     pub server_paths: Vec<loopback_proxy::LoopbackProxy>,
     program: String,
+    /// Program of an earlier release that the process runs until it is started again.
+    earlier_program: Mutex<Option<String>>,
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Mutex<Option<process::Child>>,
@@ -71,7 +73,9 @@
             .create(true)
             .open(&self.log_path)
             .expect("log file should be opened");
-        let started = process::Command::new(&self.program)
+        let earlier_program = lock(&self.earlier_program).take();
+        let program = earlier_program.as_ref().unwrap_or(&self.program);
+        let started = process::Command::new(program)
             .arg("serve")
             .arg("--settings")
             .arg(&self.settings_path)
@@ -291,6 +295,7 @@
             server_paths,
             program: std::env::var("SOAK_PROGRAM")
                 .unwrap_or_else(|_| String::from(env!("CARGO_BIN_EXE_cuminkeel-node"))),
+            earlier_program: Mutex::new(std::env::var("SOAK_EARLIER_PROGRAM").ok()),
             settings_path,
             log_path: self.directory.join(format!("{name}.log")),
             name,
