Grant no lease that outlasts the time after which callers come again

Callers saw: with a limit of 6 s for leases, 503 for some seconds after each change of the leader: a new leader assumes the longest lease on its servers, which outlasts the bound of every job (1.3 s), so no task may start there.

Cause: the limit of the platform's settings was taken as the longest lease that a process requests.

Fix: the longest lease is 77% of the time after which callers come again, or the platform's limit, if that is shorter. With the limit of all sites, 1 s, nothing changes (77% of 1.3 s is 1.001 s).

--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -90,7 +90,7 @@
 /// Policies, lease times and limits of a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolSettings {
-    /// Longest lease that a server grants; a limit from the platform's settings.
+    /// Longest lease that any process requests; within the limit from the platform's settings.
     pub max_lease: time::Duration,
     /// Lease that start and hold orders request; below `max_lease`, so that the server never
     /// shortens it.
@@ -129,6 +129,9 @@
 const RELEASE_PERCENT: u32 = 70;
 /// Share of the longest lease that is requested, in percent.
 const LEASE_PERCENT: u32 = 80;
+/// Longest lease in percent of the time after which callers send a job again: 1 s of 1.3 s. A server whose
+/// lease outlasts the bound of a job gets no task of it, so longer leases would keep servers unused.
+const MAX_LEASE_PERCENT: u32 = 77;
 
 impl PoolSettings {
     /// Creates settings for servers that grant leases of up to `max_lease` and stop runs within
@@ -139,6 +142,7 @@
         stop_time: time::Duration,
         resend_delay: time::Duration,
     ) -> Self {
+        let max_lease = max_lease.min(resend_delay * MAX_LEASE_PERCENT / 100);
         let lease = max_lease * LEASE_PERCENT / 100;
         Self {
             max_lease,
