Renew short leases before they expire

Callers saw: jobs beside that of a paused coordinator, and that job itself, lost their runs and were started again, although the coordinator was back and had offered its job again.

Cause: while a coordinator gives no sign, the bound of its job shortens the lease of the whole server to as little as 0.2 s. The hold that grants it waits for an end for up to 0.4 s, and only the next hold renews the lease. When the coordinator came back meanwhile, nothing was stopped, so that no end answered the hold in time.

Fix: a hold waits for at most half of the lease that it grants, as it does with a full one. If the lease of runs with jobs can't be renewed at all, it waits for the shortest time.

Evidence: runs_beside_that_of_a_paused_coordinator_keep_their_lease_when_it_returns (a pause of 0.9 s) failed in 3 of 20 phases of the holds, with both runs on the server lost, and passes.

--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     crash_ledger, job_model, overdue_run, pool_action, run_evidence, server_model, server_slot,
+    settings,
 };
 
 /// Shortest wait of a hold and shortest interval between progress checks of a run, so that due
@@ -482,13 +483,23 @@
         let until_check = slot
             .next_progress_check()
             .map_or(self.settings.hold_wait, |at| at.saturating_sub(now));
+        // A lease that a bound shortens has to be renewed before it expires.
+        let until_renewal = match lease_expiry_ms {
+            Some(expiry_ms) => {
+                slot.time_to_lease_expiry(expiry_ms, now) / settings::HOLDS_PER_LEASE
+            }
+            None if renews_lease => MIN_HOLD_WAIT,
+            None => self.settings.hold_wait,
+        };
         slot.hold_sent_at = now;
         let wait = match () {
             // What the server reported before another pool claimed servers has to be confirmed at once.
             () if slot.reported_at < self.foreign_claim_at => time::Duration::ZERO,
             // The lease is renewed as soon as a job adopts a run.
             () if slot.runs.values().any(|run| !run.has_job) => MIN_HOLD_WAIT,
-            () => until_check.clamp(MIN_HOLD_WAIT, self.settings.hold_wait),
+            () => until_check
+                .min(until_renewal)
+                .clamp(MIN_HOLD_WAIT, self.settings.hold_wait),
         };
         let order = server_model::HoldOrder {
             server: Arc::clone(id),
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -416,6 +416,13 @@
         })
     }
 
+    /// Returns the time until a lease expires that ends at `expiry_ms` on the server's clock. Zero without a
+    /// clock reading.
+    pub fn time_to_lease_expiry(&self, expiry_ms: u64, now: time::Duration) -> time::Duration {
+        let now_ms = self.next_lease_expiry_ms(now, time::Duration::ZERO);
+        time::Duration::from_millis(now_ms.map_or(0, |now_ms| expiry_ms.saturating_sub(now_ms)))
+    }
+
     /// Returns the time from which an unresponsive server can have no run left. The server's
     /// clock may be slow, so a lease may last longer than stated. Without a clock reading, the leases
     /// count as renewed for `max_lease` when the current claim began.
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -122,7 +122,7 @@
 
 /// Number of longest hold waits per lease: after one, half of the lease is left for a late or
 /// repeated renewal.
-const HOLDS_PER_LEASE: u32 = 2;
+pub(crate) const HOLDS_PER_LEASE: u32 = 2;
 /// Time for which a refused job may be offered by its source only, in percent of the time after which
 /// callers send a job again. Copies arrive at the same instant or after that time. Of 1.3 s it leaves
 /// 0.91 s: a caller that returns after the shortest `Retry-After`, 1 s, is not taken for a copy.
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -697,3 +697,47 @@
         2
     );
 }
+
+/// A coordinator is paused until its connection counts as lost, comes back over a new one and offers its job again
+/// before the run of it is stopped. The pool grants the server short leases meanwhile. It has to renew them before
+/// they expire, or the runs of all jobs on the server lapse.
+#[test]
+fn runs_beside_that_of_a_paused_coordinator_keep_their_lease_when_it_returns() {
+    let mut failed_cases = Vec::new();
+    for paused_after_ms in (1_000..1_400).step_by(20) {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1"]);
+        submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+        let offer = offer_of_another_process(&simulation);
+        simulation.submit(FIRST_LEADER, &offer, fixtures::task_profile(OVERLONG_RUN));
+        let paused_at = fixtures::ms(paused_after_ms);
+        let interval = fixtures::ms(150);
+        run_with_signs(&mut simulation, offer.session, interval, paused_at);
+        simulation.pools[FIRST_LEADER].record_session_sign(offer.session, paused_at);
+        simulation.run_until(paused_at + fixtures::ms(900));
+        let offered_again = job_model::JobOffer {
+            session: job_model::OfferSession(2),
+            may_have_started: true,
+            ..offer
+        };
+        let profile = fixtures::task_profile(OVERLONG_RUN);
+        simulation.submit(FIRST_LEADER, &offered_again, profile);
+        run_with_signs(
+            &mut simulation,
+            offered_again.session,
+            interval,
+            paused_at + fixtures::ms(2_000),
+        );
+        for job in ["job", "neighbour"] {
+            if !has_run(&mut simulation, "s1", job)
+                || !simulation.server_mut("s1").history.is_empty()
+            {
+                failed_cases.push((paused_after_ms, job));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(time of the pause in ms, job whose run lapsed)"
+    );
+}
