Choose no server whose leases can't be renewed for long enough

Callers saw: jobs waited for up to 0.25 s while servers were free, until the job of a silent coordinator was withdrawn.

Cause: a start needs a lease of at least the longest wait of a hold. The choice of a server left out servers with a run without a job that has to end before that, but not those with a run whose job has a bound as short, as its coordinator has been silent for over 0.8 s. Such a server was chosen, the start was not ordered, and the task got no other server.

Fix: the choice checks the same condition as the order, with the present bounds of all runs on the server.

--- a/crates/cuminkeel_dispatch/src/pool/lease_bounds.rs
+++ b/crates/cuminkeel_dispatch/src/pool/lease_bounds.rs
@@ -69,6 +69,26 @@
         bounds.bound(id, now)
     }
 
+    /// Whether no run on the server has to end within `time`, so that the leases there can be renewed for as
+    /// long.
+    pub(super) fn can_renew_leases(
+        &self,
+        slot: &server_slot::ServerSlot,
+        time: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let min_expiry_ms = slot.next_lease_expiry_ms(now, time);
+        slot.runs.iter().all(|(task, run)| {
+            let job_bound = run
+                .has_job
+                .then(|| self.lease_bound(&task.job, now))
+                .flatten();
+            job_bound
+                .or(run.lease_bound)
+                .is_some_and(|bound| slot.lease_expiry_before_ms(bound) >= min_expiry_ms)
+        })
+    }
+
     /// Returns the expiry of a renewed lease of server `id`, on the server's clock, in ms, or `None` if the lease
     /// can't be renewed: the server's clock is unknown, or a run that no job uses has to end.
     pub(super) fn renewed_lease_expiry_ms(
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -458,14 +458,6 @@
             .is_some_and(|latest_ms| self.lease_expiry_ms <= latest_ms)
     }
 
-    /// Whether a run that no job uses has to end within `time`, so that the lease of a new run could not
-    /// be renewed.
-    pub fn has_expiring_run(&self, time: time::Duration, now: time::Duration) -> bool {
-        self.runs
-            .values()
-            .any(|run| !run.has_job && run.lease_bound.is_none_or(|bound| bound < now + time))
-    }
-
     /// Returns the earliest time at which a run of a job is checked for progress.
     pub fn next_progress_check(&self) -> Option<time::Duration> {
         self.runs
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -741,3 +741,37 @@
         "(time of the pause in ms, job whose run lapsed)"
     );
 }
+
+/// A coordinator gives no sign for a while, so that the leases on the server of its run can't be renewed for as
+/// long as a start needs. The task of another job has to get the free server.
+#[test]
+fn task_is_placed_beside_the_server_whose_leases_a_silent_coordinator_bounds() {
+    let mut failed_cases = Vec::new();
+    for silent_ms in [0, 500, 700, 800, 850, 900, 950, 1_000] {
+        let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+        let offer = offer_of_another_process(&simulation);
+        simulation.submit(FIRST_LEADER, &offer, fixtures::task_profile(OVERLONG_RUN));
+        let silent_from = fixtures::ms(700);
+        run_with_signs(
+            &mut simulation,
+            offer.session,
+            fixtures::ms(150),
+            silent_from,
+        );
+        simulation.run_until(silent_from + fixtures::ms(silent_ms));
+        submit_neighbour(&mut simulation, FIRST_LEADER, &neighbour_offer("neighbour"));
+        let sent_at = simulation.now();
+        simulation.run_until(sent_at + fixtures::ms(30));
+        if !["s1", "s2"]
+            .into_iter()
+            .any(|server| has_run(&mut simulation, server, "neighbour"))
+        {
+            failed_cases.push(silent_ms);
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "silences in ms after which a task was not started within 30 ms"
+    );
+}
