Ask servers that lost their registry entry for their runs at a takeover

Callers saw: a task that ran on a server without a registry entry was started elsewhere as soon as the leader of the failure domain was lost, while its first run went on for the rest of its lease.

Cause: that a server without an entry has no runs 2.6 s after the removal rests on its leader having learnt of the removal within 0.6 s. It learns later if a read of the store fails (1.45 s), if it waits for the server to register again after a failed read (3.2 s; removals that the other processes then confirm mark no wait at all), and not at all if the store rejects it, as it may reject the server. The lost job is offered to the next leader at once, by a coordinator that still waits, so that the bound of its leases does not help.

Fix: the server is the proof here as well. A pool that doesn't hold a server keeps it for 10 s after the removal of its entry, unless it was draining, and claims it when it takes over. Jobs that another pool may have started wait for its report, or for 1.4 s. Other jobs don't wait. A refused connection, or another server at the address, shows at once that it is gone.

Not covered: entries removed over 10 s before the leader is lost, and processes that have started since the removal.

The tests of cuminkeel_dispatch and cuminkeel_replay pass.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -33,6 +33,10 @@
 /// the claim is released, so that this process leaves it to the other claimant for a while.
 const MAX_FENCED_CLAIM_ATTEMPTS: u32 = 40;
 
+/// Time after the removal of a registry entry for which a leader may go on to use the server, as it can't read the
+/// registry either. Takeovers ask the server for its runs as long.
+const UNLISTED_RUN_TIME: time::Duration = time::Duration::from_secs(10);
+
 impl ServerPool {
     /// Applies a new or changed registry entry.
     pub fn apply_registry_entry(&mut self, entry: server_model::ServerEntry, now: time::Duration) {
@@ -69,6 +73,7 @@
         slot.incarnation = slot.incarnation.max(entry.incarnation);
         slot.registered = true;
         slot.unlisted_since = None;
+        slot.unlisted_runs_until = time::Duration::ZERO;
         let was_draining = slot.entry.draining;
         let is_same_kind = slot.entry.labels.first() == entry.labels.first();
         slot.replace_entry(entry, now);
@@ -108,6 +113,10 @@
         };
         slot.registered = false;
         slot.unlisted_since.get_or_insert(self.last_active_at);
+        // Its leader may be cut off from the registry, as the server is.
+        if !slot.claim_state.knows_runs() && !slot.entry.draining {
+            slot.unlisted_runs_until = self.last_active_at + UNLISTED_RUN_TIME;
+        }
         let id = Arc::clone(&slot.entry.id);
         let inputs = [("runs", count_input(slot.runs.len())), ("", 0), ("", 0)];
         if slot.runs.is_empty() && !slot.counts_for_takeover(self.last_active_at) {
@@ -475,6 +484,14 @@
         }
     }
 
+    /// Removes server `id`, whose claim shows that it is gone, if it is not registered.
+    pub(super) fn remove_gone_server(&mut self, id: &Arc<str>) {
+        if let Some(slot) = self.servers.get_mut(id) {
+            slot.unlisted_runs_until = time::Duration::ZERO;
+        }
+        self.remove_if_unregistered(id);
+    }
+
     /// Removes server `id` if it is not registered and has no runs.
     pub(super) fn remove_if_unregistered(&mut self, id: &Arc<str>) {
         let is_removable = self
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -54,7 +54,7 @@
         if !led_all_before || (wants_servers && !has_claims) {
             self.leading_since = Some(now);
             for slot in self.servers.values_mut() {
-                slot.may_have_inherited_runs = true;
+                slot.may_have_inherited_runs = slot.delays_takeover(now);
             }
             self.mark_inherited_unresolved(now);
             self.record_takeover(now);
@@ -118,7 +118,7 @@
         self.record_foreign_claim(now);
         self.mark_inherited_unresolved(now);
         for slot in self.servers.values_mut() {
-            slot.may_have_inherited_runs = true;
+            slot.may_have_inherited_runs = slot.delays_takeover(now);
         }
     }
 
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -34,6 +34,11 @@
         // A single order that goes unanswered is no loss: the claim that follows it is answered.
         let is_failed_claim =
             slot.claim_state == server_slot::ClaimState::Suspect && slot.claim_attempts == 1;
+        let is_first_claim = slot.claim_state == server_slot::ClaimState::Claiming;
+        let shows_absence = matches!(
+            outcome,
+            server_model::HoldOutcome::OtherServer | server_model::HoldOutcome::Refused
+        );
         match outcome {
             server_model::HoldOutcome::Reported(report) => {
                 self.apply_hold_report(id, &report, now);
@@ -69,6 +74,9 @@
                 }
             }
         }
+        if is_first_claim && shows_absence {
+            self.remove_gone_server(id);
+        }
     }
 
     fn apply_hold_report(
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -171,6 +171,9 @@
     pub registered: bool,
     /// Time since which the server has had no registry entry; `None` while it is registered.
     pub unlisted_since: Option<time::Duration>,
+    /// Time until which a server that lost its registry entry may still have runs of a leader which doesn't know
+    /// of that; zero if it is registered, said that it leaves, or runs nothing.
+    pub unlisted_runs_until: time::Duration,
     /// Claim state of the server.
     pub claim_state: ClaimState,
     /// Fencing token of the latest claim attempt.
@@ -244,6 +247,7 @@
             entry,
             registered: true,
             unlisted_since: None,
+            unlisted_runs_until: time::Duration::ZERO,
             claim_state: ClaimState::Unclaimed,
             token: 0,
             processed_end_sequence: 0,
@@ -275,9 +279,15 @@
         leadership::shard_of_hash(self.id_hash)
     }
 
-    /// Whether the server may have runs that a takeover has to find: it is registered, or had runs when
-    /// this pool released it.
+    /// Whether the server may have runs that a takeover has to find: it is registered, had runs when
+    /// this pool released it, or lost its registry entry lately.
     pub fn counts_for_takeover(&self, now: time::Duration) -> bool {
+        self.delays_takeover(now) || now < self.unlisted_runs_until
+    }
+
+    /// Whether all jobs wait for the runs on the server after a takeover, and not only those that another pool may
+    /// have started.
+    pub fn delays_takeover(&self, now: time::Duration) -> bool {
         self.registered || now < self.released_runs_until
     }
 
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -775,3 +775,24 @@
         "silences in ms after which a task was not started within 30 ms"
     );
 }
+
+/// The leader learns later than the next one that a server has lost its registry entry: its read of the store
+/// failed once, the failure made it wait for the server to register again, or it is cut off from the store as
+/// the server is. It renews the leases until then, and is lost.
+#[test]
+fn run_on_an_unlisted_server_does_not_overlap_if_the_leader_learns_of_the_removal_late() {
+    let mut failed_cases = Vec::new();
+    for leader_delay_ms in [1_450, 3_200, 60_000] {
+        for lost_after_ms in [2_500, 2_700, 3_000, 5_000, 9_000] {
+            let violations = run_on_unlisted_server(true, lost_after_ms, leader_delay_ms);
+            if !violations.is_empty() {
+                failed_cases.push((leader_delay_ms, lost_after_ms));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(delay of the leader's read, loss in ms after the removal) with overlaps"
+    );
+}
