Show that requests are served whose callers have left, failing

A process that was paused reads requests of callers that have closed their connections meanwhile. It offers their jobs, and the pool starts their tasks, before the closed connection is noticed.

--- a/crates/cuminkeel_node/tests/node/frontend.rs
+++ b/crates/cuminkeel_node/tests/node/frontend.rs
@@ -164,3 +164,36 @@
         "expected one completed answer in the metrics: {text}"
     );
 }
+
+/// A process that was paused reads requests whose callers have left meanwhile, as the balancer's connections were
+/// accepted for it. Their callers may have sent the jobs again.
+#[tokio::test]
+async fn requests_that_are_read_after_their_callers_have_left_start_no_task() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let leader = platform.start_ready_node("n1", "north").await;
+    let other = platform.start_ready_node("n2", "north").await;
+    for round in 0..20 {
+        for node in [&leader, &other] {
+            let body = test_platform::job_body("300", 1);
+            let request = format!(
+                "POST {}{} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\nX-Cuminkeel-Deadline-Ms: 1500\r\n\r\n{body}",
+                test_platform::PREFIX,
+                test_platform::random_id(),
+                test_platform::HOST,
+                body.len()
+            );
+            // Without an await, the process reads nothing before the connection is closed.
+            let mut stream = std::net::TcpStream::connect(&*node.settings.caller_address)
+                .expect("process should accept callers");
+            std::io::Write::write_all(&mut stream, request.as_bytes())
+                .expect("request should be sent");
+            drop(stream);
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+        assert_eq!(
+            platform.started_tasks(),
+            Vec::<String>::new(),
+            "round {round}"
+        );
+    }
+}
