Look up the jobs beside a task only on the server that is to get it

The check that a lease can be renewed for long enough looks up the job of each run on a server, for each of up to 150 servers that a placement compares. It is now made for a server that would be chosen, so that the choice is the same.

--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -337,7 +337,6 @@
                 || !slot.accepts_task_while_cold(now)
                 || slot.is_reserved()
                 || !slot.leases_end_by(lease_bound)
-                || !self.can_renew_leases(slot, self.settings.hold_wait, now)
                 || !crashes::allows_start(task.verdict, slot)
                 || !slot.could_run(step)
                 || task.avoided_servers.contains(id)
@@ -367,7 +366,9 @@
                 is_cold: slot.is_cold(now),
                 cost,
             };
-            if cheapest.is_none_or(|(lowest_rank, ..)| rank < lowest_rank) {
+            let is_cheapest = cheapest.is_none_or(|(lowest_rank, ..)| rank < lowest_rank);
+            // Checked last, as it looks up the jobs of all runs on the server.
+            if is_cheapest && self.can_renew_leases(slot, self.settings.hold_wait, now) {
                 cheapest = Some((rank, id, slowdown));
             }
         }
