Wait for runs on servers that a leader gave up when its domain was divided

Cause: a leader that gives up shards releases their servers and abandons the jobs with runs there. Their coordinators offer them again at once, to this leader or the new one. Each looks only at servers of the shards that it leads, takes its knowledge for complete, and starts the tasks beside their runs.

Fix: for 1.4 s after a change that leaves a pool with a part of the shards, and 1.2 s more, by which the other leader may learn of it later, its knowledge counts as incomplete: a job that another pool may have started waits for 1.4 s from its offer, by when the bound of its leases has passed. Other jobs don't wait.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -163,6 +163,9 @@
     /// Time at which this pool last learnt that another pool claims its servers. What servers reported
     /// before may have changed since.
     foreign_claim_at: time::Duration,
+    /// Time of the latest change after which this pool leads some shards of its failure domain, but not all. The
+    /// servers of the other shards may have runs of jobs that it is offered. `None` before the first one.
+    shards_divided_at: Option<time::Duration>,
     /// Start of the latest read of the registry that has been applied.
     registry_read_at: time::Duration,
     /// Registry entries that were removed lately.
@@ -220,6 +223,7 @@
             inherited_unresolved_until: time::Duration::ZERO,
             registry_complete_at: time::Duration::ZERO,
             foreign_claim_at: time::Duration::ZERO,
+            shards_divided_at: None,
             registry_read_at: time::Duration::ZERO,
             removed_entries: evidence::RemovedEntries::default(),
             leading_since: None,
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -15,6 +15,10 @@
 /// counts as unresponsive.
 const HOLD_RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(100);
 
+/// Longest time between the moments at which two leaders learn that shards move between them: four intervals of
+/// the statuses to one of several leaders, after which a link without statuses counts as lost.
+const MAX_DIVISION_DELAY: time::Duration = time::Duration::from_millis(1_200);
+
 /// What a pool knows of the runs on the servers of its shards.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunKnowledge {
@@ -42,6 +46,9 @@
             .any(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed);
         let gives_up_shards = self.leading_since.is_some() && !shards.covers(self.shards);
         let was_resolved = self.takeover_resolved(now);
+        if self.shards != shards && shards != leadership::ShardSet::ALL {
+            self.shards_divided_at = Some(now);
+        }
         self.shards = shards;
         self.takeover_shards = if was_resolved || self.leading_since.is_none() {
             shards
@@ -176,7 +183,7 @@
 
     /// Returns what is known of the runs on the servers of the shards that this pool leads.
     pub(super) fn run_knowledge(&self, now: time::Duration) -> RunKnowledge {
-        let mut knows_all = self.knows_all_servers(now);
+        let mut knows_all = self.knows_all_servers(now) && !self.was_divided_lately(now);
         for (id, slot) in &self.servers {
             if !slot.counts_for_takeover(now) || !self.shards.contains_id(id) {
                 continue;
@@ -219,6 +226,13 @@
         }
     }
 
+    /// Whether shards moved between this pool and another that lives, so that runs of a job which either
+    /// had may be on servers of the other. The other may learn of it later, and jobs be offered again after that.
+    fn was_divided_lately(&self, now: time::Duration) -> bool {
+        self.shards_divided_at
+            .is_some_and(|at| now < self.inherited_expiry(at) + MAX_DIVISION_DELAY)
+    }
+
     /// Whether the registry was read since this pool began to lead, so that servers which registered
     /// shortly before are known, and no server with runs may be missing from it.
     pub(super) fn knows_all_servers(&self, now: time::Duration) -> bool {
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -275,6 +275,71 @@
     assert_eq!(failed_steps, [], "steps of 100 us with overlapping runs");
 }
 
+/// A domain gains a second leader as it has grown. The first one gives up the server that runs a job, so that the
+/// job is lost there, and is offered the job again. The run goes on for the rest of its lease.
+#[test]
+fn job_is_not_started_by_a_leader_that_has_just_given_up_the_server_that_runs_it() {
+    let members: Vec<leadership::DomainMember> = ["one", "two"]
+        .into_iter()
+        .map(|name| leadership::DomainMember {
+            name: Arc::from(name),
+            cpu_millis: 1_000,
+            reachable: true,
+            leaving: false,
+            held_servers: 0,
+            shards: leadership::ShardSet::default(),
+        })
+        .collect();
+    let names: Vec<String> = (0..8).map(|number| format!("s{number}")).collect();
+    let servers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut failed_cases = Vec::new();
+    // The job is offered to the leader that keeps the other half, or to the one that gains this half.
+    for (task_count, offered_to) in [(1, 0), (4, 0), (4, 1)] {
+        for delay_ms in [1, 50, 200, 500, 900] {
+            let mut simulation = fixtures::simulation_with_leader(2, &servers);
+            let job = fixtures::offer("job", task_count, fixtures::LONG_RUN * 4);
+            submit(&mut simulation, 0, &job, fixtures::LONG_RUN * 4);
+            simulation.run_until(fixtures::ms(1_000));
+            let server_with_run = servers
+                .iter()
+                .copied()
+                .find(|server| has_run(&mut simulation, server, "job"))
+                .expect("the leader should have started the job");
+            let halves = ["one", "two"].map(|name| leadership::shards_to_lead(&members, 2, name));
+            let (kept, given_up) = match halves {
+                [first, second] if second.contains_id(server_with_run) => (first, second),
+                [first, second] => (second, first),
+            };
+            for (pool_index, shards) in [(0, kept), (1, given_up)] {
+                let wanted = servers.iter().filter(|server| shards.contains_id(server));
+                claim_with_old_registry(&mut simulation, pool_index, wanted, shards);
+                let now = simulation.now();
+                simulation.pools[pool_index].record_registry_read(now);
+            }
+            simulation.run_until(fixtures::ms(1_000 + delay_ms));
+            let resubmitted = job_model::JobOffer {
+                may_have_started: true,
+                ..job
+            };
+            submit(
+                &mut simulation,
+                offered_to,
+                &resubmitted,
+                fixtures::LONG_RUN * 4,
+            );
+            simulation.run_until(fixtures::ms(9_000));
+            if has_overlapping_runs(&simulation) {
+                failed_cases.push((task_count, offered_to, delay_ms));
+            }
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "(tasks, pool that is offered the job, ms after the change) with overlapping runs"
+    );
+}
+
 /// A process takes over all shards of a lost leader, and leaves half of them to another new leader some ms
 /// later, as the domain turns out to be large. The job runs on a server of that half, of which it gets no
 /// report, and it would be started again on a server of the half that is left.
