--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -220,12 +220,9 @@
     assert_eq!(failed_steps, [], "steps of 20 ms with overlapping runs");
 }
 
-/// Two pools lead half of the shards each. One is lost and the other, which holds its own servers all
-/// the time, claims the rest. A caller sends a job of the lost pool again before the claims are
-/// granted, and it would be started on a server that the remaining leader has held before.
-#[test]
-fn resent_job_is_not_started_while_the_shards_of_a_lost_leader_are_claimed() {
-    let members: Vec<leadership::DomainMember> = ["one", "two"]
+/// Returns the members `one` and `two` of a failure domain, which lead nothing yet.
+fn two_members() -> Vec<leadership::DomainMember> {
+    ["one", "two"]
         .into_iter()
         .map(|name| leadership::DomainMember {
             name: Arc::from(name),
@@ -235,7 +232,15 @@
             held_servers: 0,
             shards: leadership::ShardSet::default(),
         })
-        .collect();
+        .collect()
+}
+
+/// Two pools lead half of the shards each. One is lost and the other, which holds its own servers all
+/// the time, claims the rest. A caller sends a job of the lost pool again before the claims are
+/// granted, and it would be started on a server that the remaining leader has held before.
+#[test]
+fn resent_job_is_not_started_while_the_shards_of_a_lost_leader_are_claimed() {
+    let members = two_members();
     let shards: Vec<leadership::ShardSet> = ["one", "two"]
         .into_iter()
         .map(|name| leadership::shards_to_lead(&members, 2, name))
@@ -279,17 +284,7 @@
 /// job is lost there, and is offered the job again. The run goes on for the rest of its lease.
 #[test]
 fn job_is_not_started_by_a_leader_that_has_just_given_up_the_server_that_runs_it() {
-    let members: Vec<leadership::DomainMember> = ["one", "two"]
-        .into_iter()
-        .map(|name| leadership::DomainMember {
-            name: Arc::from(name),
-            cpu_millis: 1_000,
-            reachable: true,
-            leaving: false,
-            held_servers: 0,
-            shards: leadership::ShardSet::default(),
-        })
-        .collect();
+    let members = two_members();
     let names: Vec<String> = (0..8).map(|number| format!("s{number}")).collect();
     let servers: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut failed_cases = Vec::new();
@@ -345,17 +340,7 @@
 /// report, and it would be started again on a server of the half that is left.
 #[test]
 fn job_is_not_started_by_a_new_leader_that_gives_up_the_shard_of_the_server_that_runs_it() {
-    let members: Vec<leadership::DomainMember> = ["one", "two"]
-        .into_iter()
-        .map(|name| leadership::DomainMember {
-            name: Arc::from(name),
-            cpu_millis: 1_000,
-            reachable: true,
-            leaving: false,
-            held_servers: 0,
-            shards: leadership::ShardSet::default(),
-        })
-        .collect();
+    let members = two_members();
     let names: Vec<String> = (0..8).map(|number| format!("s{number}")).collect();
     let servers: Vec<&str> = names.iter().map(String::as_str).collect();
     for may_have_started in [true, false] {
@@ -403,17 +388,7 @@
 /// never claims.
 #[test]
 fn new_leader_of_half_of_the_shards_waits_for_its_own_servers_only() {
-    let members: Vec<leadership::DomainMember> = ["one", "two"]
-        .into_iter()
-        .map(|name| leadership::DomainMember {
-            name: Arc::from(name),
-            cpu_millis: 1_000,
-            reachable: true,
-            leaving: false,
-            held_servers: 0,
-            shards: leadership::ShardSet::default(),
-        })
-        .collect();
+    let members = two_members();
     let half = leadership::shards_to_lead(&members, 2, "one");
     let names: Vec<String> = (0..8).map(|number| format!("s{number}")).collect();
     let servers = names.iter().map(|name| fixtures::server(name)).collect();
