Answer callers that still wait before a planned stop ends the process

Cause: nothing ended the jobs of the process's own callers before it exits.

Evidence: callers_that_wait_when_a_process_exits_are_answered got no answer without the call (status 0) and gets 504 with it.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -35,11 +35,14 @@
         offered_at: None,
     };
     let job = node.jobs.join_or_start(&id, last_pool, job.run());
-    let answer = match tokio::time::timeout(time_to_answer, job.wait_for_answer()).await {
-        Ok(answer) => answer,
-        // The last caller to drop the job withdraws it, and its pool stops the runs.
-        Err(_) => offer_plan::JobAnswer::Failed(job_model::FailureReason::OutOfTime),
+    let answer = tokio::select! {
+        answer = tokio::time::timeout(time_to_answer, job.wait_for_answer()) => answer.ok(),
+        // The connection would break without an answer.
+        () = node.wait_until_exit_near() => None,
     };
+    // The last caller to drop the job withdraws it, and its pool stops the runs.
+    let out_of_time = offer_plan::JobAnswer::Failed(job_model::FailureReason::OutOfTime);
+    let answer = answer.unwrap_or(out_of_time);
     (answer, job.last_pool())
 }
 
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -53,6 +53,8 @@
     /// Status of the pool, of which `config_version` and `leaving` are unused.
     pool_status: Mutex<link_frame::PeerStatus>,
     leaving: atomic::AtomicBool,
+    /// Whether the process is about to exit, so that callers that still wait have to be answered.
+    exit_near: watch::Sender<bool>,
     peer_list_read: atomic::AtomicBool,
     link_id_counter: atomic::AtomicU64,
     /// Number of changes of this process's status that peers should receive at once.
@@ -90,6 +92,7 @@
             evacuations: Mutex::new(evacuations),
             pool_status: Mutex::new(link_frame::PeerStatus::default()),
             leaving: atomic::AtomicBool::new(false),
+            exit_near: watch::Sender::new(false),
             peer_list_read: atomic::AtomicBool::new(false),
             link_id_counter: atomic::AtomicU64::new(0),
             status_changes: watch::Sender::new(0),
@@ -316,6 +319,18 @@
         self.notify_status_change();
     }
 
+    /// Lets callers that still wait be answered, as the process is about to exit.
+    pub fn set_exit_near(&self) {
+        self.exit_near.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn wait_until_exit_near(&self) {
+        let mut exit_near = self.exit_near.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = exit_near.wait_for(|is_near| *is_near).await;
+    }
+
     /// Notifies the watchers of peer changes, and the links that this process has opened, which
     /// then send its status at once. A peer that has opened a link to this process receives it in
     /// response to its own next status.
--- a/crates/cuminkeel_node/src/process.rs
+++ b/crates/cuminkeel_node/src/process.rs
@@ -25,6 +25,9 @@
 /// Percentage of the stop grace period after which the process exits even if connections
 /// are open.
 const EXIT_GRACE_PERCENT: u32 = 92;
+/// Time before the exit at which callers that still wait are answered, so that the answers reach them: a
+/// few round trips, and the delay of a process with a tenth of a core.
+const LAST_ANSWER_TIME: time::Duration = time::Duration::from_millis(200);
 /// Timeout of the removal of the own record from the store's peer list, the last request before the
 /// process exits.
 const RECORD_REMOVAL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -251,7 +254,11 @@
     caller_task.abort();
     stop_sender.send_replace(true);
     let deadline = started_at + grace * EXIT_GRACE_PERCENT / 100;
+    let answers_due = deadline - LAST_ANSWER_TIME;
     while tokio::time::Instant::now() < deadline && node.metrics.has_connections() {
+        if tokio::time::Instant::now() >= answers_due {
+            node.set_exit_near();
+        }
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
     // A process that starts until then finds this one, which may still lead.
--- a/crates/cuminkeel_node/tests/node/recovery.rs
+++ b/crates/cuminkeel_node/tests/node/recovery.rs
@@ -63,6 +63,25 @@
     assert_eq!(standby.submit("00000000000000a4", "20", 1).await.0, 200);
 }
 
+/// A planned stop cut the connections of callers that still waited, without an answer (review/4).
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_wait_when_a_process_exits_are_answered() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let mut node = platform.start_ready_node("n1", "north").await;
+    let body = test_platform::job_body("8000", 1);
+    let job = node.submit_with_deadline("00000000000000a1", &body, "20000");
+    let stop = async {
+        test_platform::wait_until("the task to start", async || {
+            platform.started_tasks().len() == 1
+        })
+        .await;
+        node.stop().await;
+    };
+    let ((status, _), ()) = tokio::join!(job, stop);
+    assert_eq!(status, 504);
+    node.wait_for_exit().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn sole_process_of_a_domain_runs_jobs_that_arrive_while_it_stops() {
     let platform = test_platform::TestPlatform::start(&["north"]).await;
