Ask a server for its runs although its last known entry said that it drains

Cause: a server drained, was replaced under its id and lost its new entry, all between two reads of the registry by the process that leads next.

Fix: a server without an entry is asked for its runs at a takeover, whatever its last known entry said. A server that has left refuses the connection, which shows at once that it is gone; only jobs that another pool may have started wait for the answer.

Evidence: run_on_a_server_that_the_next_leader_has_read_as_draining_does_not_overlap overlapped in 5 of 5 cases and passes.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -113,8 +113,9 @@
         };
         slot.registered = false;
         slot.unlisted_since.get_or_insert(self.last_active_at);
-        // Its leader may be cut off from the registry, as the server is.
-        if !slot.claim_state.knows_runs() && !slot.entry.draining {
+        // Its leader may be cut off from the registry, as the server is. That it drained may be out of date:
+        // it may have been replaced under its id since.
+        if !slot.claim_state.knows_runs() {
             slot.unlisted_runs_until = self.last_active_at + UNLISTED_RUN_TIME;
         }
         let id = Arc::clone(&slot.entry.id);
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -172,7 +172,7 @@
     /// Time since which the server has had no registry entry; `None` while it is registered.
     pub unlisted_since: Option<time::Duration>,
     /// Time until which a server that lost its registry entry may still have runs of a leader which doesn't know
-    /// of that; zero if it is registered, said that it leaves, or runs nothing.
+    /// of that; zero if it is registered, or runs nothing.
     pub unlisted_runs_until: time::Duration,
     /// Claim state of the server.
     pub claim_state: ClaimState,
--- a/crates/cuminkeel_replay/tests/promises/caller_returns.rs
+++ b/crates/cuminkeel_replay/tests/promises/caller_returns.rs
@@ -253,7 +253,7 @@
             // The standby learns of the removal by up to one interval of the leader's reads earlier.
             for leader_delay_ms in [0, 600] {
                 let violations =
-                    run_on_unlisted_server(may_have_started, lost_after_ms, leader_delay_ms);
+                    run_on_unlisted_server(may_have_started, lost_after_ms, leader_delay_ms, false);
                 if !violations.is_empty() {
                     failed_cases.push((may_have_started, lost_after_ms, leader_delay_ms));
                 }
@@ -268,11 +268,13 @@
 }
 
 /// Returns the broken rules if the leader is lost `lost_after_ms` after the removal of the entry of a server
-/// with a run, of which the leader has learnt `leader_delay_ms` later than the next one.
+/// with a run, of which the leader has learnt `leader_delay_ms` later than the next one. The last entry that the
+/// next leader read may be an old one, which says that the server drains.
 fn run_on_unlisted_server(
     may_have_started: bool,
     lost_after_ms: u64,
     leader_delay_ms: u64,
+    was_read_as_draining: bool,
 ) -> Vec<pool_simulation::InvariantViolation> {
     let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
     let job = neighbour_offer("job");
@@ -282,6 +284,12 @@
         .into_iter()
         .find(|server| has_run(&mut simulation, server, "job"))
         .expect("the leader should have started the job");
+    if was_read_as_draining {
+        let now = simulation.now();
+        let mut entry = simulation.server_mut(server_with_run).entry.clone();
+        entry.draining = true;
+        simulation.pools[1].apply_registry_entry(entry, now);
+    }
     let lost_at = fixtures::ms(1_000 + lost_after_ms);
     for (pool_index, removed_at) in [
         (1, fixtures::ms(1_000)),
@@ -291,9 +299,11 @@
         let now = simulation.now();
         simulation.pools[pool_index].tick(now);
         simulation.pools[pool_index].remove_registry_entry(server_with_run);
-        // As a process does when an entry is gone.
-        simulation.pools[pool_index]
-            .mark_registry_incomplete(removed_at + settings::REREGISTRATION_GRACE);
+        // As a process does when an entry is gone, unless the server drained.
+        if pool_index == 0 || !was_read_as_draining {
+            simulation.pools[pool_index]
+                .mark_registry_incomplete(removed_at + settings::REREGISTRATION_GRACE);
+        }
     }
     simulation.run_until(lost_at);
     simulation.pause(0);
@@ -784,7 +794,7 @@
     let mut failed_cases = Vec::new();
     for leader_delay_ms in [1_450, 3_200, 60_000] {
         for lost_after_ms in [2_500, 2_700, 3_000, 5_000, 9_000] {
-            let violations = run_on_unlisted_server(true, lost_after_ms, leader_delay_ms);
+            let violations = run_on_unlisted_server(true, lost_after_ms, leader_delay_ms, false);
             if !violations.is_empty() {
                 failed_cases.push((leader_delay_ms, lost_after_ms));
             }
@@ -796,3 +806,21 @@
         "(delay of the leader's read, loss in ms after the removal) with overlaps"
     );
 }
+
+/// A server drained, was replaced under its id and lost its new entry, all between two reads of the process that
+/// leads next, which takes it for one that has left as it said.
+#[test]
+fn run_on_a_server_that_the_next_leader_has_read_as_draining_does_not_overlap() {
+    let mut failed_cases = Vec::new();
+    for lost_after_ms in [10, 200, 500, 1_000, 2_000] {
+        let violations = run_on_unlisted_server(true, lost_after_ms, 600, true);
+        if !violations.is_empty() {
+            failed_cases.push(lost_after_ms);
+        }
+    }
+    assert_eq!(
+        failed_cases,
+        [],
+        "losses in ms after the removal with overlaps"
+    );
+}
