Refuse jobs that exceed a limit before any work is done for them

Cause: the pool built an entry for each task before it decided on the admission, and nothing before bounded tasks, dependencies, or the payload that each start carries; the body limit bounds only bytes.

Decoding stops where a job exceeds one; it gets 503 with the limit as the reason and a Retry-After of a minute. The pool checks the limits again, as the last landing offers jobs of any size over links.

--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -57,6 +57,12 @@
             self.refuse(offer, waiter, reason, time::Duration::ZERO, now);
             return;
         }
+        // An earlier release offers jobs of any size, which it tries elsewhere after another reason.
+        if self.settings.job_limits.check(&offer.spec).is_err() {
+            let reason = job_model::RefusalReason::NoSuitableServer;
+            self.refuse(offer, waiter, reason, time::Duration::ZERO, now);
+            return;
+        }
         self.update_speeds(now);
         let job = self.new_job(offer, waiter, now);
         if crashes::is_given_up(&job) {
--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::job_limits;
+
 /// Order in which queued jobs are served.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "snake_case")]
@@ -107,6 +109,8 @@
     /// Time for which an offer of a refused job from another process is refused, as the first process may
     /// be offering it to other pools.
     pub release_time: time::Duration,
+    /// Size of the largest job that is admitted.
+    pub job_limits: job_limits::JobLimits,
     /// Policies for queueing, admission and placement.
     pub policies: PoolPolicies,
 }
@@ -152,6 +156,7 @@
             evacuation_bound: None,
             resend_delay,
             release_time: resend_delay * RELEASE_PERCENT / 100,
+            job_limits: job_limits::JobLimits::default(),
             policies: PoolPolicies::default(),
         }
     }
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -17,7 +17,7 @@
 /// Time to the deadline of a request without a readable deadline header on a route without a time
 /// limit.
 const DEFAULT_TIME_TO_DEADLINE: time::Duration = time::Duration::from_secs(2);
-/// `Retry-After` of a job that needs an unsupported feature.
+/// `Retry-After` of a job that needs an unsupported feature or exceeds a limit.
 const UNSUPPORTED_RETRY_AFTER: time::Duration = time::Duration::from_mins(1);
 /// `Retry-After` of a process that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -214,9 +214,22 @@
             bad_request("unreadable_body")
         })?
         .to_bytes();
-    let job = caller_api::decode_job(&body).map_err(|error| {
-        slog::info!(node.logger, "job_unreadable"; "request" => id, "error" => %error);
-        bad_request("unreadable_job")
+    let limits = node.tuning.job_limits();
+    let job = caller_api::decode_job(&body, &limits).map_err(|error| match error {
+        caller_api::SubmissionError::TooLarge { source } => {
+            slog::info!(node.logger, "job_too_large"; "request" => id, "bytes" => body.len(), "error" => %source);
+            node.metrics.count_rejection(source.reason());
+            // No process will ever admit it.
+            retry_later_response(
+                http::StatusCode::SERVICE_UNAVAILABLE,
+                source.reason(),
+                UNSUPPORTED_RETRY_AFTER,
+            )
+        }
+        error => {
+            slog::info!(node.logger, "job_unreadable"; "request" => id, "error" => %error);
+            bad_request("unreadable_job")
+        }
     })?;
     let unsupported = job
         .unsupported
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -153,7 +153,7 @@
         );
         registry.register(
             "turned_away",
-            "Rejected requests, by reason: unconfigured, unknown_route or unsupported",
+            "Rejected requests, by reason: unconfigured, unknown_route, unsupported, or the limit that a job exceeds",
             rejections.clone(),
         );
         registry.register(
@@ -220,7 +220,8 @@
     }
 
     /// Counts a request that was rejected because this process has no configuration, its route is
-    /// unknown or it needs an unsupported feature. Other rejections are not counted.
+    /// unknown, it needs an unsupported feature, or its job exceeds a limit. Other rejections are not
+    /// counted.
     pub fn count_rejection(&self, reason: &'static str) {
         self.rejections
             .get_or_create(&ReasonLabels { reason })
--- a/crates/cuminkeel_node/src/node_tuning.rs
+++ b/crates/cuminkeel_node/src/node_tuning.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, io, path, time};
 
+use cuminkeel_dispatch::job_limits;
 use derive_more::{Display, Error};
 use serde::Deserialize;
 
@@ -47,10 +48,17 @@
     pub log_level: LogLevel,
     /// Capacity of the log buffer, in KiB.
     pub log_buffer_kib: u32,
+    /// Maximum number of tasks of a job.
+    pub max_job_tasks: u32,
+    /// Maximum number of dependencies between the steps of a job.
+    pub max_job_dependencies: u32,
+    /// Maximum length of the payload of a job, in bytes.
+    pub max_payload_bytes: u32,
 }
 
 impl Default for NodeTuning {
     fn default() -> Self {
+        let limits = job_limits::JobLimits::default();
         Self {
             metrics_port: METRICS_PORT,
             order_timeout_ms: ORDER_TIMEOUT_MS,
@@ -58,6 +66,9 @@
             leader_wait_ms: LEADER_WAIT_MS,
             log_level: LogLevel::default(),
             log_buffer_kib: LOG_BUFFER_KIB,
+            max_job_tasks: limits.max_tasks,
+            max_job_dependencies: limits.max_dependencies,
+            max_payload_bytes: limits.max_payload_bytes,
         }
     }
 }
@@ -127,6 +138,22 @@
             ("hold_timeout_ms", self.hold_timeout_ms, "ms", 5, 1_000),
             ("leader_wait_ms", self.leader_wait_ms, "ms", 100, 10_000),
             ("log_buffer_kib", self.log_buffer_kib, "KiB", 64, 65_536),
+            // The index of a task has 16 bits.
+            ("max_job_tasks", self.max_job_tasks, "tasks", 1, 65_535),
+            (
+                "max_job_dependencies",
+                self.max_job_dependencies,
+                "",
+                0,
+                524_280,
+            ),
+            (
+                "max_payload_bytes",
+                self.max_payload_bytes,
+                "bytes",
+                0,
+                1_048_576,
+            ),
         ];
         for (field, value, unit, min, max) in ranges {
             if !(min..=max).contains(&value) {
@@ -158,6 +185,15 @@
         time::Duration::from_millis(u64::from(self.leader_wait_ms))
     }
 
+    /// Returns the size of the largest job that is admitted.
+    pub fn job_limits(&self) -> job_limits::JobLimits {
+        job_limits::JobLimits {
+            max_tasks: self.max_job_tasks,
+            max_dependencies: self.max_job_dependencies,
+            max_payload_bytes: self.max_payload_bytes,
+        }
+    }
+
     /// Returns the capacity of the log buffer, in bytes.
     pub fn log_buffer_bytes(&self) -> usize {
         usize::try_from(self.log_buffer_kib).map_or(usize::MAX, |kib| kib * 1024)
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -220,6 +220,7 @@
     let PoolInbox(mut event_receiver) = inbox;
     let pool_settings = settings::PoolSettings {
         evacuation_bound: node.settings.evacuation_bound,
+        job_limits: node.tuning.job_limits(),
         ..settings::PoolSettings::new(
             node.settings.max_lease,
             node.settings.stop_time,
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod frame_compatibility;
 mod frontend;
+mod job_size;
 mod logs;
 mod odd_entries;
 mod offers;
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -305,6 +305,21 @@
     /// Writes a configuration of one route. The objective of its jobs is 1.6 times their critical
     /// path plus `target_latency_ms`.
     pub fn write_config_with_target(&self, version: u64, prefix: &str, target_latency_ms: u64) {
+        self.put_config(version, prefix, target_latency_ms, 4_096);
+    }
+
+    /// Writes the configuration of [`Self::write_config`] with another limit of bodies.
+    pub fn write_config_with_body_limit(&self, version: u64, max_body_bytes: usize) {
+        self.put_config(version, PREFIX, 5_000, max_body_bytes);
+    }
+
+    fn put_config(
+        &self,
+        version: u64,
+        prefix: &str,
+        target_latency_ms: u64,
+        max_body_bytes: usize,
+    ) {
         let config = serde_json::json!({
             "version": version,
             "routes": [{
@@ -313,7 +328,7 @@
                 "service": "order-desk", "max_attempts": 2, "stretch_factor": 1.6,
             }],
             "services": [],
-            "limits": {"max_body_bytes": 4096},
+            "limits": {"max_body_bytes": max_body_bytes},
         });
         self.store.put("keyed.op", "config", config.to_string());
     }
