Start no task for a request that is read after its caller has left or its deadline has passed

What callers saw: a caller sends its job to a process that is frozen, closes its connection at its deadline, and comes again 1.3 s later at another process; the frozen one goes on, reads the request from its socket, takes it for new and starts its tasks.

Cause: the age of a request counted from when its body had been read. What had lain in the accept queue, the socket, behind a pipelined request or in the part of a body was not known.

Change: the process notes the turns of its event loop. The time of the first byte of a request is kept for each connection, and deadlines count from it. What is past its deadline is refused with 503, outdated, Retry-After 1.

The test requests_that_are_read_after_their_callers_have_left_start_no_task supposed that the process reads nothing while the test doesn't await; but the process runs in a thread of its own, and read the requests before their callers left. The test with frozen processes takes its place: it has the callers leave for certain before the requests are read, and adds callers that leave their connection open.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crash_ledger;
 pub mod evacuation;
 pub mod health;
+pub mod input_clock;
 pub mod job_limits;
 pub mod job_model;
 pub mod job_order;
--- /dev/null
+++ b/crates/cuminkeel_node/src/caller_stream.rs
@@ -0,0 +1,149 @@
+//! Connections of callers, which date the requests that are read from them.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic},
+    task::{Context, Poll, ready},
+    time,
+};
+
+use rustix::net::RecvFlags;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net, task,
+};
+
+use crate::node_state;
+
+/// Times at which bytes of one connection may have arrived at the earliest.
+#[derive(Debug, Default)]
+struct ArrivalTimes {
+    /// Of the first bytes since the last request was taken, if there are any.
+    first: Option<time::Duration>,
+    /// Of the last bytes.
+    last: time::Duration,
+}
+
+/// What is known of the requests of one connection.
+#[derive(Clone, Debug, Default)]
+pub struct RequestArrivals {
+    times: Arc<Mutex<ArrivalTimes>>,
+    /// Whether the next read is to ask the kernel for the end of the connection.
+    checks_end: Arc<atomic::AtomicBool>,
+}
+
+impl RequestArrivals {
+    /// Lets the task of the connection look for its end before it goes on with the caller of this function, which it
+    /// drops if the caller has closed the connection.
+    ///
+    /// A read that returns the last bytes of a request tells nothing of an end behind them, of which the event loop
+    /// may learn only in its next turn.
+    pub async fn check_end(&self) {
+        self.checks_end.store(true, atomic::Ordering::Relaxed);
+        task::yield_now().await;
+    }
+
+    /// Returns the time at which the request that begins now may have arrived at the earliest. A request that lay
+    /// behind an earlier one of the connection arrived with the last bytes that were read.
+    pub fn take_next(&self) -> time::Duration {
+        let mut times = self.lock();
+        times.first.take().unwrap_or(times.last)
+    }
+
+    fn record_read(&self, arrived_at: time::Duration) {
+        let mut times = self.lock();
+        times.first.get_or_insert(arrived_at);
+        times.last = arrived_at;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ArrivalTimes> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Connection of a caller.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: net::TcpStream,
+    node: Arc<node_state::NodeState>,
+    arrivals: RequestArrivals,
+}
+
+impl CallerStream {
+    /// Wraps an accepted connection.
+    pub fn new(stream: net::TcpStream, node: Arc<node_state::NodeState>) -> Self {
+        Self {
+            stream,
+            node,
+            arrivals: RequestArrivals::default(),
+        }
+    }
+
+    /// Whether the caller has closed the connection and no bytes are left to read.
+    fn has_ended(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        // An error other than that nothing has come shows at the next read or write.
+        rustix::net::recv(&self.stream, &mut byte, flags).is_ok_and(|(_, length)| length == 0)
+    }
+
+    /// Returns the arrival times of the requests of the connection.
+    pub fn arrivals(&self) -> RequestArrivals {
+        self.arrivals.clone()
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let checks_end = self
+            .arrivals
+            .checks_end
+            .swap(false, atomic::Ordering::Relaxed);
+        if read.is_pending() && checks_end && self.has_ended() {
+            return Poll::Ready(Ok(()));
+        }
+        ready!(read)?;
+        if buffer.filled().len() > filled_before {
+            self.arrivals
+                .record_read(self.node.earliest_arrival(self.node.now()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -8,20 +8,20 @@
 use crate::{job_table, node_state, peer_link};
 
 /// Time reserved before the deadline for sending the answer to the caller.
-const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
+pub const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
 
-/// Runs the job `spec` for a caller that stops waiting after `time_to_deadline`. If a copy of the job is
-/// in progress in this process, waits for its answer instead. Returns the answer and the process whose pool
-/// the job was offered to last.
+/// Runs the job `spec` of a request that arrived at `received_at` for a caller that has to be answered by
+/// `answer_deadline`. If a copy of the job is in progress in this process, waits for its answer instead. Returns
+/// the answer and the process whose pool the job was offered to last.
 pub async fn run_job(
     node: &Arc<node_state::NodeState>,
     spec: Arc<job_model::JobSpec>,
-    time_to_deadline: time::Duration,
+    received_at: time::Duration,
+    answer_deadline: time::Duration,
 ) -> (offer_plan::JobAnswer, Option<Arc<str>>) {
-    let time_to_answer = time_to_deadline.saturating_sub(ANSWER_MARGIN);
-    let received_at = node.now();
+    let time_to_answer = answer_deadline.saturating_sub(node.now());
     let limits = offer_plan::PlanLimits {
-        answer_deadline: received_at + time_to_answer,
+        answer_deadline,
         leader_wait: node.tuning.leader_wait(),
     };
     let id = Arc::clone(&spec.id);
@@ -48,7 +48,7 @@
 
 struct CallerJob {
     node: Arc<node_state::NodeState>,
-    /// Time at which the whole request had been read.
+    /// Time at which the request may have arrived at the earliest.
     received_at: time::Duration,
     limits: offer_plan::PlanLimits,
     plan: offer_plan::OfferPlan,
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -1,6 +1,6 @@
 //! HTTP servers for callers, readiness probes and metrics.
 
-use std::{convert, sync::Arc, time};
+use std::{convert, future, io, sync::Arc, time};
 
 use bytes::Bytes;
 use cuminkeel_dispatch::{job_model, offer_plan};
@@ -8,9 +8,9 @@
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
 use platform_adapter::{caller_api, routing};
-use tokio::{net, sync::watch};
+use tokio::{net, sync::watch, task};
 
-use crate::{coordinator, node_state};
+use crate::{caller_stream, coordinator, node_state};
 
 /// Pause after a failed accept, for example with too many open file descriptors.
 const ACCEPT_RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -19,6 +19,8 @@
 const DEFAULT_TIME_TO_DEADLINE: time::Duration = time::Duration::from_secs(2);
 /// `Retry-After` of a job that needs an unsupported feature or exceeds a limit.
 const UNSUPPORTED_RETRY_AFTER: time::Duration = time::Duration::from_mins(1);
+/// `Retry-After` of a request whose deadline may have passed before it was read. The process serves again.
+const OUTDATED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 /// `Retry-After` of a process that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -32,8 +34,8 @@
     stop: watch::Receiver<bool>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let stream = match accept(&node, &listener).await {
+            Ok(stream) => stream,
             Err(error) => {
                 slog::warn!(node.logger, "caller_accept_failed"; "error" => %error);
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
@@ -46,6 +48,20 @@
     }
 }
 
+/// Accepts the next connection, and records whether more may wait behind it.
+async fn accept(
+    node: &node_state::NodeState,
+    listener: &net::TcpListener,
+) -> io::Result<net::TcpStream> {
+    future::poll_fn(|context| {
+        let accepted = listener.poll_accept(context);
+        // A task without budget has to yield before it has seen the end of the queue.
+        node.record_accept(accepted.is_ready() || !task::coop::has_budget_remaining());
+        accepted.map_ok(|(stream, _)| stream)
+    })
+    .await
+}
+
 async fn serve_connection(
     node: Arc<node_state::NodeState>,
     stream: net::TcpStream,
@@ -53,9 +69,12 @@
 ) {
     let connection_guard = node.metrics.track_connection();
     let handler_node = Arc::clone(&node);
+    let stream = caller_stream::CallerStream::new(stream, Arc::clone(&node));
+    let arrivals = stream.arrivals();
     let handler = service::service_fn(move |request| {
         let node = Arc::clone(&handler_node);
-        async move { Ok::<_, convert::Infallible>(handle_request(&node, request).await) }
+        let arrivals = arrivals.clone();
+        async move { Ok::<_, convert::Infallible>(handle_request(&node, request, &arrivals).await) }
     });
     let connection = http1::Builder::new()
         .keep_alive(true)
@@ -82,7 +101,9 @@
 async fn handle_request(
     node: &Arc<node_state::NodeState>,
     request: http::Request<body::Incoming>,
+    arrivals: &caller_stream::RequestArrivals,
 ) -> Response {
+    let arrived_at = arrivals.take_next();
     let Some(config) = node.config() else {
         node.metrics.count_rejection("unconfigured");
         return retry_later_response(
@@ -115,7 +136,12 @@
         }
         (&http::Method::POST, id) if caller_api::is_job_id(id) => {
             let (id, route) = (Arc::from(id), route.clone());
-            submit(node, &config.config, &route, id, request).await
+            let job_request = JobRequest {
+                id,
+                arrived_at,
+                http_request: request,
+            };
+            submit(node, &config.config, &route, job_request, arrivals).await
         }
         // The outcome of a job is sent in the response to its submission and never stored.
         (&http::Method::GET | &http::Method::DELETE, _) => json_response(
@@ -143,14 +169,26 @@
         .max_by_key(|route| route.path_prefix.len())
 }
 
+/// Submission of a job of which the headers have been read.
+struct JobRequest {
+    id: Arc<str>,
+    /// Time at which it may have arrived at the earliest.
+    arrived_at: time::Duration,
+    http_request: http::Request<body::Incoming>,
+}
+
 async fn submit(
     node: &Arc<node_state::NodeState>,
     config: &routing::RoutingConfig,
     route: &routing::JobRoute,
-    id: Arc<str>,
-    request: http::Request<body::Incoming>,
+    request: JobRequest,
+    arrivals: &caller_stream::RequestArrivals,
 ) -> Response {
-    let headers_read_at = node.now();
+    let JobRequest {
+        id,
+        arrived_at,
+        http_request: request,
+    } = request;
     // A caller that waits longer than the route's time limit still wants its answer.
     let time_to_deadline = request
         .headers()
@@ -178,8 +216,21 @@
     slog::debug!(node.logger, "received"; "request" => &*id, "route" => &*route.name,
         "config_version" => config.version, "tasks" => spec.task_count(),
         "patience_ms" => whole_ms(time_to_deadline));
-    let (answer, pool) = coordinator::run_job(node, spec, time_to_deadline).await;
-    let elapsed = node.now().saturating_sub(headers_read_at);
+    arrivals.check_end().await;
+    let answer_deadline = arrived_at + time_to_deadline.saturating_sub(coordinator::ANSWER_MARGIN);
+    let now = node.now();
+    if now >= answer_deadline && !node.jobs.contains(&id) {
+        slog::info!(node.logger, "request_outdated"; "request" => &*id, "route" => &*route.name,
+            "age_ms" => whole_ms(now.saturating_sub(arrived_at)), "patience_ms" => whole_ms(time_to_deadline));
+        node.metrics.count_rejection("outdated");
+        return retry_later_response(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "outdated",
+            OUTDATED_RETRY_AFTER,
+        );
+    }
+    let (answer, pool) = coordinator::run_job(node, spec, arrived_at, answer_deadline).await;
+    let elapsed = node.now().saturating_sub(arrived_at);
     if answer == offer_plan::JobAnswer::Completed {
         slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
             "outcome" => "completed", "took_ms" => whole_ms(elapsed));
--- a/crates/cuminkeel_node/src/job_table.rs
+++ b/crates/cuminkeel_node/src/job_table.rs
@@ -79,6 +79,13 @@
         job
     }
 
+    /// Whether a copy of the job `id` is in progress.
+    pub fn contains(&self, id: &str) -> bool {
+        self.lock()
+            .get(id)
+            .is_some_and(|job| job.strong_count() > 0)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Weak<SharedJob>>> {
         self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -5,6 +5,7 @@
 //! Names with `node`, such as `NodeState`, refer to that process. In settings, log lines and
 //! metrics, `node` stands for the name of its VM.
 
+pub mod caller_stream;
 pub mod claim_targets;
 pub mod coordinator;
 pub mod embedded_process;
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -153,7 +153,7 @@
         );
         registry.register(
             "turned_away",
-            "Rejected requests, by reason: unconfigured, unknown_route, unsupported, or the limit that a job exceeds",
+            "Rejected requests, by reason: unconfigured, unknown_route, unsupported, outdated, or the limit that a job exceeds",
             rejections.clone(),
         );
         registry.register(
@@ -220,7 +220,7 @@
     }
 
     /// Counts a request that was rejected because this process has no configuration, its route is
-    /// unknown, it needs an unsupported feature, or its job exceeds a limit. Other rejections are not
+    /// unknown, it needs an unsupported feature, it was read too late, or its job exceeds a limit. Others are not
     /// counted.
     pub fn count_rejection(&self, reason: &'static str) {
         self.rejections
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_dispatch::{evacuation, leadership, pool_room, room_ledger};
+use cuminkeel_dispatch::{evacuation, input_clock, leadership, pool_room, room_ledger};
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
 
@@ -39,6 +39,8 @@
     pub pool: pool_driver::PoolHandle,
     /// Jobs that this process runs for callers.
     pub jobs: Arc<job_table::JobTable>,
+    /// Turns of the event loop, which tell how long input may have waited.
+    input_clock: Mutex<input_clock::InputClock>,
     /// Jobs that this process has sent to other pools.
     ledger: Mutex<room_ledger::RoomLedger>,
     /// Room in the pool of this process.
@@ -83,6 +85,7 @@
             metrics: node_metrics::NodeMetrics::default(),
             pool,
             jobs: Arc::default(),
+            input_clock: Mutex::default(),
             ledger: Mutex::default(),
             pool_room: Mutex::default(),
             loss_news: Mutex::default(),
@@ -108,6 +111,27 @@
         boot_time().saturating_sub(self.started_at)
     }
 
+    /// Returns the time since which input that is read at `now` may have waited.
+    pub fn earliest_arrival(&self, now: time::Duration) -> time::Duration {
+        self.lock_input_clock().earliest_arrival(now)
+    }
+
+    /// Records a turn of the event loop. Called at intervals of at most 100 ms.
+    pub fn record_turn(&self, now: time::Duration) {
+        self.lock_input_clock().record_turn(now);
+    }
+
+    /// Records whether more new connections of callers may wait.
+    pub fn record_accept(&self, more_may_wait: bool) {
+        self.lock_input_clock().record_accept(more_may_wait);
+    }
+
+    fn lock_input_clock(&self) -> MutexGuard<'_, input_clock::InputClock> {
+        self.input_clock
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the losses of runs that peers are told of.
     pub fn loss_news(&self) -> MutexGuard<'_, loss_news::LossNews> {
         self.loss_news
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -245,6 +245,7 @@
             // The timer comes first, as a steady stream of events would starve it otherwise.
             () = tokio::time::sleep_until(next_tick) => {
                 let now = driver.node.now();
+                driver.node.record_turn(now);
                 driver.pool.tick(now);
                 driver.reconcile_leadership();
                 let pause = if driver.pool.needs_tick() { BUSY_TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
--- a/crates/cuminkeel_node/tests/node/frontend.rs
+++ b/crates/cuminkeel_node/tests/node/frontend.rs
@@ -165,35 +165,107 @@
     );
 }
 
-/// A process that was paused reads requests whose callers have left meanwhile, as the balancer's connections were
-/// accepted for it. Their callers may have sent the jobs again.
-#[tokio::test]
-async fn requests_that_are_read_after_their_callers_have_left_start_no_task() {
+/// Returns a request for a job of one task, as its headers and its body.
+fn raw_request(id: &str, payload: &str, deadline_ms: u64) -> (String, String) {
+    let body = test_platform::job_body(payload, 1);
+    let head = format!(
+        "POST {}{id} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\nX-Cuminkeel-Deadline-Ms: {deadline_ms}\r\n\r\n",
+        test_platform::PREFIX,
+        test_platform::HOST,
+        body.len()
+    );
+    (head, body)
+}
+
+/// Reads from `stream` until the process closes it or sends nothing for a second.
+async fn read_answers(stream: &mut tokio::net::TcpStream) -> String {
+    let mut answers = Vec::new();
+    let mut buffer = [0; 4_096];
+    let limit = std::time::Duration::from_secs(1);
+    while let Ok(Ok(length @ 1..)) =
+        tokio::time::timeout(limit, tokio::io::AsyncReadExt::read(stream, &mut buffer)).await
+    {
+        answers.extend_from_slice(&buffer[..length]);
+    }
+    String::from_utf8(answers).expect("answers should be UTF-8")
+}
+
+/// Guards against tasks of requests whose bodies come after the deadline, which callers count from their first byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_body_comes_after_its_deadline_starts_no_task() {
     let platform = test_platform::TestPlatform::start(&["north"]).await;
-    let leader = platform.start_ready_node("n1", "north").await;
-    let other = platform.start_ready_node("n2", "north").await;
-    for round in 0..20 {
-        for node in [&leader, &other] {
-            let body = test_platform::job_body("300", 1);
-            let request = format!(
-                "POST {}{} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\nX-Cuminkeel-Deadline-Ms: 1500\r\n\r\n{body}",
-                test_platform::PREFIX,
-                test_platform::random_id(),
-                test_platform::HOST,
-                body.len()
-            );
-            // Without an await, the process reads nothing before the connection is closed.
-            let mut stream = std::net::TcpStream::connect(&*node.settings.caller_address)
-                .expect("process should accept callers");
-            std::io::Write::write_all(&mut stream, request.as_bytes())
-                .expect("request should be sent");
-            drop(stream);
+    let node = platform.start_ready_node("n1", "north").await;
+    let (head, body) = raw_request(JOB, "10", 300);
+    let mut stream = tokio::net::TcpStream::connect(&*node.settings.caller_address)
+        .await
+        .expect("process should accept callers");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, head.as_bytes())
+        .await
+        .expect("headers should be sent");
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    tokio::io::AsyncWriteExt::write_all(&mut stream, body.as_bytes())
+        .await
+        .expect("body should be sent");
+    let answers = read_answers(&mut stream).await.to_lowercase();
+    assert!(answers.starts_with("http/1.1 503"), "{answers}");
+    assert!(answers.contains("retry-after: 1\r\n"), "{answers}");
+    assert_eq!(platform.started_tasks(), [""; 0]);
+}
+
+/// Guards against tasks of requests that lay behind another one of their connection until their deadline had passed.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_request_that_waits_beyond_its_deadline_starts_no_task() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let (first_head, first_body) = raw_request(JOB, "700", 1_500);
+    let (second_head, second_body) = raw_request("00000000000000ab", "10", 400);
+    for parts in [
+        vec![format!(
+            "{first_head}{first_body}{second_head}{second_body}"
+        )],
+        vec![
+            format!("{first_head}{first_body}"),
+            format!("{second_head}{second_body}"),
+        ],
+    ] {
+        let mut stream = tokio::net::TcpStream::connect(&*node.settings.caller_address)
+            .await
+            .expect("process should accept callers");
+        for part in parts {
+            tokio::io::AsyncWriteExt::write_all(&mut stream, part.as_bytes())
+                .await
+                .expect("requests should be sent");
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         }
-        assert_eq!(
-            platform.started_tasks(),
-            Vec::<String>::new(),
-            "round {round}"
-        );
+        let answers = read_answers(&mut stream).await;
+        let statuses: Vec<&str> = answers
+            .match_indices("HTTP/1.1 ")
+            .filter_map(|(at, prefix)| answers.get(at + prefix.len()..at + prefix.len() + 3))
+            .collect();
+        assert_eq!(statuses, ["200", "503"], "{answers}");
+    }
+    let started = platform.started_tasks();
+    assert!(
+        started.iter().all(|task| task.starts_with(JOB)),
+        "{started:?}"
+    );
+}
+
+/// Guards against requests on open connections that count as old because the connection was idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_on_a_connection_that_was_idle_is_served() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let mut stream = tokio::net::TcpStream::connect(&*node.settings.caller_address)
+        .await
+        .expect("process should accept callers");
+    for id in [JOB, "00000000000000ab"] {
+        let (head, body) = raw_request(id, "10", 300);
+        tokio::io::AsyncWriteExt::write_all(&mut stream, format!("{head}{body}").as_bytes())
+            .await
+            .expect("request should be sent");
+        // Waits for a second after the answer.
+        let answers = read_answers(&mut stream).await;
+        assert!(answers.starts_with("HTTP/1.1 200"), "{answers}");
     }
 }
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -56,6 +56,8 @@
 const LATER_KINDS_SEED: u64 = 0x6c61_7465_7221;
 /// Distinguishes the random numbers of lost registry entries from the others.
 const LOST_ENTRIES_SEED: u64 = 0x656e_7472_6965;
+/// Distinguishes the random numbers of freezes from the others.
+const FREEZES_SEED: u64 = 0x6672_6565_7a65;
 /// Distinguishes the random numbers of late orders from the others.
 const LATE_ORDERS_SEED: u64 = 0x6f72_6465_7273;
 /// Number of configurations in a storm.
@@ -71,6 +73,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut later_random = StdRng::seed_from_u64(seed ^ LATER_KINDS_SEED);
     let mut entry_random = StdRng::seed_from_u64(seed ^ LOST_ENTRIES_SEED);
+    let mut freeze_random = StdRng::seed_from_u64(seed ^ FREEZES_SEED);
     let mut repairs: Vec<(time::Duration, Repair)> = Vec::new();
     tokio::time::sleep(DISCOVERY_TIME).await;
     for (server, number) in site.servers.iter().zip(0_u64..) {
@@ -106,6 +109,17 @@
                 fault_duration,
             ));
         }
+        if freeze_random.random_bool(parameters.freeze_probability) {
+            let node = freeze_random.random_range(0..site.nodes.len());
+            let fault_duration =
+                time::Duration::from_millis(freeze_random.random_range(300..3_500));
+            site.nodes[node].signal(Signal::STOP);
+            let description = format!("{} freezes for {fault_duration:?}", site.nodes[node].name);
+            injected.push((
+                (description, Some(Repair::ResumeNode(node))),
+                fault_duration,
+            ));
+        }
         for ((description, repair), fault_duration) in injected {
             fault_log.record(description);
             repairs.extend(repair.map(|repair| (now + fault_duration, repair)));
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod faults;
+mod frozen_process;
 mod invariants;
 mod parameters;
 mod series;
@@ -40,9 +41,16 @@
 /// Seed of the run with lost leaders.
 const LOST_LEADERS_SEED: u64 = 50_602;
 
+/// Seed of the run with processes that freeze.
+const FROZEN_PROCESSES_SEED: u64 = 70_001;
+
 /// Held during a run, so that the processes of two runs don't compete for the processor.
 static RUN_LOCK: sync::Mutex<()> = sync::Mutex::const_new(());
 
+async fn run_lock() -> sync::MutexGuard<'static, ()> {
+    RUN_LOCK.lock().await
+}
+
 fn seeds() -> Vec<u64> {
     let seed_count = parameters::read_variable("SOAK_SEEDS").unwrap_or(1);
     match parameters::read_variable("SOAK_FIRST_SEED") {
@@ -89,6 +97,17 @@
     .await;
 }
 
+/// Guards against tasks that a process starts after a freeze for callers that have left meanwhile and have sent
+/// their jobs again to other processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_when_processes_freeze() {
+    assert_no_overlaps(
+        FROZEN_PROCESSES_SEED,
+        &parameters::SoakParameters::with_frozen_processes(),
+    )
+    .await;
+}
+
 async fn assert_no_overlaps(seed: u64, parameters: &parameters::SoakParameters) {
     let violations = run_seed(seed, parameters).await;
     let overlaps: Vec<String> = violations
@@ -102,7 +121,7 @@
     seed: u64,
     parameters: &parameters::SoakParameters,
 ) -> Vec<invariants::InvariantViolation> {
-    let _run = RUN_LOCK.lock().await;
+    let _run = run_lock().await;
     let site = Arc::new(site::SoakSite::start(parameters).await);
     let restarts = tokio::spawn(Arc::clone(&site).restart_crashed_servers());
     let running_callers = callers::start_callers(&site, seed, parameters);
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -12,6 +12,9 @@
 /// (`KNOWN-RED.txt`).
 const DEFAULT_SERIES_KINDS: u32 = (1 << (SERIES_KIND_COUNT - 1)) - 1;
 
+/// Series that kill leaders or restart processes in turn.
+const RESTARTS_SERIES: u32 = 4 + 8;
+
 /// Parameters that all seeds of a run share.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakParameters {
@@ -51,6 +54,8 @@
     /// `SOAK_LOST_ENTRIES`: probability, each 100 ms, that a server can't reach the store for a while
     /// and loses its registry entry.
     pub lost_entry_probability: f64,
+    /// `SOAK_FREEZES`: probability, each 100 ms, that a process freezes for 0.3 to 3.5 s.
+    pub freeze_probability: f64,
     /// `SOAK_DUPLICATES`: probability that a job is sent to two random processes at once, if they
     /// are of one failure domain.
     pub duplicate_probability: f64,
@@ -85,6 +90,7 @@
             ),
             late_order_share: read_variable("SOAK_LATE_ORDERS").unwrap_or(0.0),
             lost_entry_probability: read_variable("SOAK_LOST_ENTRIES").unwrap_or(0.0),
+            freeze_probability: read_variable("SOAK_FREEZES").unwrap_or(0.0),
             duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             deadly_probability: read_variable("SOAK_DEADLY").unwrap_or(0.01),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
@@ -110,6 +116,7 @@
             late_order_share: 0.03,
             lost_leader_series: 0,
             lost_entry_probability: 0.0,
+            freeze_probability: 0.0,
             duplicate_probability: 0.0,
             deadly_probability: 0.0,
             ..Self::from_environment()
@@ -128,6 +135,27 @@
         }
     }
 
+    /// Returns the parameters of runs with late orders in which processes freeze, and are restarted in turn. A freeze
+    /// may last longer than the callers wait, who then close their connections and come again anywhere.
+    pub fn with_frozen_processes() -> Self {
+        Self {
+            freeze_probability: 0.15,
+            series_count: 1,
+            series_kinds: RESTARTS_SERIES,
+            ..Self::with_late_orders()
+        }
+    }
+
+    /// Returns the parameters of a site of two processes and two servers in one failure domain.
+    pub fn of_one_domain() -> Self {
+        Self {
+            domain_count: 1,
+            node_count: 2,
+            servers_per_domain: 2,
+            ..Self::from_environment()
+        }
+    }
+
     /// Returns the probability `usual` at the fault rate of this run.
     pub fn scaled_probability(&self, usual: f64) -> f64 {
         (usual * self.fault_rate).clamp(0.0, 1.0)
