Place and start the tasks of large jobs in parts, at a cost in proportion to them

Causes: (1) one pass over the queue placed all waiting tasks; beyond 0.4 s it counts as a pause of the process, which steps down and loses its jobs (502). (2) All starts of a job were sent at once and took longer than their timeout of 40 ms; after one that seems unanswered, a new claim fences all others. (3) A server with many runs answers each hold at once, and lists all of them. (4) Each placement read all runs of all servers, and looked up the job of each; tasks were found by scanning their job; whether a step is ready was found anew for each task from all tasks.

Changes: a pass places at most 64 tasks, and the process reads its input in between; a server has at most 32 starts on their way; the next hold of a server with over 64 runs waits 25 us for each further one, at most 50 ms; what a placement reads from a server's runs is kept for the pass; jobs of consecutive runs are looked up once; tasks are found by their index.

A trial with a limit on starts in the process alone, instead of in the pool, failed: a claim fenced the starts that waited there.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -102,6 +102,48 @@
     weighted_size: f64,
 }
 
+impl JobEntry {
+    /// Returns for each step whether all steps that it depends on are done.
+    fn ready_steps(&self) -> SmallVec<[bool; 4]> {
+        let mut unfinished_steps: SmallVec<[bool; 4]> =
+            SmallVec::from_elem(false, self.spec.steps.len());
+        let unfinished_tasks = self
+            .tasks
+            .iter()
+            .filter(|task| task.phase != TaskPhase::Done);
+        for task in unfinished_tasks {
+            if let Some(is_unfinished) = unfinished_steps.get_mut(usize::from(task.name.step)) {
+                *is_unfinished = true;
+            }
+        }
+        let is_unfinished = |step: &u16| {
+            let step = usize::from(*step);
+            unfinished_steps.get(step).copied().unwrap_or_default()
+        };
+        let steps = self.spec.steps.iter();
+        steps
+            .map(|step| !step.depends_on.iter().any(is_unfinished))
+            .collect()
+    }
+
+    /// Returns the index of a task in `tasks`, which are in the order of their steps and indices.
+    fn task_position(&self, name: &job_model::TaskName) -> Option<usize> {
+        let earlier_steps = self.spec.steps.get(..usize::from(name.step))?;
+        let first: usize = earlier_steps
+            .iter()
+            .map(|step| usize::from(step.task_count))
+            .sum();
+        let position = first + usize::from(name.index);
+        let task = self.tasks.get(position)?;
+        (task.name == *name).then_some(position)
+    }
+
+    fn task_mut(&mut self, name: &job_model::TaskName) -> Option<&mut TaskEntry> {
+        let position = self.task_position(name)?;
+        self.tasks.get_mut(position)
+    }
+}
+
 /// Time since which the failure domain of a pool has been evacuated, as far as its process knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EvacuationStart {
@@ -198,6 +240,8 @@
     last_active_at: time::Duration,
     /// Whether waiting tasks are to be placed before actions are taken.
     needs_placement: bool,
+    /// Number of tasks that the current pass over the queue may still place.
+    placements_left: usize,
     actions: Vec<pool_action::PoolAction>,
 }
 
@@ -239,6 +283,7 @@
             next_review_at: time::Duration::ZERO,
             last_active_at: time::Duration::ZERO,
             needs_placement: false,
+            placements_left: 0,
             actions: Vec::new(),
         }
     }
@@ -257,6 +302,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Whether [`Self::take_actions`] has left tasks to place, so it has to be called again soon.
+    pub fn has_placements_left(&self) -> bool {
+        self.needs_placement
+    }
+
     /// Returns the highest epoch that this pool knows.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -201,27 +201,7 @@
 /// Returns the tasks of `job` that have no run and whose earlier steps are done, with their mean nominal run
 /// time. The tasks of later steps use no capacity before, and the critical path of the job includes them.
 pub(super) fn queued_work(job: &JobEntry) -> capacity_forecast::QueuedWork {
-    let mut unfinished_steps: SmallVec<[bool; 4]> =
-        SmallVec::from_elem(false, job.spec.steps.len());
-    for task in job
-        .tasks
-        .iter()
-        .filter(|task| task.phase != TaskPhase::Done)
-    {
-        if let Some(is_unfinished) = unfinished_steps.get_mut(usize::from(task.name.step)) {
-            *is_unfinished = true;
-        }
-    }
-    let is_unfinished = |step: &u16| {
-        let step = usize::from(*step);
-        unfinished_steps.get(step).copied().unwrap_or_default()
-    };
-    let ready_steps: SmallVec<[bool; 4]> = job
-        .spec
-        .steps
-        .iter()
-        .map(|step| !step.depends_on.iter().any(is_unfinished))
-        .collect();
+    let ready_steps = job.ready_steps();
     let mut task_count = 0;
     let mut total_run_time = time::Duration::ZERO;
     for task in job
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -234,6 +234,7 @@
             lease_expiry_ms: renewed_expiry_ms,
             wait: time::Duration::ZERO,
             fresh_connection: true,
+            pause: time::Duration::ZERO,
         };
         let inputs = [
             ("epoch", i64::try_from(epoch).unwrap_or(i64::MAX)),
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -341,10 +341,10 @@
             .get(usize::from(name.step))
             .copied()
             .unwrap_or_default();
-        let task_index = job
-            .tasks
-            .iter()
-            .position(|task| task.name == *name && task.phase == TaskPhase::Waiting);
+        let task_index = job.task_position(name).filter(|index| {
+            let task = job.tasks.get(*index);
+            task.is_some_and(|task| task.phase == TaskPhase::Waiting)
+        });
         let (Some(task_index), Some(step)) = (task_index, spec.steps.get(usize::from(name.step)))
         else {
             return false;
--- a/crates/cuminkeel_dispatch/src/pool/lease_bounds.rs
+++ b/crates/cuminkeel_dispatch/src/pool/lease_bounds.rs
@@ -61,12 +61,16 @@
     /// Returns the time by which the runs of the job `id` have to be over unless a later sign confirms
     /// that one of its coordinators waits. `None` for an unknown job.
     pub(super) fn lease_bound(&self, id: &Arc<str>, now: time::Duration) -> Option<time::Duration> {
-        let bounds = JobBounds {
+        self.job_bounds().bound(id, now)
+    }
+
+    fn job_bounds(&self) -> JobBounds<'_> {
+        JobBounds {
             jobs: &self.jobs,
             session_signs: &self.session_signs,
             resend_delay: self.settings.resend_delay,
-        };
-        bounds.bound(id, now)
+            latest: None,
+        }
     }
 
     /// Whether no run on the server has to end within `time`, so that the leases there can be renewed for as
@@ -78,11 +82,9 @@
         now: time::Duration,
     ) -> bool {
         let min_expiry_ms = slot.next_lease_expiry_ms(now, time);
+        let mut bounds = self.job_bounds();
         slot.runs.iter().all(|(task, run)| {
-            let job_bound = run
-                .has_job
-                .then(|| self.lease_bound(&task.job, now))
-                .flatten();
+            let job_bound = run.has_job.then(|| bounds.bound(&task.job, now)).flatten();
             job_bound
                 .or(run.lease_bound)
                 .is_some_and(|bound| slot.lease_expiry_before_ms(bound) >= min_expiry_ms)
@@ -96,10 +98,11 @@
         id: &Arc<str>,
         now: time::Duration,
     ) -> Option<u64> {
-        let bounds = JobBounds {
+        let mut bounds = JobBounds {
             jobs: &self.jobs,
             session_signs: &self.session_signs,
             resend_delay: self.settings.resend_delay,
+            latest: None,
         };
         let unlisted_time = self.settings.unlisted_lease_time();
         let slot = self
@@ -123,10 +126,14 @@
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
-        let withholding_run = slot.runs.iter().find(|(_, run)| {
-            let is_short = run.lease_bound.is_none_or(|bound| bound < full_lease_until);
-            !is_full && !run.has_job && is_short
-        });
+        let withholding_run = if is_full {
+            None
+        } else {
+            slot.runs.iter().find(|(_, run)| {
+                let is_short = run.lease_bound.is_none_or(|bound| bound < full_lease_until);
+                !run.has_job && is_short
+            })
+        };
         let Some((task, run)) = withholding_run else {
             slot.lease_withheld_since = None;
             return;
@@ -157,10 +164,23 @@
     jobs: &'a BTreeMap<Arc<str>, JobEntry>,
     session_signs: &'a SessionSigns,
     resend_delay: time::Duration,
+    /// Latest job that was looked up, and its bound. The runs of a server are in the order of their jobs.
+    latest: Option<(Arc<str>, Option<time::Duration>)>,
 }
 
 impl JobBounds<'_> {
-    fn bound(&self, id: &Arc<str>, now: time::Duration) -> Option<time::Duration> {
+    fn bound(&mut self, id: &Arc<str>, now: time::Duration) -> Option<time::Duration> {
+        match &self.latest {
+            Some((latest_id, bound)) if latest_id == id => *bound,
+            _ => {
+                let bound = self.look_up(id, now);
+                self.latest = Some((Arc::clone(id), bound));
+                bound
+            }
+        }
+    }
+
+    fn look_up(&self, id: &Arc<str>, now: time::Duration) -> Option<time::Duration> {
         let signs = self
             .jobs
             .get(id)?
--- a/crates/cuminkeel_dispatch/src/pool/open_servers.rs
+++ b/crates/cuminkeel_dispatch/src/pool/open_servers.rs
@@ -3,18 +3,36 @@
 //! While a pool is full, one or two of its servers have room at a time. A pass that read all servers for each
 //! waiting task would take most of the processor of the leader of a large failure domain.
 
-use std::{sync::Arc, time};
+use std::{cell::Cell, sync::Arc, time};
 
 use smallvec::SmallVec;
 
 use super::{ServerPool, evidence};
-use crate::server_slot;
+use crate::{job_model, server_slot};
 
-/// Server with room, and its free processor in thousandths of a core.
+/// Maximum number of starts of a server that are not answered. Sent at once, the starts of a job of 850 tasks take
+/// longer than their timeout, and after one that seems unanswered, a new claim fences the others.
+pub(super) const MAX_OPEN_STARTS: usize = 32;
+
+/// Server with room. What is read from all of its runs is kept for the pass.
 #[derive(Clone, Debug)]
-struct OpenServer {
-    id: Arc<str>,
-    free_cpu_millis: u32,
+pub(super) struct OpenServer {
+    pub(super) id: Arc<str>,
+    pub(super) free: server_slot::FreeCapacity,
+    open_starts: usize,
+    /// Whether its leases can be renewed; `None` until a task needs it.
+    renews_leases: Cell<Option<bool>>,
+}
+
+impl OpenServer {
+    fn new(id: &Arc<str>, slot: &server_slot::ServerSlot) -> Self {
+        Self {
+            id: Arc::clone(id),
+            free: slot.free_capacity(),
+            open_starts: slot.open_starts(),
+            renews_leases: Cell::new(None),
+        }
+    }
 }
 
 /// Servers with room for a task, in the order of their ids.
@@ -28,12 +46,19 @@
 }
 
 impl OpenServers {
-    /// Returns the ids of the servers with at least `cpu_millis` thousandths of a core free.
-    pub(super) fn with_room(&self, cpu_millis: u32) -> impl Iterator<Item = &Arc<str>> {
+    /// Returns the servers with at least `cpu_millis` thousandths of a core free.
+    pub(super) fn with_room(&self, cpu_millis: u32) -> impl Iterator<Item = &OpenServer> {
         self.servers
             .iter()
-            .filter(move |server| server.free_cpu_millis >= cpu_millis)
-            .map(|server| &server.id)
+            .filter(move |server| server.free.cpu_millis >= cpu_millis)
+    }
+
+    /// Returns the servers whose free capacity suffices for a task of `step`.
+    pub(super) fn with_room_for(
+        &self,
+        step: &job_model::StepSpec,
+    ) -> impl Iterator<Item = &OpenServer> {
+        self.servers.iter().filter(|server| server.free.fits(step))
     }
 
     /// Whether no server has room for a task that uses `cpu_millis` thousandths of a core.
@@ -78,27 +103,27 @@
                 .min_slowdowns
                 .push((Arc::clone(service), slot.slowdown_factor)),
         }
-        let free_cpu_millis = slot.startable_cpu_millis(now);
-        if free_cpu_millis > 0 && now >= slot.settles_at {
-            self.servers.push(OpenServer {
-                id: Arc::clone(id),
-                free_cpu_millis,
-            });
+        if now >= slot.settles_at && slot.startable_cpu_millis(now) > 0 {
+            let server = OpenServer::new(id, slot);
+            if server.open_starts < MAX_OPEN_STARTS {
+                self.servers.push(server);
+            }
         }
     }
 
-    fn update(&mut self, id: &str, free_cpu_millis: u32) {
-        let known = self.servers.iter().position(|server| *server.id == *id);
-        match known {
-            Some(position) if free_cpu_millis == 0 => {
+    /// Replaces what is known of server `id`, or removes it if it has no room any more.
+    fn update(&mut self, id: &Arc<str>, slot: Option<&server_slot::ServerSlot>) {
+        let Some(position) = self.servers.iter().position(|server| server.id == *id) else {
+            return;
+        };
+        let server = slot
+            .map(|slot| OpenServer::new(id, slot))
+            .filter(|server| server.open_starts < MAX_OPEN_STARTS);
+        match (server, self.servers.get_mut(position)) {
+            (Some(server), Some(known)) => *known = server,
+            _ => {
                 self.servers.remove(position);
             }
-            Some(position) => {
-                if let Some(server) = self.servers.get_mut(position) {
-                    server.free_cpu_millis = free_cpu_millis;
-                }
-            }
-            None => {}
         }
     }
 }
@@ -124,11 +149,24 @@
         id: &Arc<str>,
         now: time::Duration,
     ) {
-        let free_cpu_millis = self
+        let slot = self
             .servers
             .get(id)
-            .filter(|slot| slot.is_usable(now))
-            .map_or(0, |slot| slot.startable_cpu_millis(now));
-        open_servers.update(id, free_cpu_millis);
+            .filter(|slot| slot.is_usable(now) && slot.startable_cpu_millis(now) > 0);
+        open_servers.update(id, slot);
+    }
+
+    /// Whether the leases on a server with room can be renewed for as long as a hold takes.
+    pub(super) fn can_renew_leases_on(
+        &self,
+        server: &OpenServer,
+        slot: &server_slot::ServerSlot,
+        now: time::Duration,
+    ) -> bool {
+        server.renews_leases.get().unwrap_or_else(|| {
+            let can_renew = self.can_renew_leases(slot, self.settings.hold_wait, now);
+            server.renews_leases.set(Some(can_renew));
+            can_renew
+        })
     }
 }
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -11,6 +11,12 @@
     settings,
 };
 
+/// Number of runs up to which a report is short, so that the next hold follows at once.
+const SHORT_REPORT_RUNS: usize = 64;
+/// Pause before a hold for each run beyond that, some five times the processor time that a listed run costs.
+const PAUSE_PER_LISTED_RUN: time::Duration = time::Duration::from_micros(25);
+/// Longest pause before a hold; a small part of a lease.
+const MAX_HOLD_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Shortest wait of a hold and shortest interval between progress checks of a run, so that due
 /// checks do not cause a busy loop of holds.
 const MIN_HOLD_WAIT: time::Duration = time::Duration::from_millis(40);
@@ -419,7 +425,7 @@
             }
             run.progress_check_at = now + run.nominal_run_time.max(MIN_HOLD_WAIT);
             let job = self.jobs.get(&reported.task.job);
-            let task = job.and_then(|job| job.tasks.iter().find(|task| task.name == reported.task));
+            let task = job.and_then(|job| job.tasks.get(job.task_position(&reported.task)?));
             let overdue = overdue_run::OverdueRun {
                 elapsed: now.saturating_sub(run.ordered_at),
                 percent: reported.percent,
@@ -466,7 +472,7 @@
         let task = self
             .jobs
             .get_mut(&name.job)
-            .and_then(|job| job.tasks.iter_mut().find(|task| task.name == *name));
+            .and_then(|job| job.task_mut(name));
         if let Some(task) = task {
             task.reschedules += 1;
         }
@@ -517,6 +523,7 @@
             lease_expiry_ms,
             wait,
             fresh_connection: false,
+            pause: hold_pause(slot.runs.len()),
         };
         if lease_expiry_ms.is_some() {
             self.record_lease_renewal(id, now);
@@ -524,3 +531,10 @@
         self.actions.push(pool_action::PoolAction::Hold(order));
     }
 }
+
+/// Returns the pause before the next hold of a server with `run_count` runs. A server with many runs answers each hold at
+/// once, as some run has always just ended, and each report lists the others.
+fn hold_pause(run_count: usize) -> time::Duration {
+    let long_part = run_count.saturating_sub(SHORT_REPORT_RUNS);
+    (PAUSE_PER_LISTED_RUN * u32::try_from(long_part).unwrap_or(u32::MAX)).min(MAX_HOLD_PAUSE)
+}
--- a/crates/cuminkeel_dispatch/src/pool/run_ends.rs
+++ b/crates/cuminkeel_dispatch/src/pool/run_ends.rs
@@ -171,9 +171,7 @@
             run_id,
         };
         let job = self.jobs.get_mut(&name.job)?;
-        job.tasks
-            .iter_mut()
-            .find(|task| task.name == *name && task.phase == placed)
+        job.task_mut(name).filter(|task| task.phase == placed)
     }
 }
 
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -20,6 +20,10 @@
 /// third of the work that they could.
 const RESERVED_SERVERS_DIVISOR: usize = 8;
 
+/// Maximum number of tasks that one pass over the queue places. What a process reads waits meanwhile, and a pass of
+/// over `MAX_PAUSE` would count as a pause of the process.
+const MAX_PLACEMENTS_PER_PASS: usize = 64;
+
 /// Rank of a server for a task; the lowest is best.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct PlacementRank {
@@ -38,10 +42,17 @@
     /// Late jobs start only while no other job of their service waits for a server: their runs would
     /// occupy servers that the next job in time needs. Tasks that may crash their server come last of all:
     /// each needs a server for itself, and they have lost so much time that they are late already.
+    ///
+    /// A pass that ends at its maximum of placements leaves the rest to the next one.
     pub(super) fn schedule(&mut self, now: time::Duration) {
         self.end_evacuated_jobs(now);
+        self.placements_left = MAX_PLACEMENTS_PER_PASS;
         self.place_waiting_tasks(now);
-        self.update_service_waits(now);
+        if self.placements_left == 0 {
+            self.needs_placement = true;
+        } else {
+            self.update_service_waits(now);
+        }
     }
 
     fn place_waiting_tasks(&mut self, now: time::Duration) {
@@ -61,6 +72,9 @@
         let mut contended_services: SmallVec<[Arc<str>; 1]> = SmallVec::new();
         let mut suspected_positions = Vec::new();
         for position in self.service_order(now) {
+            if self.placements_left == 0 {
+                return;
+            }
             let is_full = open_servers.is_full_for(position.min_cpu_millis);
             let tells_contention =
                 !position.late && contended_services.len() < open_servers.service_count();
@@ -152,8 +166,13 @@
             self.queue.remove(position);
             return;
         };
-        let mut next_task = next_ready_task(job, verdict, 0);
+        // No step ends while tasks are placed.
+        let ready_steps = job.ready_steps();
+        let mut next_task = next_ready_task(job, &ready_steps, verdict, 0);
         while let Some(task_index) = next_task {
+            if self.placements_left == 0 {
+                return;
+            }
             let is_suspected = verdict == crash_ledger::TaskVerdict::TryAlone;
             if is_suspected && !self.may_reserve_server(now) {
                 return;
@@ -166,7 +185,7 @@
             next_task = self
                 .jobs
                 .get(&position.job)
-                .and_then(|job| next_ready_task(job, verdict, task_index + 1));
+                .and_then(|job| next_ready_task(job, &ready_steps, verdict, task_index + 1));
         }
         let has_waiting_tasks = self.jobs.get(&position.job).is_some_and(|job| {
             job.tasks
@@ -273,6 +292,7 @@
         let server = Arc::clone(&order.server);
         self.update_open_server(open_servers, &server, now);
         self.actions.push(pool_action::PoolAction::Start(order));
+        self.placements_left = self.placements_left.saturating_sub(1);
         true
     }
 
@@ -326,16 +346,14 @@
         let is_suspected = task.verdict != crash_ledger::TaskVerdict::Unsuspected;
         let lease_bound = self.lease_bound(job_id, now)?;
         let mut cheapest: Option<(PlacementRank, &Arc<str>, f64)> = None;
-        for id in open_servers.with_room(step.cpu_millis) {
+        for open_server in open_servers.with_room_for(step) {
+            let id = &open_server.id;
             let Some(slot) = self.servers.get(id) else {
                 continue;
             };
             let slowdown = slot.slowdown_factor;
             let is_excluded = slot.entry.service != job.spec.service
                 || !slot.is_usable(now)
-                || !slot.fits(step)
-                || !slot.accepts_task_while_cold(now)
-                || slot.is_reserved()
                 || !slot.leases_end_by(lease_bound)
                 || !crashes::allows_start(task.verdict, slot)
                 || !slot.could_run(step)
@@ -346,7 +364,7 @@
                 continue;
             }
             let option = task_placement::PlacementOption {
-                free_cpu_millis: slot.free_cpu_millis(),
+                free_cpu_millis: open_server.free.cpu_millis,
                 slowdown_factor: slowdown,
                 is_data_local: step
                     .data_rack
@@ -368,7 +386,7 @@
             };
             let is_cheapest = cheapest.is_none_or(|(lowest_rank, ..)| rank < lowest_rank);
             // Checked last, as it looks up the jobs of all runs on the server.
-            if is_cheapest && self.can_renew_leases(slot, self.settings.hold_wait, now) {
+            if is_cheapest && self.can_renew_leases_on(open_server, slot, now) {
                 cheapest = Some((rank, id, slowdown));
             }
         }
@@ -425,11 +443,11 @@
     step: &job_model::StepSpec,
 ) -> bool {
     step.max_per_server.is_none_or(|max_tasks| {
-        let same_step_count = slot
-            .runs
-            .keys()
-            .filter(|other| other.job == name.job && other.step == name.step)
-            .count();
+        let task = |index| job_model::TaskName {
+            index,
+            ..name.clone()
+        };
+        let same_step_count = slot.runs.range(task(0)..=task(u16::MAX)).count();
         same_step_count < usize::from(max_tasks)
     })
 }
@@ -437,7 +455,8 @@
 /// Whether `job` waits for a server that late jobs of its service could occupy: it has a ready task, which
 /// any server with enough processor and memory could run.
 pub(super) fn waits_for_server(job: &super::JobEntry) -> bool {
-    next_ready_task(job, crash_ledger::TaskVerdict::Unsuspected, 0)
+    let verdict = crash_ledger::TaskVerdict::Unsuspected;
+    next_ready_task(job, &job.ready_steps(), verdict, 0)
         .and_then(|index| job.tasks.get(index))
         .and_then(|task| job.spec.steps.get(usize::from(task.name.step)))
         .is_some_and(|step| {
@@ -447,32 +466,22 @@
 
 /// Whether `job` has a ready task that may be started alone on a server.
 fn has_suspected_task(job: &super::JobEntry) -> bool {
-    next_ready_task(job, crash_ledger::TaskVerdict::TryAlone, 0).is_some()
+    let verdict = crash_ledger::TaskVerdict::TryAlone;
+    next_ready_task(job, &job.ready_steps(), verdict, 0).is_some()
 }
 
-/// Returns the index of the first task with `verdict` from `start` on that waits and whose earlier steps are
-/// done.
+/// Returns the index of the first task with `verdict` from `start` on that waits and whose step is ready.
 fn next_ready_task(
     job: &super::JobEntry,
+    ready_steps: &[bool],
     verdict: crash_ledger::TaskVerdict,
     start: usize,
 ) -> Option<usize> {
     let ready = |task: &super::TaskEntry| {
-        task.phase == TaskPhase::Waiting && task.verdict == verdict && is_ready(job, task)
+        task.phase == TaskPhase::Waiting
+            && task.verdict == verdict
+            && ready_steps.get(usize::from(task.name.step)) == Some(&true)
     };
     let tasks = job.tasks.get(start..)?;
     tasks.iter().position(ready).map(|offset| start + offset)
 }
-
-/// Returns whether all steps that the step of `task` depends on are done.
-fn is_ready(job: &super::JobEntry, task: &super::TaskEntry) -> bool {
-    let Some(step) = job.spec.steps.get(usize::from(task.name.step)) else {
-        return false;
-    };
-    step.depends_on.iter().all(|earlier| {
-        job.tasks
-            .iter()
-            .filter(|other| other.name.step == *earlier)
-            .all(|other| other.phase == TaskPhase::Done)
-    })
-}
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use super::{NO_INPUTS, ServerPool};
+use super::{NO_INPUTS, ServerPool, open_servers};
 use crate::{pool_action, server_model, server_slot};
 
 /// Number of run ids skipped after a server has rejected one as stale.
@@ -39,6 +39,9 @@
                     run.phase = server_slot::RunPhase::Running;
                 }
                 record_clock(slot, clock_ms, now);
+                if slot.open_starts() + 1 == open_servers::MAX_OPEN_STARTS {
+                    self.needs_placement = true;
+                }
             }
             server_model::StartOutcome::Unanswered => {
                 self.handle_failed_order(&order.server, now, "start_unanswered");
--- a/crates/cuminkeel_dispatch/src/server_model.rs
+++ b/crates/cuminkeel_dispatch/src/server_model.rs
@@ -182,6 +182,8 @@
     pub wait: time::Duration,
     /// Whether the order must be sent on a new connection, as all claims are.
     pub fresh_connection: bool,
+    /// Time before the order is sent, in which more runs may end: a report lists all runs of the server.
+    pub pause: time::Duration,
 }
 
 /// Order to stop a run.
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -151,6 +151,26 @@
     }
 }
 
+/// Capacity of a server that its runs leave free.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FreeCapacity {
+    /// Processor, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory, in MB.
+    pub memory_mb: u32,
+    /// Number of accelerators.
+    pub gpus: u32,
+}
+
+impl FreeCapacity {
+    /// Whether it suffices for a task of `step`.
+    pub fn fits(&self, step: &job_model::StepSpec) -> bool {
+        self.cpu_millis >= step.cpu_millis
+            && self.memory_mb >= step.memory_mb
+            && self.gpus >= step.gpus
+    }
+}
+
 /// Reading of a server's monotonic clock.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClockReading {
@@ -384,13 +404,25 @@
         used.sum()
     }
 
-    /// Whether the free capacity suffices for a task of `step`.
-    pub fn fits(&self, step: &job_model::StepSpec) -> bool {
-        let memory = self.runs.values().map(|run| u64::from(run.memory_mb));
-        let gpus = self.runs.values().map(|run| u64::from(run.gpus));
-        self.free_cpu_millis() >= step.cpu_millis
-            && free_capacity(self.entry.memory_mb, memory.sum()) >= step.memory_mb
-            && free_capacity(self.entry.gpus, gpus.sum()) >= step.gpus
+    /// Returns the number of runs whose starts have not been answered.
+    pub fn open_starts(&self) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.phase == RunPhase::Starting).count()
+    }
+
+    /// Returns the capacity that its runs leave free.
+    pub fn free_capacity(&self) -> FreeCapacity {
+        let (mut cpu_millis, mut memory_mb, mut gpus) = (0, 0, 0);
+        for run in self.runs.values() {
+            cpu_millis += u64::from(run.cpu_millis);
+            memory_mb += u64::from(run.memory_mb);
+            gpus += u64::from(run.gpus);
+        }
+        FreeCapacity {
+            cpu_millis: free_capacity(self.entry.cpu_millis, cpu_millis),
+            memory_mb: free_capacity(self.entry.memory_mb, memory_mb),
+            gpus: free_capacity(self.entry.gpus, gpus),
+        }
     }
 
     /// Whether the server could run a task of `step` if it had no other runs.
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -10,7 +10,10 @@
     crash_ledger, job_model, leadership, pool, pool_action, pool_room, server_model, settings,
 };
 use platform_adapter::server_client;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task,
+};
 
 use crate::{claim_targets, link_frame, node_state, process_log};
 
@@ -258,6 +261,8 @@
                     driver.handle_event(event);
                 }
             }
+            // Lets the other tasks of the process read their input in between.
+            () = task::yield_now(), if driver.pool.has_placements_left() => {}
             _ = peer_changes.changed() => {
                 // Peer changes come in bursts: the first is handled at once, the others together
                 // after a pause.
@@ -442,6 +447,9 @@
                     let client = self.client(&order.server, &order.address);
                     let event_sender = self.node.pool.event_sender.clone();
                     tokio::spawn(async move {
+                        if !order.pause.is_zero() {
+                            tokio::time::sleep(order.pause).await;
+                        }
                         let outcome = client.hold(&order, hold_timeout).await;
                         let _closed = event_sender.send(PoolEvent::Hold(order, outcome));
                     });
--- a/crates/cuminkeel_node/tests/node/crashes.rs
+++ b/crates/cuminkeel_node/tests/node/crashes.rs
@@ -158,6 +158,7 @@
         lease_expiry_ms: None,
         wait: time::Duration::ZERO,
         fresh_connection: true,
+        pause: time::Duration::ZERO,
     };
     let outcome = client.hold(&order, time::Duration::from_secs(1)).await;
     assert_eq!(outcome, server_model::HoldOutcome::Refused);
--- a/crates/cuminkeel_node/tests/node/job_size.rs
+++ b/crates/cuminkeel_node/tests/node/job_size.rs
@@ -100,3 +100,29 @@
     started.dedup();
     assert_eq!(started.len(), 850);
 }
+
+/// Guards against small calls that fail beside jobs of the largest size at the target scale, for which there is room: the
+/// starts of such jobs, sent all at once, took longer than their timeouts, and the servers were claimed again.
+#[tokio::test(flavor = "multi_thread")]
+async fn small_calls_are_served_beside_jobs_of_850_tasks() {
+    let platform = test_platform::TestPlatform::start_with_servers(&["north"], 4).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let body = r#"{"spec":"60","best_effort":true,"job_steps":[{"count":850,"cpu":1,"mem_mb":1,"estimate_ms":60}]}"#;
+    let large_ids: Vec<String> = (1_000..1_005)
+        .map(|number| format!("{number:016x}"))
+        .collect();
+    let large_calls = test_platform::submit_bodies_concurrently(&node, &large_ids, body);
+    let small_calls = async {
+        let mut statuses = Vec::new();
+        for number in 0..40 {
+            statuses.push(node.submit(&format!("{number:016x}"), "20", 1).await.0);
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        statuses
+    };
+    let (large_statuses, small_statuses) = tokio::join!(large_calls, small_calls);
+    assert_eq!(
+        (large_statuses, small_statuses),
+        (vec![200; 5], vec![200; 40])
+    );
+}
--- a/crates/cuminkeel_node/tests/node/test_platform.rs
+++ b/crates/cuminkeel_node/tests/node/test_platform.rs
@@ -157,10 +157,15 @@
     payload: &str,
     tasks: u32,
 ) -> Vec<u16> {
+    submit_bodies_concurrently(node, ids, &job_body(payload, tasks)).await
+}
+
+/// Submits the job `body` under each of `ids` at once; returns the statuses.
+pub async fn submit_bodies_concurrently(node: &TestNode, ids: &[String], body: &str) -> Vec<u16> {
     let mut requests = tokio::task::JoinSet::new();
     for id in ids {
         let client = http_client::HttpClient::new(&node.settings.caller_address);
-        let (path, body) = (format!("{PREFIX}{id}"), job_body(payload, tasks));
+        let (path, body) = (format!("{PREFIX}{id}"), body.to_owned());
         requests.spawn(async move {
             send_from_caller(&client, "POST", &path, &body, Some("8000"))
                 .await
