--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -13,7 +13,8 @@
 
 /// Number of runs up to which a report is short, so that the next hold follows at once.
 const SHORT_REPORT_RUNS: usize = 64;
-/// Pause before a hold for each run beyond that, some five times the processor time that a listed run costs.
+/// Pause before a hold for each run beyond that, so that the cost of all reports grows with the runs and not with their
+/// square.
 const PAUSE_PER_LISTED_RUN: time::Duration = time::Duration::from_micros(25);
 /// Longest pause before a hold; a small part of a lease.
 const MAX_HOLD_PAUSE: time::Duration = time::Duration::from_millis(50);
