--- a/crates/cuminkeel_node/tests/node/crashes.rs
+++ b/crates/cuminkeel_node/tests/node/crashes.rs
@@ -163,3 +163,25 @@
     let outcome = client.hold(&order, time::Duration::from_secs(1)).await;
     assert_eq!(outcome, server_model::HoldOutcome::Refused);
 }
+
+/// Guards against emulated servers that obey a process of another test, which knows their address from a server that was
+/// there before.
+#[tokio::test(flavor = "multi_thread")]
+async fn emulated_server_rejects_orders_for_another_server() {
+    let server = platform_emulator::emulated_server::EmulatedServer::start("s1", "north", 16_000)
+        .await
+        .expect("server should start");
+    let order = server_model::HoldOrder {
+        server: Arc::from("s2"),
+        address: server.address(),
+        token: 1,
+        acknowledged_end_sequence: 0,
+        lease_expiry_ms: None,
+        wait: time::Duration::ZERO,
+        fresh_connection: true,
+        pause: time::Duration::ZERO,
+    };
+    let client = server_client::ServerClient::new(&order.server, &order.address);
+    let outcome = client.hold(&order, time::Duration::from_secs(1)).await;
+    assert_eq!(outcome, server_model::HoldOutcome::OtherServer);
+}
