Count no request as old because the body of the one before came in a read of its own

Change: a request counts as come with the read that completes its headers. A request behind another one is still dated by the read that brought it, as nothing is read while bytes are left.

request_on_a_connection_that_was_idle_is_served, which now sends headers and bodies apart, failed before.

--- a/crates/cuminkeel_node/src/caller_stream.rs
+++ b/crates/cuminkeel_node/src/caller_stream.rs
@@ -16,19 +16,11 @@
 
 use crate::node_state;
 
-/// Times at which bytes of one connection may have arrived at the earliest.
-#[derive(Debug, Default)]
-struct ArrivalTimes {
-    /// Of the first bytes since the last request was taken, if there are any.
-    first: Option<time::Duration>,
-    /// Of the last bytes.
-    last: time::Duration,
-}
-
 /// What is known of the requests of one connection.
 #[derive(Clone, Debug, Default)]
 pub struct RequestArrivals {
-    times: Arc<Mutex<ArrivalTimes>>,
+    /// Time at which the bytes that were read last may have arrived at the earliest.
+    last_arrival: Arc<Mutex<time::Duration>>,
     /// Whether the next read is to ask the kernel for the end of the connection.
     checks_end: Arc<atomic::AtomicBool>,
 }
@@ -44,21 +36,21 @@
         task::yield_now().await;
     }
 
-    /// Returns the time at which the request that begins now may have arrived at the earliest. A request that lay
-    /// behind an earlier one of the connection arrived with the last bytes that were read.
-    pub fn take_next(&self) -> time::Duration {
-        let mut times = self.lock();
-        times.first.take().unwrap_or(times.last)
+    /// Returns the time at which the request whose headers have just been read may have arrived at the earliest: that of
+    /// the last bytes that were read, also if the request lay behind an earlier one of the connection, as nothing is
+    /// read while bytes are left.
+    pub fn request_arrival(&self) -> time::Duration {
+        *self.lock()
     }
 
     fn record_read(&self, arrived_at: time::Duration) {
-        let mut times = self.lock();
-        times.first.get_or_insert(arrived_at);
-        times.last = arrived_at;
+        *self.lock() = arrived_at;
     }
 
-    fn lock(&self) -> MutexGuard<'_, ArrivalTimes> {
-        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, time::Duration> {
+        self.last_arrival
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -103,7 +103,7 @@
     request: http::Request<body::Incoming>,
     arrivals: &caller_stream::RequestArrivals,
 ) -> Response {
-    let arrived_at = arrivals.take_next();
+    let arrived_at = arrivals.request_arrival();
     let Some(config) = node.config() else {
         node.metrics.count_rejection("unconfigured");
         return retry_later_response(
--- a/crates/cuminkeel_node/tests/node/frontend.rs
+++ b/crates/cuminkeel_node/tests/node/frontend.rs
@@ -190,7 +190,7 @@
     String::from_utf8(answers).expect("answers should be UTF-8")
 }
 
-/// Guards against tasks of requests whose bodies come after the deadline, which callers count from their first byte.
+/// Guards against tasks of requests whose bodies come after the deadline, which callers count from their headers.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_whose_body_comes_after_its_deadline_starts_no_task() {
     let platform = test_platform::TestPlatform::start(&["north"]).await;
@@ -251,7 +251,8 @@
     );
 }
 
-/// Guards against requests on open connections that count as old because the connection was idle.
+/// Guards against requests on open connections that count as old because the connection was idle, also if the body of the
+/// request before came in a read of its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_on_a_connection_that_was_idle_is_served() {
     let platform = test_platform::TestPlatform::start(&["north"]).await;
@@ -259,13 +260,16 @@
     let mut stream = tokio::net::TcpStream::connect(&*node.settings.caller_address)
         .await
         .expect("process should accept callers");
-    for id in [JOB, "00000000000000ab"] {
-        let (head, body) = raw_request(id, "10", 300);
-        tokio::io::AsyncWriteExt::write_all(&mut stream, format!("{head}{body}").as_bytes())
-            .await
-            .expect("request should be sent");
+    for number in 0..4 {
+        let (head, body) = raw_request(&format!("{number:016x}"), "10", 300);
+        for part in [head, body] {
+            tokio::io::AsyncWriteExt::write_all(&mut stream, part.as_bytes())
+                .await
+                .expect("request should be sent");
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
         // Waits for a second after the answer.
         let answers = read_answers(&mut stream).await;
-        assert!(answers.starts_with("HTTP/1.1 200"), "{answers}");
+        assert!(answers.starts_with("HTTP/1.1 200"), "{number}: {answers}");
     }
 }
