Show that a job of a lost leader runs beside its run on an unknown server

Three replays of two pools fail on this code: the leader runs a task on a server that is not in the registry of the next one, which started after the entry had lapsed. All servers that the next leader knows have reported, so it starts the task again 5 to 400 ms after the loss. The simulation can replace a pool by one that remembers nothing.

--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -183,6 +183,9 @@
     last_sequence: u64,
     /// Simulated pools, which methods address by their index.
     pub pools: Vec<pool::ServerPool>,
+    pool_settings: settings::PoolSettings,
+    /// Process id of the pool that was created last.
+    last_process_id: u64,
     /// Paused pools by index, with the start of the pause.
     paused: BTreeMap<usize, time::Duration>,
     /// Fake servers, by id.
@@ -240,6 +243,8 @@
                     pool::ServerPool::new(pool_settings, u64::try_from(number).unwrap_or(0))
                 })
                 .collect(),
+            pool_settings,
+            last_process_id: u64::try_from(pool_count).unwrap_or(0),
             paused: BTreeMap::new(),
             servers: servers
                 .into_iter()
@@ -311,6 +316,15 @@
         self.execute_actions(pool_index);
     }
 
+    /// Replaces a pool by one that remembers nothing, as a process that starts. Its registry has `listed_servers` only.
+    pub fn restart_pool(&mut self, pool_index: usize, listed_servers: &[&str]) {
+        self.last_process_id += 1;
+        self.pools[pool_index] = pool::ServerPool::new(self.pool_settings, self.last_process_id);
+        for server in listed_servers {
+            self.update_registry_entry(pool_index, server);
+        }
+    }
+
     /// Pauses a pool, as a frozen process: until it is resumed it isn't ticked, the outcomes of
     /// its starts and stops are lost, and those of its holds are delayed.
     pub fn pause(&mut self, pool_index: usize) {
--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -13,3 +13,4 @@
 mod resent_jobs;
 mod return_schedules;
 mod servers;
+mod unknown_servers;
