Start no task that another pool may have started before its leases have ended

Cause: the start was allowed once all servers had reported that the next leader knew. The lost leader used a server which was not among them, as its registry entry had lapsed before the next leader started. Which servers have to be asked was what one process remembered.

A job whose earlier pool was lost now waits until no lease of its runs can be left, whichever servers they are on: resend_delay after the offer, and at least the longest lease and the grace of inherited runs (1.4 s). This rests on the bound of leases alone, which servers enforce. Runs that servers report are adopted at once, as before. If no waiting task could end in time after the wait, and all servers have reported, the caller is told so at once (PoolLost, 502) in place of after its deadline.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -98,6 +98,9 @@
     has_started: bool,
     /// Whether another pool may have runs of the job.
     may_run_elsewhere: bool,
+    /// Time by which no run is left that an earlier pool of the job has started, other than those that servers
+    /// report here; zero if the job was offered to no pool that was lost.
+    earlier_runs_end_at: time::Duration,
     /// Size relative to the route's usual one, weighted by a lottery; decides in a shortage.
     weighted_size: f64,
 }
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -4,7 +4,9 @@
 
 use smallvec::{SmallVec, smallvec};
 
-use super::{JobEntry, ServerPool, TaskEntry, TaskPhase, claims, crashes, released_jobs};
+use super::{
+    JobEntry, ServerPool, TaskEntry, TaskPhase, claims, crashes, inherited_runs, released_jobs,
+};
 use crate::{
     crash_ledger, job_model, job_order, pool_action, retry_advice, run_evidence, server_model,
     settings,
@@ -32,10 +34,12 @@
     ) {
         let id = Arc::clone(&offer.spec.id);
         let was_paused = self.step_down_after_pause(now);
+        let earlier_runs_end_at = self.earlier_runs_end_at(offer, now);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiters
                 .push(released_jobs::JobWaiter::new(waiter, offer));
             job.may_run_elsewhere |= offer.may_have_started;
+            job.earlier_runs_end_at = job.earlier_runs_end_at.max(earlier_runs_end_at);
             self.record_decision(
                 pool_action::DecisionKind::Attached,
                 Some(id),
@@ -94,6 +98,10 @@
                 pool_action::whole_ms(job.queue_position.latest_start.saturating_sub(now)),
             ),
             ("may_have_started", i64::from(offer.may_have_started)),
+            (
+                "earlier_runs_ms",
+                pool_action::whole_ms(job.earlier_runs_end_at.saturating_sub(now)),
+            ),
         ];
         let outcome = if has_adopted_tasks {
             "adopted"
@@ -256,6 +264,7 @@
             deadline_at,
             has_started,
             may_run_elsewhere: offer.may_have_started,
+            earlier_runs_end_at: self.earlier_runs_end_at(offer, now),
             weighted_size,
         }
     }
@@ -475,7 +484,10 @@
     /// before `expires_at`; any other job at its deadline, also one whose runs an evacuation keeps.
     pub(super) fn expire_jobs(&mut self, now: time::Duration) {
         let mut expired = Vec::new();
+        let mut outlasted = Vec::new();
         let mut late = Vec::new();
+        // Reads all servers, so only if a job needs it.
+        let mut run_knowledge = None;
         for job in self.jobs.values() {
             let has_waiting_tasks = job
                 .tasks
@@ -493,6 +505,13 @@
                         job.has_started || job.may_run_elsewhere,
                     ));
                 }
+                () if has_waiting_tasks
+                    && is_outlasted_by_earlier_runs(job, now)
+                    && *run_knowledge.get_or_insert_with(|| self.run_knowledge(now))
+                        == inherited_runs::RunKnowledge::Complete =>
+                {
+                    outlasted.push(Arc::clone(&job.spec.id));
+                }
                 // A job with started tasks keeps its position: their runs are wasted unless its
                 // other tasks run too.
                 () if self.settings.policies.demotion.is_enabled()
@@ -526,6 +545,10 @@
             }
             self.end_job(&id, &end, now);
         }
+        for id in outlasted {
+            let end = job_model::JobEnd::Failed(job_model::FailureReason::PoolLost);
+            self.end_job(&id, &end, now);
+        }
         for (position, service) in late {
             self.record_missed_start(&service, now);
             self.queue.remove(&position);
@@ -548,6 +571,19 @@
     }
 }
 
+/// Whether runs that an earlier pool of `job` may have started can last so long that no waiting task ends in time
+/// after them. If all servers have reported, no run will be adopted instead.
+fn is_outlasted_by_earlier_runs(job: &JobEntry, now: time::Duration) -> bool {
+    let latest_end = job
+        .tasks
+        .iter()
+        .filter(|task| task.phase == TaskPhase::Waiting)
+        .filter_map(|task| job.nominal_run_times.get(usize::from(task.name.step)))
+        .map(|run_time| job.earlier_runs_end_at + *run_time)
+        .max();
+    now < job.earlier_runs_end_at && latest_end.is_some_and(|end| end >= job.expires_at)
+}
+
 fn refusal_label(reason: job_model::RefusalReason) -> &'static str {
     match reason {
         job_model::RefusalReason::QueueTooLong => "queue_too_long",
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -96,8 +96,13 @@
                 let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
                 !self.lost_job_resolved(knowledge, job.admitted_at, now)
             };
+            let waits_for_leases = now < job.earlier_runs_end_at;
             let is_of_another_pool = is_divided && !self.holds_arbiter(&position.job);
-            if waits_for_reports || is_of_another_pool || !self.may_start_tasks(job, now) {
+            if waits_for_reports
+                || waits_for_leases
+                || is_of_another_pool
+                || !self.may_start_tasks(job, now)
+            {
                 continue;
             }
             if !is_full {
@@ -257,6 +262,11 @@
         let wait = now.saturating_sub(job.arrived_at);
         let may_run_elsewhere = job.may_run_elsewhere;
         let evidence = open_servers.evidence();
+        let outcome = if job.earlier_runs_end_at.is_zero() {
+            evidence.outcome
+        } else {
+            "earlier_runs_ended"
+        };
         let Some(order) = self.new_start_order(&server, &name, run, payload, now) else {
             return false;
         };
@@ -275,7 +285,7 @@
             pool_action::DecisionKind::Placed,
             Some(request),
             Some(Arc::clone(&server)),
-            evidence.outcome,
+            outcome,
             inputs,
         );
         if is_isolated {
--- a/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
@@ -128,3 +128,68 @@
         "started {waited:?} after the offer"
     );
 }
+
+/// A caller whose deadline passes before the leases end would wait for nothing.
+#[test]
+fn job_of_a_lost_leader_that_can_not_start_in_time_fails_as_soon_as_all_servers_have_reported() {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+    // The lost leader has not started the job, or a server has reported its end to that leader.
+    simulation.pause(0);
+    simulation.run_until(LOST_AT);
+    simulation.lead(1);
+    let offer = job_model::JobOffer {
+        may_have_started: true,
+        time_to_deadline: fixtures::ms(1_200),
+        ..fixtures::offer("job", 2, fixtures::SHORT_RUN)
+    };
+    simulation.submit(1, &offer, fixtures::task_profile(fixtures::SHORT_RUN));
+    simulation.run_until(LOST_AT + fixtures::ms(100));
+    assert_eq!(
+        fixtures::job_ends(&simulation, "job"),
+        [job_model::JobEnd::Failed(
+            job_model::FailureReason::PoolLost
+        )]
+    );
+    simulation.run_until(LOST_AT + fixtures::ms(3_000));
+    assert_eq!(
+        start_times(&simulation),
+        [],
+        "a failed job should not start"
+    );
+}
+
+/// A copy of a queued job comes from a coordinator whose pool was lost. The queued job must not start beside the run
+/// of that pool either.
+#[test]
+fn queued_job_waits_for_the_leases_of_a_lost_leader_once_its_copy_comes() {
+    let mut simulation = lose_leader_with_unknown_server();
+    simulation.run_until(LOST_AT + fixtures::ms(5));
+    simulation.lead(1);
+    let copy = long_offer();
+    simulation.submit(1, &copy, fixtures::task_profile(RUN_TIME));
+    offer_again(&mut simulation);
+    simulation.run_until(LOST_AT + fixtures::ms(12_000));
+    assert_eq!(simulation.violations, []);
+}
+
+/// Waiting for leases must not delay a job whose runs the servers report.
+#[test]
+fn reported_run_of_a_lost_leader_is_adopted_without_a_wait() {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+    let offer = fixtures::offer("job", 1, fixtures::LONG_RUN);
+    simulation.submit(0, &offer, fixtures::task_profile(fixtures::LONG_RUN));
+    simulation.run_until(fixtures::ms(300));
+    simulation.pause(0);
+    simulation.lead(1);
+    let again = job_model::JobOffer {
+        may_have_started: true,
+        ..offer
+    };
+    simulation.submit(1, &again, fixtures::task_profile(fixtures::LONG_RUN));
+    simulation.run_until(fixtures::ms(1_100));
+    assert_eq!(
+        fixtures::job_ends(&simulation, "job"),
+        [job_model::JobEnd::Completed]
+    );
+    assert_eq!(start_times(&simulation).len(), 1);
+}
