Offer queued jobs of a leader that steps down as new ones

A job of an earlier pool now waits until the leases of its runs have ended, also if it had none: at each planned stop of a leader its queued jobs would be lost, as callers wait 1.5 s. Jobs of which a task was placed, or that may run elsewhere, get PoolLost as before.

queued_job_of_a_leader_that_steps_down_may_start_at_once_at_the_next_leader fails without the change (PoolLost).

--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -386,10 +386,15 @@
         }
     }
 
-    /// Removes a job with the end `PoolLost`. Its runs on servers that are still claimed go on for
-    /// `INHERITED_RUN_GRACE`, so that a resubmitted job can adopt them.
+    /// Removes a job with the end `PoolLost`, or `NotLeader` if no task of it may have started: its coordinator
+    /// then offers it as a new one. Its runs on servers that are still claimed go on for `INHERITED_RUN_GRACE`, so
+    /// that a resubmitted job can adopt them.
     pub(super) fn abandon_job(&mut self, id: &Arc<str>, now: time::Duration) {
+        let mut end = job_model::JobEnd::PoolLost;
         if let Some(job) = self.jobs.get(id) {
+            if !job.has_started && !job.may_run_elsewhere {
+                end = job_model::JobEnd::NotLeader;
+            }
             for task in &job.tasks {
                 let TaskPhase::Placed { server, .. } = &task.phase else {
                     continue;
@@ -407,7 +412,7 @@
                 }
             }
         }
-        self.remove_job(id, &job_model::JobEnd::PoolLost, now);
+        self.remove_job(id, &end, now);
     }
 
     /// Ends a job and stops its runs.
--- a/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
@@ -193,3 +193,26 @@
     );
     assert_eq!(start_times(&simulation).len(), 1);
 }
+
+/// A leader that is replaced knows which of its jobs it has not started. They need not wait for leases.
+#[test]
+fn queued_job_of_a_leader_that_steps_down_may_start_at_once_at_the_next_leader() {
+    let mut simulation = fixtures::simulation_with_leader(2, &["s1"]);
+    let profile = fixtures::task_profile(fixtures::LONG_RUN);
+    let running = fixtures::offer("running", 2, fixtures::LONG_RUN);
+    let queued = fixtures::offer("queued", 1, fixtures::LONG_RUN);
+    for offer in [&running, &queued] {
+        simulation.submit(0, offer, profile);
+    }
+    simulation.run_until(fixtures::ms(300));
+    assert!(fixtures::job_ends(&simulation, "queued").is_empty());
+    simulation.step_down(0);
+    assert_eq!(
+        fixtures::job_ends(&simulation, "running"),
+        [job_model::JobEnd::PoolLost]
+    );
+    assert_eq!(
+        fixtures::job_ends(&simulation, "queued"),
+        [job_model::JobEnd::NotLeader]
+    );
+}
