Read the runs of a server once for each pass over the queue

Each start of a task read all runs of its server five times: for the free capacity, the open starts and the bound of the lease. A job of 850 tasks on 8 servers so cost each task more the more of them ran. Within a pass only the pass itself adds runs, so the room is counted down and the lease is renewed once, then cut to the bound of each further job.

--- a/crates/cuminkeel_dispatch/src/pool/open_servers.rs
+++ b/crates/cuminkeel_dispatch/src/pool/open_servers.rs
@@ -22,6 +22,8 @@
     open_starts: usize,
     /// Whether its leases can be renewed; `None` until a task needs it.
     renews_leases: Cell<Option<bool>>,
+    /// Expiry of the lease that the latest start of the pass has renewed, on the server's clock, in ms.
+    renewed_expiry_ms: Option<u64>,
 }
 
 impl OpenServer {
@@ -31,6 +33,7 @@
             free: slot.free_capacity(),
             open_starts: slot.open_starts(),
             renews_leases: Cell::new(None),
+            renewed_expiry_ms: None,
         }
     }
 }
@@ -111,19 +114,34 @@
         }
     }
 
-    /// Replaces what is known of server `id`, or removes it if it has no room any more.
-    fn update(&mut self, id: &Arc<str>, slot: Option<&server_slot::ServerSlot>) {
+    /// Returns the expiry of the lease that the latest start of this pass on server `id` has renewed, on the server's
+    /// clock, in ms.
+    pub(super) fn renewed_expiry_ms(&self, id: &str) -> Option<u64> {
+        let mut servers = self.servers.iter();
+        servers.find(|server| *server.id == *id)?.renewed_expiry_ms
+    }
+
+    /// Counts a task of `step` that was placed on server `id`, which has renewed its lease until `expiry_ms`. Removes
+    /// the server if it takes no further task in this pass.
+    pub(super) fn record_placement(
+        &mut self,
+        id: &Arc<str>,
+        step: &job_model::StepSpec,
+        expiry_ms: u64,
+        takes_more: bool,
+    ) {
         let Some(position) = self.servers.iter().position(|server| server.id == *id) else {
             return;
         };
-        let server = slot
-            .map(|slot| OpenServer::new(id, slot))
-            .filter(|server| server.open_starts < MAX_OPEN_STARTS);
-        match (server, self.servers.get_mut(position)) {
-            (Some(server), Some(known)) => *known = server,
-            _ => {
-                self.servers.remove(position);
-            }
+        let Some(server) = self.servers.get_mut(position) else {
+            return;
+        };
+        server.free = server.free.without(step);
+        server.open_starts += 1;
+        server.renewed_expiry_ms = Some(expiry_ms);
+        let is_full = server.free.cpu_millis == 0 || server.open_starts >= MAX_OPEN_STARTS;
+        if is_full || !takes_more {
+            self.servers.remove(position);
         }
     }
 }
@@ -142,20 +160,6 @@
         open_servers
     }
 
-    /// Updates the room of server `id`, on which a task was placed.
-    pub(super) fn update_open_server(
-        &self,
-        open_servers: &mut OpenServers,
-        id: &Arc<str>,
-        now: time::Duration,
-    ) {
-        let slot = self
-            .servers
-            .get(id)
-            .filter(|slot| slot.is_usable(now) && slot.startable_cpu_millis(now) > 0);
-        open_servers.update(id, slot);
-    }
-
     /// Whether the leases on a server with room can be renewed for as long as a hold takes.
     pub(super) fn can_renew_leases_on(
         &self,
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{ServerPool, TOKEN_PROCESS_BITS, TaskPhase, claims, crashes, open_servers};
+use super::{ServerPool, TOKEN_PROCESS_BITS, TaskEntry, TaskPhase, claims, crashes, open_servers};
 use crate::{
     crash_ledger, job_model, job_order, pool_action, run_evidence, server_model, server_slot,
     settings, task_placement,
@@ -212,12 +212,10 @@
         let Some(job) = self.jobs.get(job_id) else {
             return false;
         };
-        let (Some(task), Some(step)) = (
-            job.tasks.get(task_index),
-            job.tasks
-                .get(task_index)
-                .and_then(|task| job.spec.steps.get(usize::from(task.name.step))),
-        ) else {
+        let spec = Arc::clone(&job.spec);
+        let step_of = |task: &TaskEntry| spec.steps.get(usize::from(task.name.step));
+        let task = job.tasks.get(task_index);
+        let (Some(task), Some(step)) = (task, task.and_then(step_of)) else {
             return false;
         };
         let run_time = job
@@ -267,7 +265,10 @@
         } else {
             "earlier_runs_ended"
         };
-        let Some(order) = self.new_start_order(&server, &name, run, payload, now) else {
+        let renewed_expiry_ms = open_servers.renewed_expiry_ms(&server);
+        let Some(order) =
+            self.new_start_order(&server, &name, run, payload, renewed_expiry_ms, now)
+        else {
             return false;
         };
         let epoch = order.token >> TOKEN_PROCESS_BITS;
@@ -299,25 +300,39 @@
                 task.next_run_id = run_id + 1;
             }
         }
-        let server = Arc::clone(&order.server);
-        self.update_open_server(open_servers, &server, now);
+        let takes_more = !is_isolated
+            && self
+                .servers
+                .get(&order.server)
+                .is_some_and(|slot| slot.is_usable(now) && !slot.is_cold(now));
+        open_servers.record_placement(&order.server, step, order.lease_expiry_ms, takes_more);
         self.actions.push(pool_action::PoolAction::Start(order));
         self.placements_left = self.placements_left.saturating_sub(1);
         true
     }
 
+    /// Adds `run` to the server and returns the order to start it, or `None` if its lease can't last until the next
+    /// renewal. `renewed_expiry_ms` is the expiry with which an earlier start of the same pass has renewed it.
     fn new_start_order(
         &mut self,
         server: &Arc<str>,
         name: &job_model::TaskName,
         mut run: server_slot::ServerRun,
         payload: Arc<str>,
+        renewed_expiry_ms: Option<u64>,
         now: time::Duration,
     ) -> Option<server_model::StartOrder> {
         let slot = self.servers.get_mut(server)?;
         run.token = slot.token;
+        let bound = run.lease_bound;
         slot.runs.insert(name.clone(), run);
-        let lease_expiry_ms = self.renewed_lease_expiry_ms(server, now);
+        let lease_expiry_ms = match renewed_expiry_ms {
+            // The other runs have been considered at the same moment.
+            Some(expiry_ms) => bound
+                .and_then(|bound| slot.lease_expiry_before_ms(bound))
+                .map(|latest_ms| expiry_ms.min(latest_ms)),
+            None => self.renewed_lease_expiry_ms(server, now),
+        };
         let slot = self.servers.get_mut(server)?;
         // The lease has to last until the next renewal.
         let min_expiry_ms = slot.next_lease_expiry_ms(now, self.settings.hold_wait);
@@ -487,7 +502,7 @@
     verdict: crash_ledger::TaskVerdict,
     start: usize,
 ) -> Option<usize> {
-    let ready = |task: &super::TaskEntry| {
+    let ready = |task: &TaskEntry| {
         task.phase == TaskPhase::Waiting
             && task.verdict == verdict
             && ready_steps.get(usize::from(task.name.step)) == Some(&true)
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -169,6 +169,16 @@
             && self.memory_mb >= step.memory_mb
             && self.gpus >= step.gpus
     }
+
+    /// Returns what a task of `step` leaves free.
+    #[must_use]
+    pub fn without(self, step: &job_model::StepSpec) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(step.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(step.memory_mb),
+            gpus: self.gpus.saturating_sub(step.gpus),
+        }
+    }
 }
 
 /// Reading of a server's monotonic clock.
