Log which servers a process knew at a takeover, and which it kept without an entry

An on-call engineer could not tell from the logs of two leaders why their lists of servers differed: a removal that the registry feed holds back after a failed read left no line, the takeover said nothing of removals that are held back nor of since when the registry is read, the history gave numbers without names, and no line of a job that is offered again named the process that had it before.

New are removals_held_back and held_removals_ended (one line for each batch of records, with 64 names at most), the gauge cuminkeel_held_removals, four inputs of takeover, the names of lapsed servers in registry_history, and offered_again with the names and boot numbers of the lost processes. A decision record has ten inputs now. No decision changes.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -212,6 +212,8 @@
     registry_read_at: time::Duration,
     /// Registry entries that were removed lately.
     removed_entries: evidence::RemovedEntries,
+    /// How the process reads the registry; decides nothing.
+    registry_view: server_model::RegistryView,
     /// Time at which this pool last began to lead shards, or `None` while it leads none.
     leading_since: Option<time::Duration>,
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
@@ -270,6 +272,7 @@
             shards_divided_at: None,
             registry_read_at: time::Duration::ZERO,
             removed_entries: evidence::RemovedEntries::default(),
+            registry_view: server_model::RegistryView::default(),
             leading_since: None,
             inherited_ends: HashMap::new(),
             released_jobs: released_jobs::ReleasedJobs::default(),
--- a/crates/cuminkeel_dispatch/src/pool/evidence.rs
+++ b/crates/cuminkeel_dispatch/src/pool/evidence.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Sets how the process reads the registry, for the record of the next takeover.
+    pub fn set_registry_view(&mut self, view: server_model::RegistryView) {
+        self.registry_view = view;
+    }
+
     /// Records that this pool takes over servers, and what it knows of them.
     pub(super) fn record_takeover(&mut self, now: time::Duration) {
         self.removed_entries.prune(now);
@@ -74,6 +79,24 @@
                 pool_action::whole_ms(now.saturating_sub(self.registry_read_at)),
             ),
             ("epoch", i64::try_from(self.epoch).unwrap_or(i64::MAX)),
+            (
+                "held_removals",
+                claims::count_input(self.registry_view.held_removals),
+            ),
+            (
+                "registry_since_ms",
+                self.registry_view
+                    .first_read_at
+                    .map_or(-1, |first| pool_action::whole_ms(now.saturating_sub(first))),
+            ),
+            (
+                "history_asked",
+                claims::count_input(self.registry_view.history_asked),
+            ),
+            (
+                "history_read",
+                claims::count_input(self.registry_view.history_read),
+            ),
         ];
         self.record_decision(
             pool_action::DecisionKind::Takeover,
--- a/crates/cuminkeel_dispatch/src/pool_action.rs
+++ b/crates/cuminkeel_dispatch/src/pool_action.rs
@@ -118,7 +118,7 @@
 }
 
 /// Number of places for the inputs of a decision.
-pub const INPUT_COUNT: usize = 7;
+pub const INPUT_COUNT: usize = 10;
 
 /// Log record of a decision or observation.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cuminkeel_dispatch/src/server_model.rs
+++ b/crates/cuminkeel_dispatch/src/server_model.rs
@@ -38,6 +38,19 @@
     pub cold_remaining: time::Duration,
 }
 
+/// How a process reads the registry of backend servers; goes into log records only.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RegistryView {
+    /// Time at which the process read its first snapshot; `None` before that.
+    pub first_read_at: Option<time::Duration>,
+    /// Number of records before that snapshot that it asked for.
+    pub history_asked: usize,
+    /// Number of records before that snapshot that it got.
+    pub history_read: usize,
+    /// Number of servers whose entries were removed, but which still count as registered.
+    pub held_removals: usize,
+}
+
 /// Outcome of a run.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RunEnd {
--- a/crates/cuminkeel_node/benches/telemetry_cost.rs
+++ b/crates/cuminkeel_node/benches/telemetry_cost.rs
@@ -27,6 +27,9 @@
             ("unreported", 0),
             ("led_ms", 90_000),
             ("may_have_started", 0),
+            ("", 0),
+            ("", 0),
+            ("", 0),
         ],
     };
     let mut line_count = 0;
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -33,6 +33,7 @@
         plan: offer_plan::OfferPlan::new(spec, limits),
         last_pool: last_pool.clone(),
         offered_at: None,
+        lost_pools: LostPools::default(),
     };
     let job = node.jobs.join_or_start(&id, last_pool, job.run());
     let answer = tokio::select! {
@@ -55,6 +56,30 @@
     last_pool: job_table::LastPool,
     /// Time at which the job was offered to the pool that has it, or `None` if none has it.
     offered_at: Option<time::Duration>,
+    /// Pools that were lost while they had the job, for the log.
+    lost_pools: LostPools,
+}
+
+/// Pools that were lost while they had a job.
+#[derive(Debug, Default)]
+struct LostPools {
+    /// Name and boot number of each process, the latest last.
+    processes: SmallVec<[(Arc<str>, u64); 1]>,
+    /// Time at which the latest of them was lost first.
+    lost_at: time::Duration,
+    /// Process that was last named as the next one.
+    logged_next: Option<(Arc<str>, u64)>,
+}
+
+impl LostPools {
+    /// Records that `process` was lost. While it is dialled again, each offer to it ends like that.
+    fn record(&mut self, process: (Arc<str>, u64), now: time::Duration) {
+        if self.processes.last() != Some(&process) {
+            self.processes.push(process);
+            self.lost_at = now;
+            self.logged_next = None;
+        }
+    }
 }
 
 impl Drop for CallerJob {
@@ -79,9 +104,15 @@
                 offer_plan::OfferAction::Offer { process, terms } => {
                     self.last_pool.set(&process);
                     self.offered_at = Some(self.node.now());
+                    let boot = boot_of(&self.node, &process);
+                    self.log_repeated_offer(&process, boot);
                     let end = self.offer(&process, terms).await;
                     self.offered_at = None;
-                    self.plan.record_end(end.as_ref(), self.node.now());
+                    let now = self.node.now();
+                    if matches!(end, Some(job_model::JobEnd::PoolLost) | None) {
+                        self.lost_pools.record((process, boot), now);
+                    }
+                    self.plan.record_end(end.as_ref(), now);
                 }
                 offer_plan::OfferAction::Wait(pause) => tokio::time::sleep(pause).await,
                 offer_plan::OfferAction::Answer(answer) => return answer,
@@ -89,6 +120,27 @@
         }
     }
 
+    /// Logs that the job is offered to the pool of `process` although a lost one may have started it, once for
+    /// each pair of a lost pool and the next one.
+    fn log_repeated_offer(&mut self, process: &Arc<str>, boot: u64) {
+        let next = (Arc::clone(process), boot);
+        let lost = &mut self.lost_pools;
+        if !self.plan.may_have_started() || lost.logged_next.as_ref() == Some(&next) {
+            return;
+        }
+        let names: Vec<String> = lost
+            .processes
+            .iter()
+            .map(|(name, boot)| format!("{name}/{boot}"))
+            .collect();
+        let now = self.node.now();
+        slog::info!(self.node.logger, "offered_again"; "request" => &*self.plan.spec().id,
+            "pool" => &**process, "boot" => boot, "lost_pools" => names.join(","),
+            "lost_for_ms" => whole_ms(now.saturating_sub(lost.lost_at)),
+            "age_ms" => whole_ms(now.saturating_sub(self.received_at)));
+        lost.logged_next = Some(next);
+    }
+
     /// Offers the job to the pool of `process`. Returns `None` if the connection to the pool was lost,
     /// so that the job's end is unknown.
     async fn offer(
@@ -142,6 +194,14 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the boot number of `process`; 0 if it is not known any more.
+fn boot_of(node: &node_state::NodeState, process: &str) -> u64 {
+    if *process == *node.hello.name {
+        return node.hello.boot;
+    }
+    node.peers().get(process).map_or(0, |peer| peer.hello.boot)
+}
+
 fn link_to(node: &node_state::NodeState, process: &str) -> Option<peer_link::PeerLink> {
     node.peers().get(process)?.link.clone()
 }
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -62,6 +62,7 @@
     config_version: gauge::Gauge,
     evacuated_domains: gauge::Gauge,
     implausible_servers: gauge::Gauge,
+    held_removals: gauge::Gauge,
 }
 
 impl StateGauges {
@@ -107,6 +108,11 @@
                 "Backend servers that declare more than any machine has, as far as this process knows",
                 &self.implausible_servers,
             ),
+            (
+                "held_removals",
+                "Backend servers without a registry entry that still count as registered after an outage of the store",
+                &self.held_removals,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -282,6 +288,11 @@
             .set(to_gauge_value(servers));
     }
 
+    /// Sets the gauge for the servers whose removal from the registry has not taken effect yet.
+    pub fn set_held_removals_gauge(&self, servers: usize) {
+        self.state_gauges.held_removals.set(to_gauge_value(servers));
+    }
+
     /// Counts a connection of a caller as open until the returned guard is dropped.
     pub fn track_connection(&self) -> ConnectionGuard {
         self.caller_connections.inc();
--- a/crates/cuminkeel_node/src/pool_driver.rs
+++ b/crates/cuminkeel_node/src/pool_driver.rs
@@ -45,6 +45,8 @@
     /// All entries of a read of the registry that began at this time since the start of this process
     /// have been passed on.
     Read(time::Duration),
+    /// How this process reads the registry has changed.
+    View(server_model::RegistryView),
 }
 
 #[derive(Debug)]
@@ -329,6 +331,9 @@
             PoolEvent::Registry(RegistryChange::Read(started_at)) => {
                 self.pool.record_registry_read(started_at);
             }
+            PoolEvent::Registry(RegistryChange::View(view)) => {
+                self.pool.set_registry_view(view);
+            }
             PoolEvent::Registry(RegistryChange::Removed(server)) => {
                 self.pool.remove_registry_entry(&server);
                 // Later orders to this server open new connections.
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{server_model, settings};
+use cuminkeel_dispatch::{pool_action, server_model, settings};
 use platform_adapter::{registry, store};
 
 use crate::{link_reconciler, node_state, pool_driver};
@@ -28,6 +28,10 @@
 /// lapsed earlier are not found.
 const HISTORY_RECORDS_PER_SERVER: usize = 4;
 
+/// Maximum number of servers that one log line names. After an outage of the store, the entries of all servers
+/// of a failure domain may be removed at once.
+const MAX_LOGGED_SERVERS: usize = 64;
+
 /// Returns a client of the store named in the settings.
 pub(crate) fn client(node: &node_state::NodeState) -> store::StoreClient {
     store::StoreClient::new(&node.settings.store_address, STORE_TIMEOUT)
@@ -135,9 +139,29 @@
         }
     }
 
-    /// Records that the store has an entry of `server` again.
-    pub fn record_registered(&mut self, server: &str) {
-        self.removal_due.remove(server);
+    /// Records that the store has an entry of `server` again. Returns whether its removal was held back.
+    pub fn record_registered(&mut self, server: &str) -> bool {
+        self.removal_due.remove(server).is_some()
+    }
+
+    /// Whether the removal of `server` is held back.
+    pub fn contains(&self, server: &str) -> bool {
+        self.removal_due.contains_key(server)
+    }
+
+    /// Returns the number of removals that are held back.
+    pub fn len(&self) -> usize {
+        self.removal_due.len()
+    }
+
+    /// Whether no removal is held back.
+    pub fn is_empty(&self) -> bool {
+        self.removal_due.is_empty()
+    }
+
+    /// Returns the time of the last failed request, after which removals are held back.
+    pub fn last_outage(&self) -> Option<time::Duration> {
+        self.last_outage
     }
 
     /// Removes and returns the servers that have not registered again in time.
@@ -155,6 +179,14 @@
     }
 }
 
+/// Servers of one batch of records whose removals are held back, or were until then.
+#[derive(Debug, Default)]
+struct HeldRemovals {
+    begun: Vec<Arc<str>>,
+    cancelled: Vec<Arc<str>>,
+    applied: Vec<Arc<str>>,
+}
+
 struct RegistryFeed {
     node: Arc<node_state::NodeState>,
     /// Servers of the local failure domain with an entry, or with a removal that is pending, and whether
@@ -163,6 +195,9 @@
     /// Servers of them that declare figures which are not believed.
     implausible: BTreeSet<Arc<str>>,
     pending_removals: PendingRemovals,
+    /// Changes of `pending_removals` that are not logged yet.
+    held_removals: HeldRemovals,
+    view: server_model::RegistryView,
 }
 
 /// Passes changes of the registry of backend servers to the pool until the process ends.
@@ -175,6 +210,8 @@
         registered: BTreeMap::new(),
         implausible: BTreeSet::new(),
         pending_removals: PendingRemovals::default(),
+        held_removals: HeldRemovals::default(),
+        view: server_model::RegistryView::default(),
     };
     loop {
         feed.wait_until_needed().await;
@@ -201,6 +238,8 @@
                     );
                 }
                 feed.apply_records(batch.records, is_snapshot, now);
+                feed.log_held_removals(now);
+                feed.publish_view(now);
                 if batch.next_offset < batch.end_offset {
                     // The response has as many records as fit, so the entries read are not the newest.
                     continue;
@@ -269,12 +308,22 @@
         .collect()
 }
 
+/// Returns the names of `servers` for a log line, at most [`MAX_LOGGED_SERVERS`] of them.
+fn name_list<S: AsRef<str>>(servers: &[S]) -> String {
+    let names: Vec<&str> = servers
+        .iter()
+        .take(MAX_LOGGED_SERVERS)
+        .map(AsRef::as_ref)
+        .collect();
+    names.join(",")
+}
+
 impl RegistryFeed {
     /// Whether servers that live may be missing from `snapshot`, the first registry that this process
     /// reads: an outage of the store, or between it and the servers, may just have emptied it. The
     /// records before the snapshot show entries that lapsed; without them nothing is known.
     async fn entries_may_be_missing(
-        &self,
+        &mut self,
         store: &store::StoreClient,
         snapshot: &store::RecordBatch,
     ) -> bool {
@@ -282,14 +331,19 @@
         let record_count =
             u64::try_from(snapshot.records.len() * HISTORY_RECORDS_PER_SERVER).unwrap_or(u64::MAX);
         let first_offset = end_offset.saturating_sub(record_count);
+        let asked_count = usize::try_from(end_offset - first_offset).unwrap_or(usize::MAX);
+        self.view.history_asked = asked_count;
+        self.view.history_read = 0;
         match store
             .read_range(store::REGISTRY_TOPIC, first_offset, end_offset)
             .await
         {
             Ok(history) => {
                 let lapsed = lapsed_servers(&history, &self.node.hello.failure_domain);
-                slog::info!(self.node.logger, "registry_history"; "records" => history.len(),
-                    "lapsed_servers" => lapsed.len());
+                slog::info!(self.node.logger, "registry_history"; "asked" => asked_count,
+                    "records" => history.len(), "lapsed_servers" => lapsed.len(),
+                    "servers" => name_list(&lapsed));
+                self.view.history_read = history.len();
                 history.is_empty() || !lapsed.is_empty()
             }
             Err(error) => {
@@ -340,6 +394,44 @@
         }
         for server in self.pending_removals.take_confirmed(now) {
             self.remove_server(&server);
+            self.held_removals.applied.push(server);
+        }
+    }
+
+    /// Logs the removals that the last batch of records held back, cancelled or let take effect.
+    fn log_held_removals(&mut self, now: time::Duration) {
+        let held = std::mem::take(&mut self.held_removals);
+        let last_outage = self.pending_removals.last_outage().unwrap_or_default();
+        let since_failure = now.saturating_sub(last_outage);
+        if !held.begun.is_empty() {
+            let time_left = settings::REREGISTRATION_GRACE.saturating_sub(since_failure);
+            slog::info!(self.node.logger, "removals_held_back"; "count" => held.begun.len(),
+                "servers" => name_list(&held.begun), "failed_read_ms" => pool_action::whole_ms(since_failure),
+                "due_in_ms" => pool_action::whole_ms(time_left));
+        }
+        for (outcome, servers) in [("cancelled", held.cancelled), ("applied", held.applied)] {
+            if !servers.is_empty() {
+                slog::info!(self.node.logger, "held_removals_ended"; "outcome" => outcome,
+                    "count" => servers.len(), "servers" => name_list(&servers),
+                    "failed_read_ms" => pool_action::whole_ms(since_failure));
+            }
+        }
+        let held_count = self.pending_removals.len();
+        self.node.metrics.set_held_removals_gauge(held_count);
+    }
+
+    /// Tells the pool how the registry is read, if that has changed.
+    fn publish_view(&mut self, now: time::Duration) {
+        let view = server_model::RegistryView {
+            first_read_at: Some(self.view.first_read_at.unwrap_or(now)),
+            held_removals: self.pending_removals.len(),
+            ..self.view
+        };
+        if view != self.view {
+            self.view = view;
+            self.node
+                .pool
+                .apply_registry_change(pool_driver::RegistryChange::View(view));
         }
     }
 
@@ -348,7 +440,9 @@
             Ok(bounded) if bounded.entry.failure_domain == self.node.hello.failure_domain => {
                 self.record_implausible_figures(server, &bounded.implausible_figures);
                 let entry = bounded.entry;
-                self.pending_removals.record_registered(server);
+                if self.pending_removals.record_registered(server) {
+                    self.held_removals.cancelled.push(Arc::clone(server));
+                }
                 self.registered.insert(Arc::clone(server), entry.draining);
                 self.node
                     .pool
@@ -393,7 +487,11 @@
         let Some(is_draining) = self.registered.get(server).copied() else {
             return;
         };
+        let was_held_back = self.pending_removals.contains(server);
         if !self.pending_removals.record_removal(server, now) {
+            if !was_held_back {
+                self.held_removals.begun.push(Arc::clone(server));
+            }
             return;
         }
         if !is_draining {
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod platform_faults;
 mod recovery;
+mod registry_logs;
 mod request_causes;
 mod resent_jobs;
 mod shards;
