Know servers whose entry comes and goes between two reads of the registry

A batch of records was collapsed to the newest record of each key, so a process that read neither in between never knew a server whose entry was added and removed within one read interval (0.6 s to 1.5 s, longer for a process that did not read meanwhile). Another leader that read in between may have started runs there; a takeover by this process would not ask that server.

The last entry of the batch is applied before its removal, as two reads would have done, so the pool knows a server without an entry and asks it for 10 s. A value that can't be decoded no longer hides an earlier entry, or a removal, of the same batch.

server_whose_entry_comes_and_goes_between_two_reads_is_asked_for_its_runs timed out before this change.

--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -370,27 +370,24 @@
         is_snapshot: bool,
         now: time::Duration,
     ) {
-        // A later record of a key replaces the earlier ones.
-        let newest: BTreeMap<Arc<str>, Option<bytes::Bytes>> = records
-            .into_iter()
-            .map(|record| (record.key, record.value))
-            .collect();
+        let mut records_by_server: BTreeMap<Arc<str>, Vec<Option<bytes::Bytes>>> = BTreeMap::new();
+        for record in records {
+            let server_records = records_by_server.entry(record.key).or_default();
+            server_records.push(record.value);
+        }
         if is_snapshot {
             let missing: Vec<Arc<str>> = self
                 .registered
                 .keys()
-                .filter(|server| !newest.contains_key(*server))
+                .filter(|server| !records_by_server.contains_key(*server))
                 .cloned()
                 .collect();
             for server in missing {
                 self.handle_removed_entry(&server, now);
             }
         }
-        for (server, value) in newest {
-            match value {
-                Some(value) => self.apply_entry(&server, &value),
-                None => self.handle_removed_entry(&server, now),
-            }
+        for (server, values) in records_by_server {
+            self.apply_server_records(&server, values, now);
         }
         for server in self.pending_removals.take_confirmed(now) {
             self.remove_server(&server);
@@ -398,6 +395,27 @@
         }
     }
 
+    /// Applies the records of `server` in one batch, in their order; without a value, a record removes the entry. Only
+    /// the last entry counts, also if it was removed later: a process that has read it may use the server.
+    fn apply_server_records(
+        &mut self,
+        server: &Arc<str>,
+        values: Vec<Option<bytes::Bytes>>,
+        now: time::Duration,
+    ) {
+        let mut is_removed = false;
+        for value in values.into_iter().rev() {
+            match value {
+                None => is_removed = true,
+                Some(value) if self.apply_entry(server, &value) => break,
+                Some(_) => {}
+            }
+        }
+        if is_removed {
+            self.handle_removed_entry(server, now);
+        }
+    }
+
     /// Logs the removals that the last batch of records held back, cancelled or let take effect.
     fn log_held_removals(&mut self, now: time::Duration) {
         let held = std::mem::take(&mut self.held_removals);
@@ -435,7 +453,8 @@
         }
     }
 
-    fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) {
+    /// Applies an entry of `server`. Returns whether it can be decoded.
+    fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) -> bool {
         match registry::decode_bounded_entry(server, value) {
             Ok(bounded) if bounded.entry.failure_domain == self.node.hello.failure_domain => {
                 self.record_implausible_figures(server, &bounded.implausible_figures);
@@ -447,11 +466,13 @@
                 self.node
                     .pool
                     .apply_registry_change(pool_driver::RegistryChange::Updated(entry));
+                true
             }
-            Ok(_) => {}
+            Ok(_) => true,
             Err(error) => {
                 slog::info!(self.node.logger, "registry_entry_ignored";
                     "server" => &**server, "error" => %error);
+                false
             }
         }
     }
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod platform_faults;
 mod recovery;
 mod registry_logs;
+mod registry_reads;
 mod request_causes;
 mod resent_jobs;
 mod shards;
