--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -237,6 +237,8 @@
                         ),
                     );
                 }
+                // The pool may take over as soon as it has the entries.
+                feed.publish_view(now);
                 feed.apply_records(batch.records, is_snapshot, now);
                 feed.log_held_removals(now);
                 feed.publish_view(now);
