--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -230,7 +230,8 @@
             Ok(batch) => {
                 record_success(&feed.node, "registry", &mut consecutive_failures, &batch);
                 offset = Some(batch.next_offset);
-                if feed.registered.is_empty() && feed.entries_may_be_missing(&store, &batch).await {
+                let lacks_earlier_entries = is_snapshot || feed.registered.is_empty();
+                if lacks_earlier_entries && feed.entries_may_be_missing(&store, &batch).await {
                     feed.node.pool.apply_registry_change(
                         pool_driver::RegistryChange::IncompleteUntil(
                             now + settings::REREGISTRATION_GRACE,
@@ -321,8 +322,8 @@
 }
 
 impl RegistryFeed {
-    /// Whether servers that live may be missing from `snapshot`, the first registry that this process
-    /// reads: an outage of the store, or between it and the servers, may just have emptied it. The
+    /// Whether servers that live may be missing from `snapshot`, of which this process has not read the records
+    /// before it: an outage of the store, or between it and the servers, may just have emptied it. The
     /// records before the snapshot show entries that lapsed; without them nothing is known.
     async fn entries_may_be_missing(
         &mut self,
--- a/crates/cuminkeel_node/tests/node/registry_reads.rs
+++ b/crates/cuminkeel_node/tests/node/registry_reads.rs
@@ -29,3 +29,19 @@
     })
     .await;
 }
+
+/// Entries that lapsed before a snapshot are not in it, whether it is the first one or replaces records that the store
+/// has deleted.
+#[tokio::test(flavor = "multi_thread")]
+async fn history_is_read_again_when_the_store_has_deleted_records_that_were_not_read() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    drop(node.take_log());
+    test_platform::wait_until("the missing history to be noticed", async || {
+        platform.servers[0].register(&platform.store);
+        platform.store.compact("keyed.servers");
+        let log = String::from_utf8(node.take_log()).expect("log should be UTF-8");
+        log.contains("registry_history_unread")
+    })
+    .await;
+}
