Take a history of the registry that was read in part for incomplete

A history of which records were deleted or could not be decoded counted as complete unless it was empty, so the list of servers did, too.

history_that_is_read_in_part_does_not_show_that_no_entry_has_lapsed failed for the two cases of a part before this change.

--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -179,6 +179,12 @@
     }
 }
 
+/// Whether entries of servers that live may be missing from a snapshot, if `asked_count` records before it were asked
+/// for, and `read_count` of them were read, after which the entries of `lapsed_count` servers had lapsed.
+pub fn shows_missing_entries(asked_count: usize, read_count: usize, lapsed_count: usize) -> bool {
+    read_count == 0 || read_count < asked_count || lapsed_count > 0
+}
+
 /// Servers of one batch of records whose removals are held back, or were until then.
 #[derive(Debug, Default)]
 struct HeldRemovals {
@@ -347,7 +353,7 @@
                     "records" => history.len(), "lapsed_servers" => lapsed.len(),
                     "servers" => name_list(&lapsed));
                 self.view.history_read = history.len();
-                history.is_empty() || !lapsed.is_empty()
+                shows_missing_entries(asked_count, history.len(), lapsed.len())
             }
             Err(error) => {
                 slog::info!(self.node.logger, "registry_history_unread"; "error" => %error);
--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -242,6 +242,26 @@
     }
 }
 
+/// A part of the history would be taken for all of it: the entry that it lacks may be one that lapsed.
+#[test]
+fn history_that_is_read_in_part_does_not_show_that_no_entry_has_lapsed() {
+    let cases = [
+        ("all read, none lapsed", 160, 160, 0, false),
+        ("all read, one lapsed", 160, 160, 1, true),
+        ("one record unreadable", 160, 159, 0, true),
+        ("most records deleted", 160, 3, 0, true),
+        ("no record read", 160, 0, 0, true),
+        ("empty snapshot, so none asked for", 0, 0, 0, true),
+    ];
+    for (name, asked, read, lapsed, expected) in cases {
+        assert_eq!(
+            store_feed::shows_missing_entries(asked, read, lapsed),
+            expected,
+            "{name}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn invalid_and_missing_frames_are_errors() {
     let cases: [(&str, &[u8]); 6] = [
