Take the list of servers for incomplete while another leader may hold removals back

After an outage of the store, a leader uses servers whose entries are gone until its first read 2.6 s after its last failed one, and renews their leases for a while after that. A process that started meanwhile took its list, without these servers, for complete 2.6 s after its first read: up to 3.7 s too early.

It costs callers a wait of up to 1.4 s if such a process takes over between 2.6 s and 6.4 s after its first read. Not covered is a leader that the store turns away while it serves others.

--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -13,7 +13,7 @@
 
 /// Time allowed for a response of the store in addition to the requested wait: the store may
 /// be slower than usual by a factor of 60.
-const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+pub const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Wait that a configuration read requests, as a percentage of `config_apply`, the time in which a
 /// new configuration must be in force. If that is 2 s, an unanswered read and the pause after it
 /// take 0.7 + 0.6 + 0.25 s, which leaves time for another read.
@@ -211,6 +211,12 @@
     let store = client(&node);
     let mut offset = None;
     let mut consecutive_failures = 0;
+    let pool_settings = settings::PoolSettings::new(
+        node.settings.max_lease,
+        node.settings.stop_time,
+        node.settings.resend_delay,
+    );
+    let max_unlisted_run_time = pool_settings.max_unlisted_run_time(STORE_TIMEOUT);
     let mut feed = RegistryFeed {
         node,
         registered: BTreeMap::new(),
@@ -239,9 +245,7 @@
                 let lacks_earlier_entries = is_snapshot || feed.registered.is_empty();
                 if lacks_earlier_entries && feed.entries_may_be_missing(&store, &batch).await {
                     feed.node.pool.apply_registry_change(
-                        pool_driver::RegistryChange::IncompleteUntil(
-                            now + settings::REREGISTRATION_GRACE,
-                        ),
+                        pool_driver::RegistryChange::IncompleteUntil(now + max_unlisted_run_time),
                     );
                 }
                 // The pool may take over as soon as it has the entries.
