Read as much history of the registry as a leader uses servers without an entry

A process that started 6 s after an entry had lapsed read four records for each server, which go back 6 s in which the store was up at a heartbeat of 1.5 s, and took its list for complete although a leader could use the server for 6.4 s. Six records go back 9 s.

history_of_the_registry_goes_back_as_far_as_a_leader_uses_servers_without_an_entry failed with four. The heartbeat is that of the platform's example of a settings file; the process does not read its own.

--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -23,10 +23,10 @@
 /// Interval between reads of the registry by a process that holds no servers.
 const STANDBY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
 
-/// Number of records before a first snapshot that are read for each of its servers. A server writes one
-/// in each heartbeat interval, so these are of about the last four in which the store was up. Entries that
-/// lapsed earlier are not found.
-const HISTORY_RECORDS_PER_SERVER: usize = 4;
+/// Number of records before a snapshot that are read for each of its servers. A server writes one in each heartbeat
+/// interval, 1.5 s. So these go back 9 s in which the store was up, further than the time for which a leader may use a
+/// server that lapsed (6.4 s), and one interval for heartbeats that come early. Entries that lapsed before are not found.
+pub const HISTORY_RECORDS_PER_SERVER: usize = 6;
 
 /// Maximum number of servers that one log line names. After an outage of the store, the entries of all servers
 /// of a failure domain may be removed at once.
--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -6,7 +6,7 @@
 use cuminkeel_node::{claim_targets, link_frame, link_interval, node_tuning, store_feed};
 use platform_adapter::store;
 
-fn ms(value: u64) -> time::Duration {
+const fn ms(value: u64) -> time::Duration {
     time::Duration::from_millis(value)
 }
 
@@ -272,6 +272,20 @@
     );
 }
 
+/// A process that starts late in the time for which a leader still uses a server would not find its lapsed entry.
+#[test]
+fn history_of_the_registry_goes_back_as_far_as_a_leader_uses_servers_without_an_entry() {
+    // In the platform's example of a settings file.
+    const HEARTBEAT_INTERVAL: time::Duration = ms(1_500);
+    let settings = settings::PoolSettings::new(ms(1_000), ms(50), ms(1_300));
+    let unlisted_time = settings.max_unlisted_run_time(store_feed::STORE_TIMEOUT);
+    let intervals = u32::try_from(store_feed::HISTORY_RECORDS_PER_SERVER).expect("a small number");
+    assert!(
+        HEARTBEAT_INTERVAL * intervals >= unlisted_time,
+        "{intervals} records for {unlisted_time:?}"
+    );
+}
+
 /// A part of the history would be taken for all of it: the entry that it lacks may be one that lapsed.
 #[test]
 fn history_that_is_read_in_part_does_not_show_that_no_entry_has_lapsed() {
