Agree on the arbiter of a job although leaders of a divided domain list different servers

While a domain is divided, both leaders may get a copy of a job, and the one that holds the job's arbiter starts it. Each chose the arbiter among the servers of its own registry. If one had read of a removed or a new entry before the other, each could hold its own arbiter, and both started their copies.

Not covered are lists that differ for longer, as that of a leader which the store turns away.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -71,6 +71,9 @@
         let lost_incarnation = slot.incarnation;
         let has_restarted = lost_incarnation != 0 && entry.incarnation > lost_incarnation;
         slot.incarnation = slot.incarnation.max(entry.incarnation);
+        if is_new || !slot.registered {
+            slot.listed_since = now;
+        }
         slot.registered = true;
         slot.unlisted_since = None;
         slot.unlisted_runs_until = time::Duration::ZERO;
--- a/crates/cuminkeel_dispatch/src/pool/divided_domain.rs
+++ b/crates/cuminkeel_dispatch/src/pool/divided_domain.rs
@@ -9,13 +9,17 @@
 use std::{collections::BTreeSet, sync::Arc, time};
 
 use super::ServerPool;
-use crate::{job_model, leadership, retry_advice, server_slot};
+use crate::{job_model, leadership, retry_advice, server_slot, settings};
 
 /// Time after which the jobs of a server that was left to another pool are ended. A lost server is usually
 /// claimed back within 0.3 s. The other pool starts no job for 1.4 s after its claim, of which this pool
 /// needs up to 0.5 s to learn of the claim, and the rest to stop its runs.
 const LEFT_SERVER_GRACE: time::Duration = time::Duration::from_millis(400);
 
+/// Time after which another pool has read of a new entry: a leader reads the registry again 1.45 s after its last
+/// successful read even if the next one fails. Removed entries are remembered for longer.
+const LIST_CHANGE_TIME: time::Duration = settings::REREGISTRATION_GRACE;
+
 impl ServerPool {
     /// Records which servers of the led shards are left to other pools, as they are not in `wanted`.
     pub(super) fn update_left_servers(&mut self, wanted: &BTreeSet<Arc<str>>, now: time::Duration) {
@@ -36,21 +40,40 @@
             .any(|slot| slot.registered && slot.left_since.is_some())
     }
 
-    /// Whether this pool may start the job `id` while the domain is divided: it holds the job's arbiter.
+    /// Whether this pool may start the job `id` while the domain is divided: it holds the job's arbiter, also
+    /// by the list of another pool that has not read yet of the latest changes of the registry.
     pub(super) fn holds_arbiter(&self, id: &str) -> bool {
-        self.arbiter(id).is_none_or(|slot| {
-            slot.claim_state == server_slot::ClaimState::Held
-                && slot.reported_at >= self.foreign_claim_at
-        })
+        let now = self.last_active_at;
+        let with_removed = self.arbiter_among(id, |slot| slot.counts_for_takeover(now));
+        let without_added = self.arbiter_among(id, |slot| {
+            slot.registered && now >= slot.listed_since + LIST_CHANGE_TIME
+        });
+        [with_removed, without_added]
+            .into_iter()
+            .flatten()
+            .all(|slot| {
+                slot.claim_state == server_slot::ClaimState::Held
+                    && slot.reported_at >= self.foreign_claim_at
+            })
     }
 
-    /// Returns the registered server of the led shards with the highest weight for the job `id`
-    /// (rendezvous hashing). All pools with the same registry agree on it.
+    /// Returns the arbiter of the job `id` among the registered servers. All pools with the same registry
+    /// agree on it.
     fn arbiter(&self, id: &str) -> Option<&server_slot::ServerSlot> {
+        self.arbiter_among(id, |slot| slot.registered)
+    }
+
+    /// Returns the server of the led shards with the highest weight for the job `id` (rendezvous hashing)
+    /// among those that `is_candidate` accepts.
+    fn arbiter_among(
+        &self,
+        id: &str,
+        is_candidate: impl Fn(&server_slot::ServerSlot) -> bool,
+    ) -> Option<&server_slot::ServerSlot> {
         let job_hash = leadership::id_hash(id);
         self.servers
             .values()
-            .filter(|slot| slot.registered && self.shards.contains(slot.shard()))
+            .filter(|slot| self.shards.contains(slot.shard()) && is_candidate(slot))
             .max_by_key(|slot| mixed_hash(slot.id_hash ^ job_hash))
     }
 
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -189,6 +189,8 @@
     pub entry: server_model::ServerEntry,
     /// Whether the server is registered.
     pub registered: bool,
+    /// Time since which the server has had a registry entry, or had its last one.
+    pub listed_since: time::Duration,
     /// Time since which the server has had no registry entry; `None` while it is registered.
     pub unlisted_since: Option<time::Duration>,
     /// Time until which a server that lost its registry entry may still have runs of a leader which doesn't know
@@ -266,6 +268,7 @@
             id_hash: leadership::id_hash(&entry.id),
             entry,
             registered: true,
+            listed_since: time::Duration::ZERO,
             unlisted_since: None,
             unlisted_runs_until: time::Duration::ZERO,
             claim_state: ClaimState::Unclaimed,
--- a/crates/cuminkeel_replay/tests/promises/copies.rs
+++ b/crates/cuminkeel_replay/tests/promises/copies.rs
@@ -307,6 +307,42 @@
     );
 }
 
+/// The leaders of a divided domain choose the arbiter of a job among the servers that each of them lists. One may have
+/// read of a removed entry, or of a new one, before the other.
+#[test]
+fn copies_run_once_when_the_leaders_of_a_divided_domain_list_different_servers() {
+    let mut overlaps = Vec::new();
+    for is_added in [false, true] {
+        for number in 0..JOB_COUNT {
+            let mut simulation = divided_domain();
+            if is_added {
+                simulation
+                    .servers
+                    .insert(Arc::from("s5"), fixtures::server("s5"));
+                simulation.update_registry_entry(1, "s5");
+                claim(&mut simulation, 1, &["s3", "s4", "s5"]);
+                simulation.run_until(fixtures::ms(6_100));
+            } else {
+                simulation.pools[0].remove_registry_entry("s3");
+            }
+            let offer = fixtures::offer(&format!("job{number}"), 1, fixtures::SHORT_RUN);
+            for pool_index in 0..2 {
+                let profile = fixtures::task_profile(fixtures::SHORT_RUN);
+                simulation.submit(pool_index, &offer, profile);
+            }
+            simulation.run_until(fixtures::ms(7_000));
+            if overlapping_run_count(&simulation) > 0 {
+                overlaps.push((is_added, number));
+            }
+        }
+    }
+    assert_eq!(
+        overlaps,
+        [],
+        "whether a server was added, and number of the job"
+    );
+}
+
 /// A leader loses servers for good while it runs jobs on its other servers. Callers send these jobs again
 /// to the other leader, which would start them as soon as it takes the unknown runs for expired.
 #[test]
