--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -258,7 +258,8 @@
     let mut now = failed_at + ms(250) + read_time;
     assert!(!pending_removals.record_removal(&server, now));
     // The last read that is too early to confirm the removal ends just before it is due.
-    now = failed_at + settings::REREGISTRATION_GRACE - ms(1);
+    let due_at = failed_at + settings::REREGISTRATION_GRACE;
+    now = due_at.saturating_sub(ms(1));
     assert!(pending_removals.take_confirmed(now).is_empty());
     now += settings::LEADER_POLL_INTERVAL + read_time;
     assert_eq!(pending_removals.take_confirmed(now), [server]);
