--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -6,14 +6,14 @@
     time,
 };
 
-use cuminkeel_dispatch::{server_model, settings};
+use cuminkeel_dispatch::{pool_action, server_model, settings};
 use platform_adapter::{registry, store};
 
 use crate::{link_reconciler, node_state, pool_driver};
 
 /// Time allowed for a response of the store in addition to the requested wait: the store may
 /// be slower than usual by a factor of 60.
-const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+pub const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Wait that a configuration read requests, as a percentage of `config_apply`, the time in which a
 /// new configuration must be in force. If that is 2 s, an unanswered read and the pause after it
 /// take 0.7 + 0.6 + 0.25 s, which leaves time for another read.
@@ -23,10 +23,14 @@
 /// Interval between reads of the registry by a process that holds no servers.
 const STANDBY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
 
-/// Number of records before a first snapshot that are read for each of its servers. A server writes one
-/// in each heartbeat interval, so these are of about the last four in which the store was up. Entries that
-/// lapsed earlier are not found.
-const HISTORY_RECORDS_PER_SERVER: usize = 4;
+/// Number of records before a snapshot that are read for each of its servers. A server writes one in each heartbeat
+/// interval, 1.5 s. So these go back 9 s in which the store was up, further than the time for which a leader may use a
+/// server that lapsed (6.4 s), and one interval for heartbeats that come early. Entries that lapsed before are not found.
+pub const HISTORY_RECORDS_PER_SERVER: usize = 6;
+
+/// Maximum number of servers that one log line names. After an outage of the store, the entries of all servers
+/// of a failure domain may be removed at once.
+const MAX_LOGGED_SERVERS: usize = 64;
 
 /// Returns a client of the store named in the settings.
 pub(crate) fn client(node: &node_state::NodeState) -> store::StoreClient {
@@ -135,9 +139,29 @@
         }
     }
 
-    /// Records that the store has an entry of `server` again.
-    pub fn record_registered(&mut self, server: &str) {
-        self.removal_due.remove(server);
+    /// Records that the store has an entry of `server` again. Returns whether its removal was held back.
+    pub fn record_registered(&mut self, server: &str) -> bool {
+        self.removal_due.remove(server).is_some()
+    }
+
+    /// Whether the removal of `server` is held back.
+    pub fn contains(&self, server: &str) -> bool {
+        self.removal_due.contains_key(server)
+    }
+
+    /// Returns the number of removals that are held back.
+    pub fn len(&self) -> usize {
+        self.removal_due.len()
+    }
+
+    /// Whether no removal is held back.
+    pub fn is_empty(&self) -> bool {
+        self.removal_due.is_empty()
+    }
+
+    /// Returns the time of the last failed request, after which removals are held back.
+    pub fn last_outage(&self) -> Option<time::Duration> {
+        self.last_outage
     }
 
     /// Removes and returns the servers that have not registered again in time.
@@ -155,6 +179,20 @@
     }
 }
 
+/// Whether entries of servers that live may be missing from a snapshot, if `asked_count` records before it were asked
+/// for, and `read_count` of them were read, after which the entries of `lapsed_count` servers had lapsed.
+pub fn shows_missing_entries(asked_count: usize, read_count: usize, lapsed_count: usize) -> bool {
+    read_count == 0 || read_count < asked_count || lapsed_count > 0
+}
+
+/// Servers of one batch of records whose removals are held back, or were until then.
+#[derive(Debug, Default)]
+struct HeldRemovals {
+    begun: Vec<Arc<str>>,
+    cancelled: Vec<Arc<str>>,
+    applied: Vec<Arc<str>>,
+}
+
 struct RegistryFeed {
     node: Arc<node_state::NodeState>,
     /// Servers of the local failure domain with an entry, or with a removal that is pending, and whether
@@ -163,6 +201,9 @@
     /// Servers of them that declare figures which are not believed.
     implausible: BTreeSet<Arc<str>>,
     pending_removals: PendingRemovals,
+    /// Changes of `pending_removals` that are not logged yet.
+    held_removals: HeldRemovals,
+    view: server_model::RegistryView,
 }
 
 /// Passes changes of the registry of backend servers to the pool until the process ends.
@@ -170,11 +211,19 @@
     let store = client(&node);
     let mut offset = None;
     let mut consecutive_failures = 0;
+    let pool_settings = settings::PoolSettings::new(
+        node.settings.max_lease,
+        node.settings.stop_time,
+        node.settings.resend_delay,
+    );
+    let max_unlisted_run_time = pool_settings.max_unlisted_run_time(STORE_TIMEOUT);
     let mut feed = RegistryFeed {
         node,
         registered: BTreeMap::new(),
         implausible: BTreeSet::new(),
         pending_removals: PendingRemovals::default(),
+        held_removals: HeldRemovals::default(),
+        view: server_model::RegistryView::default(),
     };
     loop {
         feed.wait_until_needed().await;
@@ -193,14 +242,17 @@
             Ok(batch) => {
                 record_success(&feed.node, "registry", &mut consecutive_failures, &batch);
                 offset = Some(batch.next_offset);
-                if feed.registered.is_empty() && feed.entries_may_be_missing(&store, &batch).await {
+                let lacks_earlier_entries = is_snapshot || feed.registered.is_empty();
+                if lacks_earlier_entries && feed.entries_may_be_missing(&store, &batch).await {
                     feed.node.pool.apply_registry_change(
-                        pool_driver::RegistryChange::IncompleteUntil(
-                            now + settings::REREGISTRATION_GRACE,
-                        ),
+                        pool_driver::RegistryChange::IncompleteUntil(now + max_unlisted_run_time),
                     );
                 }
+                // The pool may take over as soon as it has the entries.
+                feed.publish_view(now);
                 feed.apply_records(batch.records, is_snapshot, now);
+                feed.log_held_removals(now);
+                feed.publish_view(now);
                 if batch.next_offset < batch.end_offset {
                     // The response has as many records as fit, so the entries read are not the newest.
                     continue;
@@ -269,12 +321,22 @@
         .collect()
 }
 
+/// Returns the names of `servers` for a log line, at most [`MAX_LOGGED_SERVERS`] of them.
+fn name_list<S: AsRef<str>>(servers: &[S]) -> String {
+    let names: Vec<&str> = servers
+        .iter()
+        .take(MAX_LOGGED_SERVERS)
+        .map(AsRef::as_ref)
+        .collect();
+    names.join(",")
+}
+
 impl RegistryFeed {
-    /// Whether servers that live may be missing from `snapshot`, the first registry that this process
-    /// reads: an outage of the store, or between it and the servers, may just have emptied it. The
+    /// Whether servers that live may be missing from `snapshot`, of which this process has not read the records
+    /// before it: an outage of the store, or between it and the servers, may just have emptied it. The
     /// records before the snapshot show entries that lapsed; without them nothing is known.
     async fn entries_may_be_missing(
-        &self,
+        &mut self,
         store: &store::StoreClient,
         snapshot: &store::RecordBatch,
     ) -> bool {
@@ -282,15 +344,20 @@
         let record_count =
             u64::try_from(snapshot.records.len() * HISTORY_RECORDS_PER_SERVER).unwrap_or(u64::MAX);
         let first_offset = end_offset.saturating_sub(record_count);
+        let asked_count = usize::try_from(end_offset - first_offset).unwrap_or(usize::MAX);
+        self.view.history_asked = asked_count;
+        self.view.history_read = 0;
         match store
             .read_range(store::REGISTRY_TOPIC, first_offset, end_offset)
             .await
         {
             Ok(history) => {
                 let lapsed = lapsed_servers(&history, &self.node.hello.failure_domain);
-                slog::info!(self.node.logger, "registry_history"; "records" => history.len(),
-                    "lapsed_servers" => lapsed.len());
-                history.is_empty() || !lapsed.is_empty()
+                slog::info!(self.node.logger, "registry_history"; "asked" => asked_count,
+                    "records" => history.len(), "lapsed_servers" => lapsed.len(),
+                    "servers" => name_list(&lapsed));
+                self.view.history_read = history.len();
+                shows_missing_entries(asked_count, history.len(), lapsed.len())
             }
             Err(error) => {
                 slog::info!(self.node.logger, "registry_history_unread"; "error" => %error);
@@ -316,48 +383,109 @@
         is_snapshot: bool,
         now: time::Duration,
     ) {
-        // A later record of a key replaces the earlier ones.
-        let newest: BTreeMap<Arc<str>, Option<bytes::Bytes>> = records
-            .into_iter()
-            .map(|record| (record.key, record.value))
-            .collect();
+        let mut records_by_server: BTreeMap<Arc<str>, Vec<Option<bytes::Bytes>>> = BTreeMap::new();
+        for record in records {
+            let server_records = records_by_server.entry(record.key).or_default();
+            server_records.push(record.value);
+        }
         if is_snapshot {
             let missing: Vec<Arc<str>> = self
                 .registered
                 .keys()
-                .filter(|server| !newest.contains_key(*server))
+                .filter(|server| !records_by_server.contains_key(*server))
                 .cloned()
                 .collect();
             for server in missing {
                 self.handle_removed_entry(&server, now);
             }
         }
-        for (server, value) in newest {
-            match value {
-                Some(value) => self.apply_entry(&server, &value),
-                None => self.handle_removed_entry(&server, now),
-            }
+        for (server, values) in records_by_server {
+            self.apply_server_records(&server, values, now);
         }
         for server in self.pending_removals.take_confirmed(now) {
             self.remove_server(&server);
+            self.held_removals.applied.push(server);
+        }
+    }
+
+    /// Applies the records of `server` in one batch, in their order; without a value, a record removes the entry. Only
+    /// the last entry counts, also if it was removed later: a process that has read it may use the server.
+    fn apply_server_records(
+        &mut self,
+        server: &Arc<str>,
+        values: Vec<Option<bytes::Bytes>>,
+        now: time::Duration,
+    ) {
+        let mut is_removed = false;
+        for value in values.into_iter().rev() {
+            match value {
+                None => is_removed = true,
+                Some(value) if self.apply_entry(server, &value) => break,
+                Some(_) => {}
+            }
+        }
+        if is_removed {
+            self.handle_removed_entry(server, now);
         }
     }
 
-    fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) {
+    /// Logs the removals that the last batch of records held back, cancelled or let take effect.
+    fn log_held_removals(&mut self, now: time::Duration) {
+        let held = std::mem::take(&mut self.held_removals);
+        let last_outage = self.pending_removals.last_outage().unwrap_or_default();
+        let since_failure = now.saturating_sub(last_outage);
+        if !held.begun.is_empty() {
+            let time_left = settings::REREGISTRATION_GRACE.saturating_sub(since_failure);
+            slog::info!(self.node.logger, "removals_held_back"; "count" => held.begun.len(),
+                "servers" => name_list(&held.begun), "failed_read_ms" => pool_action::whole_ms(since_failure),
+                "due_in_ms" => pool_action::whole_ms(time_left));
+        }
+        for (outcome, servers) in [("cancelled", held.cancelled), ("applied", held.applied)] {
+            if !servers.is_empty() {
+                slog::info!(self.node.logger, "held_removals_ended"; "outcome" => outcome,
+                    "count" => servers.len(), "servers" => name_list(&servers),
+                    "failed_read_ms" => pool_action::whole_ms(since_failure));
+            }
+        }
+        let held_count = self.pending_removals.len();
+        self.node.metrics.set_held_removals_gauge(held_count);
+    }
+
+    /// Tells the pool how the registry is read, if that has changed.
+    fn publish_view(&mut self, now: time::Duration) {
+        let view = server_model::RegistryView {
+            first_read_at: Some(self.view.first_read_at.unwrap_or(now)),
+            held_removals: self.pending_removals.len(),
+            ..self.view
+        };
+        if view != self.view {
+            self.view = view;
+            self.node
+                .pool
+                .apply_registry_change(pool_driver::RegistryChange::View(view));
+        }
+    }
+
+    /// Applies an entry of `server`. Returns whether it can be decoded.
+    fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) -> bool {
         match registry::decode_bounded_entry(server, value) {
             Ok(bounded) if bounded.entry.failure_domain == self.node.hello.failure_domain => {
                 self.record_implausible_figures(server, &bounded.implausible_figures);
                 let entry = bounded.entry;
-                self.pending_removals.record_registered(server);
+                if self.pending_removals.record_registered(server) {
+                    self.held_removals.cancelled.push(Arc::clone(server));
+                }
                 self.registered.insert(Arc::clone(server), entry.draining);
                 self.node
                     .pool
                     .apply_registry_change(pool_driver::RegistryChange::Updated(entry));
+                true
             }
-            Ok(_) => {}
+            Ok(_) => true,
             Err(error) => {
                 slog::info!(self.node.logger, "registry_entry_ignored";
                     "server" => &**server, "error" => %error);
+                false
             }
         }
     }
@@ -393,7 +521,11 @@
         let Some(is_draining) = self.registered.get(server).copied() else {
             return;
         };
+        let was_held_back = self.pending_removals.contains(server);
         if !self.pending_removals.record_removal(server, now) {
+            if !was_held_back {
+                self.held_removals.begun.push(Arc::clone(server));
+            }
             return;
         }
         if !is_draining {
