Shorten leases to the longest one in the fake server

The emulated server granted any lease that an order asked for, while the platform's servers shorten each lease to `max_hold_ms` from their present time.

The product names the server by its id in X-Cuminkeel-Expect-Instance, the only value that the platform's pages show for an instance, so an incarnation under the same id can't reject an order for the one before it. The fake server therefore still carries such an order out, with at most `MAX_LEASE`; docs/design/copies.md lists this case as not guaranteed.

The new test failed before (one run left after the longest lease).

--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -14,6 +14,10 @@
 /// Factor on the run time of long runs, as the first of the two customers with a shortage has it.
 pub const LONG_RUN_FACTOR: f64 = 7.0;
 
+/// Longest lease that a server grants; orders that ask for a longer one get this. It is `max_hold_ms` of the
+/// deployments that are emulated.
+pub const MAX_LEASE: time::Duration = time::Duration::from_secs(1);
+
 /// Behaviour of a server: healthy or with one kind of fault. `Slow`, `Hanging` and `Failing` apply
 /// to runs that start in this mode; a run in progress keeps its end when the mode changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -268,7 +272,7 @@
         if order.lease_expiry_ms < clock_ms {
             return server_model::StartOutcome::ArrivedLate;
         }
-        self.lease_expiry_ms = self.lease_expiry_ms.max(order.lease_expiry_ms);
+        self.extend_lease(order.lease_expiry_ms, clock_ms);
         let runs_here = |run: &FakeRun| run.run_id == order.run_id;
         if self.runs.get(&order.task).is_some_and(runs_here) {
             return server_model::StartOutcome::Started { clock_ms };
@@ -306,6 +310,13 @@
         server_model::StartOutcome::Started { clock_ms }
     }
 
+    /// Extends the lease to `requested_expiry_ms`, or to [`MAX_LEASE`] from now if that is earlier.
+    fn extend_lease(&mut self, requested_expiry_ms: u64, clock_ms: u64) {
+        let max_lease_ms = u64::try_from(MAX_LEASE.as_millis()).unwrap_or(u64::MAX / 2);
+        let granted_expiry_ms = requested_expiry_ms.min(clock_ms + max_lease_ms);
+        self.lease_expiry_ms = self.lease_expiry_ms.max(granted_expiry_ms);
+    }
+
     fn is_long_run(&self, order: &server_model::StartOrder) -> bool {
         let mut hasher = DefaultHasher::new();
         (&order.task, order.run_id).hash(&mut hasher);
@@ -345,7 +356,9 @@
             return false;
         }
         self.highest_token = order.token;
-        self.lease_expiry_ms = self.lease_expiry_ms.max(order.lease_expiry_ms.unwrap_or(0));
+        if let Some(requested_expiry_ms) = order.lease_expiry_ms {
+            self.extend_lease(requested_expiry_ms, self.clock_ms(now));
+        }
         self.unacknowledged_ends
             .retain(|end| end.sequence > order.acknowledged_end_sequence);
         true
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -226,10 +226,10 @@
         let pool_settings = settings::PoolSettings {
             policies,
             evacuation_bound: Some(EVACUATION_BOUND),
-            // Longest lease that a server grants, time within which a stopped run ends, and time after
-            // which callers send a job again.
+            // Longest lease, time within which a stopped run ends, and time after which callers send
+            // a job again.
             ..settings::PoolSettings::new(
-                time::Duration::from_secs(1),
+                fake_server::MAX_LEASE,
                 time::Duration::from_millis(50),
                 time::Duration::from_millis(1_300),
             )
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -1,6 +1,6 @@
 //! Faults and replacements of backend servers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time};
 
 use cuminkeel_dispatch::{job_model, pool_action, server_model, server_slot, settings};
 use cuminkeel_replay::{fake_server, pool_simulation};
@@ -526,3 +526,54 @@
         assert_eq!(server.start(&start(run_id, token), profile, now), outcome);
     }
 }
+
+/// A server shortens each lease to the longest one that it grants, from its present time. Without that, a hold for its
+/// earlier incarnation, dated on the earlier clock, keeps the runs of the next one alive beyond all leases that were asked for.
+#[test]
+fn lease_is_shortened_to_the_longest_one_of_the_server() {
+    let mut server = fake_server::FakeServer::new("s1", 16_000, 1.0, "a");
+    let task = job_model::TaskName::parse("job.0.0.0").expect("task name should be valid");
+    let (id, address) = (
+        Arc::clone(&server.entry.id),
+        Arc::clone(&server.entry.address),
+    );
+    let start = |server: &mut fake_server::FakeServer, lease_expiry_ms, now| {
+        let order = server_model::StartOrder {
+            server: Arc::clone(&id),
+            address: Arc::clone(&address),
+            task: task.clone(),
+            run_id: 1,
+            payload: Arc::from(""),
+            lease_expiry_ms,
+            token: 7,
+        };
+        let profile = fixtures::task_profile(4 * fake_server::MAX_LEASE);
+        server.start(&order, profile, now)
+    };
+    let earlier_clock_ms = 400_000;
+    let max_lease = fake_server::MAX_LEASE;
+    let restarted_at = fixtures::ms(earlier_clock_ms);
+    server.restart(restarted_at);
+    start(&mut server, earlier_clock_ms, restarted_at);
+    server.advance(restarted_at + max_lease);
+    assert_eq!(server.runs.len(), 1);
+    server.advance(restarted_at + max_lease + fixtures::ms(1));
+    assert_eq!(server.runs.len(), 0);
+
+    let restarted_at = fixtures::ms(2 * earlier_clock_ms);
+    server.restart(restarted_at);
+    start(&mut server, 100, restarted_at);
+    let hold = server_model::HoldOrder {
+        server: Arc::clone(&id),
+        address: Arc::clone(&address),
+        token: 7,
+        acknowledged_end_sequence: 0,
+        lease_expiry_ms: Some(earlier_clock_ms),
+        wait: time::Duration::ZERO,
+        fresh_connection: true,
+        pause: time::Duration::ZERO,
+    };
+    assert!(server.apply_hold(&hold, restarted_at));
+    server.advance(restarted_at + max_lease + fixtures::ms(1));
+    assert_eq!(server.runs.len(), 0);
+}
