Keep the logs of soaks without a violation on request

With `SOAK_KEEP_LOGS=true`, a run keeps its logs and prints its faults whether or not an invariant was violated, so that uses of a server after the removal of its registry entry can be counted in runs that hold. The list of faults names the time on the clock of the logs from which it counts.

--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -21,6 +21,7 @@
 
 use std::sync::Arc;
 
+use platform_emulator::emulated_server;
 use tokio::sync;
 
 /// Seeds that run by default: 1 and 2, and every seed that has failed, with its cause.
@@ -159,8 +160,9 @@
             .count(),
         violations.len()
     );
-    if !violations.is_empty() {
-        println!("faults of seed {seed}:");
+    if !violations.is_empty() || parameters.keeps_logs {
+        let started_ms = emulated_server::unix_ms_of(fault_log.started_at);
+        println!("faults of seed {seed}, from {started_ms} on the clock of the logs:");
         for (injected_at, description) in fault_log.lock_faults().iter() {
             println!("{injected_at:.3?} {description}");
         }
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -63,6 +63,8 @@
     pub deadly_probability: f64,
     /// `SOAK_HANGUPS`: probability that a caller closes its connection before the answer.
     pub hangup_probability: f64,
+    /// `SOAK_KEEP_LOGS`: keep the logs of runs without a violation too.
+    pub keeps_logs: bool,
 }
 
 impl SoakParameters {
@@ -94,6 +96,7 @@
             duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             deadly_probability: read_variable("SOAK_DEADLY").unwrap_or(0.01),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
+            keeps_logs: read_variable("SOAK_KEEP_LOGS").unwrap_or(false),
         }
     }
 
@@ -175,7 +178,7 @@
 pub fn read_variable<T: std::str::FromStr>(name: &str) -> Option<T> {
     let text = std::env::var(name).ok()?;
     let Ok(value) = text.parse() else {
-        panic!("{name} is `{text}`; use a number");
+        panic!("{name} is `{text}`; use a number, or `true` or `false` for a switch");
     };
     Some(value)
 }
