--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -10,6 +10,7 @@
 mod fixtures;
 mod jobs;
 mod leaders;
+mod lost_leader_copies;
 mod resent_jobs;
 mod return_schedules;
 mod servers;
