Remember by when the runs of a lost pool have ended after its job has ended

The next leader failed a job of a lost pool early, as it could not end in time after the leases, and forgot it. A copy that its caller's balancer had sent at the same instant, offered some 30 ms later as new, then ran beside the run of the lost pool.

The time is kept by job id until it has passed, whatever becomes of the job, and holds for each offer of it. copy_of_a_job_that_failed_early_does_not_run_beside_the_run_of_the_lost_leader failed at 30, 100 and 300 ms, and passes. The line placed has the time since the admission in place of an outcome of its own, which hid whether all servers had reported.

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod crashes;
 mod divided_domain;
+mod earlier_runs;
 mod evacuated;
 mod evidence;
 mod inherited_runs;
@@ -98,9 +99,6 @@
     has_started: bool,
     /// Whether another pool may have runs of the job.
     may_run_elsewhere: bool,
-    /// Time by which no run is left that an earlier pool of the job has started, other than those that servers
-    /// report here; zero if the job was offered to no pool that was lost.
-    earlier_runs_end_at: time::Duration,
     /// Size relative to the route's usual one, weighted by a lottery; decides in a shortage.
     weighted_size: f64,
 }
@@ -219,6 +217,8 @@
     registry_view: server_model::RegistryView,
     /// Time at which this pool last began to lead shards, or `None` while it leads none.
     leading_since: Option<time::Duration>,
+    /// Runs that lost pools may have started on any server.
+    earlier_runs: earlier_runs::EarlierRuns,
     /// Reported ends of inherited runs, each with the time until which it is kept, as a coordinator
     /// may still resubmit the job.
     inherited_ends: HashMap<job_model::TaskName, (server_model::RunEnd, time::Duration)>,
@@ -277,6 +277,7 @@
             removed_entries: evidence::RemovedEntries::default(),
             registry_view: server_model::RegistryView::default(),
             leading_since: None,
+            earlier_runs: earlier_runs::EarlierRuns::default(),
             inherited_ends: HashMap::new(),
             released_jobs: released_jobs::ReleasedJobs::default(),
             session_signs: lease_bounds::SessionSigns::default(),
@@ -427,6 +428,7 @@
         self.expire_inherited_runs(now);
         self.stop_runs_without_job(now);
         self.inherited_ends.retain(|_, (_, until)| now < *until);
+        self.earlier_runs.prune(now);
         self.released_jobs.prune(now);
         self.prune_session_signs(now);
         self.crash_ledger.prune(now);
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -169,22 +169,6 @@
         }
     }
 
-    /// Returns the time by which no run is left that an earlier pool has started of a job which is offered at `now`, or
-    /// zero if no earlier pool was lost. Its coordinator no longer waits at that pool, so leases there end
-    /// `resend_delay` later, on whichever servers they are.
-    pub(super) fn earlier_runs_end_at(
-        &self,
-        offer: &job_model::JobOffer,
-        now: time::Duration,
-    ) -> time::Duration {
-        if offer.may_have_started {
-            self.inherited_expiry(now)
-                .max(now + self.settings.resend_delay)
-        } else {
-            time::Duration::ZERO
-        }
-    }
-
     /// Returns the time until tasks can probably be started after a takeover: zero while the claims and
     /// the read of the registry that began it have had no time to be answered, then the time until
     /// unknown runs have expired.
--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -34,12 +34,11 @@
     ) {
         let id = Arc::clone(&offer.spec.id);
         let was_paused = self.step_down_after_pause(now);
-        let earlier_runs_end_at = self.earlier_runs_end_at(offer, now);
+        self.record_earlier_runs(offer, now);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.waiters
                 .push(released_jobs::JobWaiter::new(waiter, offer));
             job.may_run_elsewhere |= offer.may_have_started;
-            job.earlier_runs_end_at = job.earlier_runs_end_at.max(earlier_runs_end_at);
             self.record_decision(
                 pool_action::DecisionKind::Attached,
                 Some(id),
@@ -90,6 +89,7 @@
         }
         self.released_jobs.remove(&id);
         self.record_cpu_demand(&offer.spec);
+        let earlier_runs_end_at = self.earlier_runs.end_at(&id, now).unwrap_or_default();
         let inputs = [
             ("tasks", claims::count_input(job.tasks.len())),
             ("queued", claims::count_input(self.queue.len())),
@@ -100,7 +100,7 @@
             ("may_have_started", i64::from(offer.may_have_started)),
             (
                 "earlier_runs_ms",
-                pool_action::whole_ms(job.earlier_runs_end_at.saturating_sub(now)),
+                pool_action::whole_ms(earlier_runs_end_at.saturating_sub(now)),
             ),
         ];
         let outcome = if has_adopted_tasks {
@@ -229,7 +229,9 @@
             job: Arc::clone(&spec.id),
             min_cpu_millis: spec.min_cpu_millis(),
         };
-        let first_run_id = if offer.may_have_started {
+        let may_have_started =
+            offer.may_have_started || self.earlier_runs.end_at(&spec.id, now).is_some();
+        let first_run_id = if may_have_started {
             FIRST_RUN_ID_AFTER_OTHER_POOL
         } else {
             1
@@ -263,8 +265,7 @@
             expires_at,
             deadline_at,
             has_started,
-            may_run_elsewhere: offer.may_have_started,
-            earlier_runs_end_at: self.earlier_runs_end_at(offer, now),
+            may_run_elsewhere: may_have_started,
             weighted_size,
         }
     }
@@ -511,7 +512,7 @@
                     ));
                 }
                 () if has_waiting_tasks
-                    && is_outlasted_by_earlier_runs(job, now)
+                    && self.is_outlasted_by_earlier_runs(job, now)
                     && *run_knowledge.get_or_insert_with(|| self.run_knowledge(now))
                         == inherited_runs::RunKnowledge::Complete =>
                 {
@@ -576,19 +577,6 @@
     }
 }
 
-/// Whether runs that an earlier pool of `job` may have started can last so long that no waiting task ends in time
-/// after them. If all servers have reported, no run will be adopted instead.
-fn is_outlasted_by_earlier_runs(job: &JobEntry, now: time::Duration) -> bool {
-    let latest_end = job
-        .tasks
-        .iter()
-        .filter(|task| task.phase == TaskPhase::Waiting)
-        .filter_map(|task| job.nominal_run_times.get(usize::from(task.name.step)))
-        .map(|run_time| job.earlier_runs_end_at + *run_time)
-        .max();
-    now < job.earlier_runs_end_at && latest_end.is_some_and(|end| end >= job.expires_at)
-}
-
 fn refusal_label(reason: job_model::RefusalReason) -> &'static str {
     match reason {
         job_model::RefusalReason::QueueTooLong => "queue_too_long",
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -96,10 +96,9 @@
                 let knowledge = *run_knowledge.get_or_insert_with(|| self.run_knowledge(now));
                 !self.lost_job_resolved(knowledge, job.admitted_at, now)
             };
-            let waits_for_leases = now < job.earlier_runs_end_at;
             let is_of_another_pool = is_divided && !self.holds_arbiter(&position.job);
             if waits_for_reports
-                || waits_for_leases
+                || self.waits_for_earlier_runs(job, now)
                 || is_of_another_pool
                 || !self.may_start_tasks(job, now)
             {
@@ -260,11 +259,7 @@
         let wait = now.saturating_sub(job.arrived_at);
         let may_run_elsewhere = job.may_run_elsewhere;
         let evidence = open_servers.evidence();
-        let outcome = if job.earlier_runs_end_at.is_zero() {
-            evidence.outcome
-        } else {
-            "earlier_runs_ended"
-        };
+        let since_admission = now.saturating_sub(job.admitted_at);
         let renewed_expiry_ms = open_servers.renewed_expiry_ms(&server);
         let Some(order) =
             self.new_start_order(&server, &name, run, payload, renewed_expiry_ms, now)
@@ -280,13 +275,14 @@
             ("unreported", claims::count_input(evidence.unreported_count)),
             ("led_ms", pool_action::whole_ms(evidence.led_time)),
             ("may_have_started", i64::from(may_run_elsewhere)),
+            ("admitted_ms", pool_action::whole_ms(since_admission)),
         ];
         let request = Arc::from(name.to_string());
         self.record_decision(
             pool_action::DecisionKind::Placed,
             Some(request),
             Some(Arc::clone(&server)),
-            outcome,
+            evidence.outcome,
             inputs,
         );
         if is_isolated {
