Count no job in the forecast that waits for the leases of a lost pool

Jobs of a lost pool can't use a server before its leases have ended, but the forecast reserved servers for them: with all servers idle, a new job was refused with QueueTooLong.

--- a/crates/cuminkeel_dispatch/src/pool/admission.rs
+++ b/crates/cuminkeel_dispatch/src/pool/admission.rs
@@ -57,7 +57,9 @@
         let (mut forecast, slowdown) = self.forecast(job, terms, now);
         let mut forecast_without_queue = forecast.clone();
         for position in self.queue.range(..&job.queue_position) {
-            if let Some(ahead) = self.jobs.get(&position.job) {
+            if let Some(ahead) = self.jobs.get(&position.job)
+                && !self.waits_for_earlier_runs(ahead, now)
+            {
                 let _start = forecast.reserve(queued_work(ahead));
             }
         }
--- a/crates/cuminkeel_dispatch/src/pool/queue_review.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_review.rs
@@ -70,7 +70,7 @@
         let order = self.service_order(now);
         let queued = order.iter().filter_map(|position| {
             let job = self.jobs.get(&position.job)?;
-            Some((position, job))
+            (!self.waits_for_earlier_runs(job, now)).then_some((position, job))
         });
         for (position, job) in queued {
             if position.late {
--- a/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
+++ b/crates/cuminkeel_dispatch/src/pool/queue_wait.rs
@@ -28,7 +28,9 @@
             }
         }
         for position in &self.queue {
-            if let Some(job) = self.jobs.get(&position.job) {
+            if let Some(job) = self.jobs.get(&position.job)
+                && !self.waits_for_earlier_runs(job, now)
+            {
                 let _start = forecast.reserve(super::admission::queued_work(job));
             }
         }
