Stop no adopted run in an evacuated failure domain for tasks that are too late

The early failure of jobs of a lost pool also ended jobs whose runs an evacuation keeps until their end, and stopped them.

adopted_runs_in_an_evacuated_domain_are_not_stopped_when_other_tasks_of_their_job_are_too_late failed with four runs Stopped at 320 ms, and passes.

--- a/crates/cuminkeel_dispatch/src/pool/jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/jobs.rs
@@ -512,6 +512,7 @@
                     ));
                 }
                 () if has_waiting_tasks
+                    && !self.keeps_runs(job)
                     && self.is_outlasted_by_earlier_runs(job, now)
                     && *run_knowledge.get_or_insert_with(|| self.run_knowledge(now))
                         == inherited_runs::RunKnowledge::Complete =>
