Offer a queued job of a leader that steps down as new by one coordinator only

Two coordinators that wait for one job that was not started both got NotLeader, and each may then find another pool: one the next leader, one another domain. The second gets PoolLost as it did before, after which it offers the job to its own domain only.

--- a/crates/cuminkeel_dispatch/src/pool/released_jobs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/released_jobs.rs
@@ -150,6 +150,8 @@
             reason: job_model::RefusalReason::CopyElsewhere,
             retry_after: *retry_after,
         },
+        // They may be offered to different pools from here on.
+        job_model::JobEnd::NotLeader => job_model::JobEnd::PoolLost,
         other => other.clone(),
     }
 }
