Let a job go on that is offered again to the leader that still has it

A connection of a coordinator to its leader breaks and is dialled again within the grace for that, and the job is offered there again as one that may have started. Since a job of a lost pool waits for leases, such a job failed at once (502) if one of its tasks waited for an earlier step or for capacity, and its runs were stopped: a two-step job 20 ms after the offer, which completed before.

The coordinator announces by a frame of its own that the receiver, in the same incarnation, is the only pool that was lost. If that pool still has the job with a waiter of the same process, it has had it all the time and knows its runs. The last landing skips the frame, as its format is new; a job from such a coordinator waits for leases.

Two tests of unknown_servers did less than their names say: one registers a new server now, the other goes on to the next leader.

--- a/crates/cuminkeel_dispatch/src/job_model.rs
+++ b/crates/cuminkeel_dispatch/src/job_model.rs
@@ -205,6 +205,10 @@
     /// it.
     #[serde(skip)]
     pub session: OfferSession,
+    /// Whether the job was lost only with the pool to which it is offered here, whose process has not restarted
+    /// since: the connection to it broke. A frame of its own tells it.
+    #[serde(skip)]
+    pub is_resumed: bool,
 }
 
 impl JobOffer {
@@ -270,8 +274,8 @@
     /// reached its deadline.
     #[display("out_of_time")]
     OutOfTime,
-    /// The pool that had the job was lost, and the next leader of its servers did not admit the job
-    /// or was not asked. Runs of the job may continue, so it was offered to no other pool.
+    /// The pool that had the job was lost, and the next leader of its servers did not admit the job, was not
+    /// asked, or could not have ended it in time after the leases of the lost pool. Runs of the job may continue, so it was offered to no other pool.
     #[display("pool_lost")]
     PoolLost,
     /// The caller withdrew the job.
@@ -299,7 +303,7 @@
     /// The pool stepped down or released a server with runs of the job; the next leader is
     /// responsible for the job.
     PoolLost,
-    /// The process is not a leader of its failure domain and did not admit the job, or the job
-    /// was not sent to it.
+    /// The process is not a leader of its failure domain and did not admit the job, or stepped down before any task
+    /// was placed, or the job was not sent to it.
     NotLeader,
 }
--- a/crates/cuminkeel_dispatch/src/pool/earlier_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/earlier_runs.rs
@@ -32,7 +32,7 @@
     /// does not wait there any more, so leases on whichever servers end `resend_delay` later. A second coordinator that
     /// waits at a lost pool, which lives, is not known here.
     pub(super) fn record_earlier_runs(&mut self, offer: &job_model::JobOffer, now: time::Duration) {
-        if !offer.may_have_started {
+        if !offer.may_have_started || self.is_resumed_here(offer) {
             return;
         }
         let end_at = self
@@ -43,6 +43,16 @@
             .insert(Arc::clone(&offer.spec.id), end_at);
     }
 
+    /// Whether `offer` renews that of a job which this pool has had all the time, and no other pool was lost.
+    fn is_resumed_here(&self, offer: &job_model::JobOffer) -> bool {
+        let job = self.jobs.get(&offer.spec.id);
+        let is_same_source = |job: &JobEntry| {
+            let mut waiters = job.waiters.iter();
+            waiters.any(|waiter| waiter.source == offer.source)
+        };
+        offer.is_resumed && job.is_some_and(is_same_source)
+    }
+
     /// Whether `job` waits for the end of runs that a lost pool may have started.
     pub(super) fn waits_for_earlier_runs(&self, job: &JobEntry, now: time::Duration) -> bool {
         job.may_run_elsewhere && self.earlier_runs.end_at(&job.spec.id, now).is_some()
--- a/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
+++ b/crates/cuminkeel_dispatch/tests/evacuated_pool.rs
@@ -87,6 +87,7 @@
         sent_at: ms(10),
         source: Arc::from("vm"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_dispatch/tests/evidence.rs
+++ b/crates/cuminkeel_dispatch/tests/evidence.rs
@@ -172,6 +172,7 @@
         sent_at: now,
         source: Arc::from("vm"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_dispatch/tests/figures.rs
+++ b/crates/cuminkeel_dispatch/tests/figures.rs
@@ -92,6 +92,7 @@
         sent_at: ms(10),
         source: Arc::from("vm"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_dispatch/tests/job_size.rs
+++ b/crates/cuminkeel_dispatch/tests/job_size.rs
@@ -42,6 +42,7 @@
         sent_at: time::Duration::from_millis(1),
         source: Arc::from("n1"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -72,6 +72,14 @@
 }
 
 impl LostPools {
+    /// Whether all offers that were lost went to this incarnation of `process`, and one did.
+    fn is_only(&self, process: &Arc<str>, boot: u64) -> bool {
+        let is_same = |(lost_process, lost_boot): &(Arc<str>, u64)| {
+            lost_process == process && *lost_boot == boot && boot != 0
+        };
+        !self.processes.is_empty() && self.processes.iter().all(is_same)
+    }
+
     /// Records that `process` was lost. While it is dialled again, each offer to it ends like that.
     fn record(&mut self, process: (Arc<str>, u64), now: time::Duration) {
         if self.processes.last() != Some(&process) {
@@ -106,7 +114,7 @@
                     self.offered_at = Some(self.node.now());
                     let boot = boot_of(&self.node, &process);
                     self.log_repeated_offer(&process, boot);
-                    let end = self.offer(&process, terms).await;
+                    let end = self.offer(&process, boot, terms).await;
                     self.offered_at = None;
                     let now = self.node.now();
                     if matches!(end, Some(job_model::JobEnd::PoolLost) | None) {
@@ -141,11 +149,12 @@
         lost.logged_next = Some(next);
     }
 
-    /// Offers the job to the pool of `process`. Returns `None` if the connection to the pool was lost,
+    /// Offers the job to the pool of `process`, which has the number `boot`. Returns `None` if the connection to the pool was lost,
     /// so that the job's end is unknown.
     async fn offer(
         &self,
         process: &Arc<str>,
+        boot: u64,
         terms: job_model::OfferTerms,
     ) -> Option<job_model::JobEnd> {
         let now = self.node.now();
@@ -158,6 +167,7 @@
             sent_at: now,
             source: Arc::clone(&self.node.hello.name),
             session: job_model::OfferSession::default(),
+            is_resumed: self.lost_pools.is_only(process, boot),
         };
         let end = if *process == self.node.hello.name {
             let mut job = self.node.pool.submit(offer);
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -25,6 +25,9 @@
 const DOMAIN_NEWS_FORMAT: u8 = 4;
 /// Format number of [`LinkFrame::LostRuns`], which releases that don't know it skip.
 const LOSS_NEWS_FORMAT: u8 = 5;
+/// Format number of [`LinkFrame::Resumed`], which releases that don't know it skip: they take the job for one that any
+/// process may have started.
+const RESUMED_FORMAT: u8 = 6;
 /// Maximum length of a frame, which has to fit a complete configuration and its header.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
@@ -127,6 +130,12 @@
     Room(pool_room::PoolRoom),
     /// Runs that were lost with their servers, or new evidence on such losses.
     LostRuns(Vec<crash_ledger::LostRun>),
+    /// The receiver, in its present incarnation, is the only process that may have started the job of the submission
+    /// which follows.
+    Resumed {
+        /// Number of the submission.
+        submission_id: u64,
+    },
 }
 
 /// Which ends of jobs the peer at the other end of a connection can decode, which it shows by a frame of the
@@ -245,6 +254,7 @@
         LinkFrame::SendTime { .. } => SEND_TIME_FORMAT,
         LinkFrame::Evacuations(_) | LinkFrame::Room(_) => DOMAIN_NEWS_FORMAT,
         LinkFrame::LostRuns(_) => LOSS_NEWS_FORMAT,
+        LinkFrame::Resumed { .. } => RESUMED_FORMAT,
         _ => FRAME_FORMAT,
     };
     buffer.extend_from_slice(&[0, 0, 0, 0, format]);
@@ -275,7 +285,11 @@
         reader.read_exact(&mut body).await?;
         if matches!(
             body[0],
-            FRAME_FORMAT | SEND_TIME_FORMAT | DOMAIN_NEWS_FORMAT | LOSS_NEWS_FORMAT
+            FRAME_FORMAT
+                | SEND_TIME_FORMAT
+                | DOMAIN_NEWS_FORMAT
+                | LOSS_NEWS_FORMAT
+                | RESUMED_FORMAT
         ) {
             return Ok(postcard::from_bytes(&body[1..])?);
         }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -58,9 +58,24 @@
     offer_session: job_model::OfferSession,
     last_frame_at: time::Duration,
     jobs: PeerJobs,
+    /// Submission that is announced as one that only this process may have started.
+    resumed_submission: Option<u64>,
 }
 
 impl SessionState {
+    /// Returns the offer as received at `sent_at`, and forgets the jobs that have ended.
+    fn receive_offer(
+        &mut self,
+        offer: job_model::JobOffer,
+        submission_id: u64,
+        sent_at: time::Duration,
+    ) -> job_model::JobOffer {
+        self.jobs.retain(|_, job| !job.task.is_finished());
+        let mut offer = offer.received(&self.peer, self.offer_session, sent_at);
+        offer.is_resumed = self.resumed_submission.take() == Some(submission_id);
+        offer
+    }
+
     /// Tells the pool that the peer waited at `sent_at` for its jobs that are in progress.
     fn record_sign(&self, node: &node_state::NodeState, sent_at: time::Duration) {
         if has_jobs(&self.jobs) {
@@ -75,6 +90,7 @@
         offer_session: node.pool.new_session(),
         last_frame_at: node.now(),
         jobs: HashMap::new(),
+        resumed_submission: None,
     };
     let result = run_session(&node, stream, &mut session).await;
     session.jobs.retain(|_, job| !job.task.is_finished());
@@ -188,21 +204,19 @@
                 submission_id,
                 offer,
             }) => {
-                let sent_at = send_times.sent_at(node.now());
-                let offer = offer.received(&peer_name, session.offer_session, sent_at);
-                session.jobs.retain(|_, job| !job.task.is_finished());
+                let offer =
+                    session.receive_offer(offer, submission_id, send_times.sent_at(node.now()));
                 let id = Arc::clone(&offer.spec.id);
                 let job = node.pool.submit(offer);
-                let frame_sender = frame_sender.clone();
                 let task = tokio::spawn(send_job_end(
                     job,
                     submission_id,
                     Arc::clone(&peer_release),
-                    frame_sender,
+                    frame_sender.clone(),
                 ));
                 session.jobs.insert(submission_id, PeerJob { id, task });
             }
-            Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, &mut session.jobs),
+            Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, session),
             Err(error) => break Err(error),
         }
     };
@@ -260,9 +274,12 @@
     peer_name: &Arc<str>,
     frame: link_frame::LinkFrame,
     send_times: &send_time::SendTimes,
-    jobs: &mut PeerJobs,
+    session: &mut SessionState,
 ) {
     match frame {
+        link_frame::LinkFrame::Resumed { submission_id } => {
+            session.resumed_submission = Some(submission_id);
+        }
         link_frame::LinkFrame::Leaders(change) => {
             peer_update::apply_leader_change(node, peer_name, change);
         }
@@ -271,7 +288,7 @@
             peer_update::apply_room(node, peer_name, room, sent_at);
         }
         link_frame::LinkFrame::Withdraw { submission_id } => {
-            if let Some(job) = jobs.remove(&submission_id) {
+            if let Some(job) = session.jobs.remove(&submission_id) {
                 job.task.abort();
             }
         }
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -456,6 +456,7 @@
                 node.pool.merge_losses(losses, &self.name);
             }
             link_frame::LinkFrame::Hello(_)
+            | link_frame::LinkFrame::Resumed { .. }
             | link_frame::LinkFrame::Submit { .. }
             | link_frame::LinkFrame::Withdraw { .. } => {}
         }
@@ -508,6 +509,9 @@
             } => {
                 self.last_job_at = Some(now);
                 self.pending_replies.insert(submission_id, reply);
+                if offer.is_resumed {
+                    outgoing.push(link_frame::LinkFrame::Resumed { submission_id });
+                }
                 outgoing.push(link_frame::LinkFrame::Submit {
                     submission_id,
                     offer,
--- a/crates/cuminkeel_node/tests/node/frame_compatibility.rs
+++ b/crates/cuminkeel_node/tests/node/frame_compatibility.rs
@@ -164,3 +164,14 @@
         assert_eq!(sent_again, frame);
     }
 }
+
+/// A frame that the last landing can't decode would end the connection; it skips frames of formats that it does not know.
+#[test]
+fn frames_that_are_new_have_a_format_that_the_last_landing_skips() {
+    let formats_of_last_landing = [2, 3, 4, 5];
+    let mut bytes = Vec::new();
+    let frame = link_frame::LinkFrame::Resumed { submission_id: 300 };
+    link_frame::encode_frame(&frame, &mut bytes).expect("the frame should be encoded");
+    assert_eq!(bytes, bytes_of("00000004060bac02"));
+    assert!(!formats_of_last_landing.contains(&bytes[4]));
+}
--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -223,6 +223,7 @@
         sent_at: std::time::Duration::ZERO,
         source: Arc::from("north-1"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     });
     let end = job
         .wait_for_end()
@@ -421,6 +422,7 @@
         sent_at: std::time::Duration::ZERO,
         source: Arc::from("north-1"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_replay/benches/job_cost.rs
+++ b/crates/cuminkeel_replay/benches/job_cost.rs
@@ -109,6 +109,7 @@
             sent_at: self.now,
             source: Arc::from("vm"),
             session: job_model::OfferSession::default(),
+            is_resumed: false,
         };
         let waiter = pool_action::WaiterId(u64::try_from(number).unwrap_or(0) + 1);
         self.pool.submit(&offer, waiter, self.now);
--- a/crates/cuminkeel_replay/src/load_pattern.rs
+++ b/crates/cuminkeel_replay/src/load_pattern.rs
@@ -355,6 +355,7 @@
             sent_at: time::Duration::ZERO,
             source: Arc::from("vm"),
             session: job_model::OfferSession::default(),
+            is_resumed: false,
         },
         task_profile: fake_server::TaskProfile {
             cpu_millis: round_to_u32(cpu_millis),
--- a/crates/cuminkeel_replay/tests/promises/fixtures.rs
+++ b/crates/cuminkeel_replay/tests/promises/fixtures.rs
@@ -54,6 +54,7 @@
         sent_at: time::Duration::ZERO,
         source: Arc::from("vm"),
         session: job_model::OfferSession::default(),
+        is_resumed: false,
     }
 }
 
--- a/crates/cuminkeel_replay/tests/promises/lost_leader_copies.rs
+++ b/crates/cuminkeel_replay/tests/promises/lost_leader_copies.rs
@@ -139,6 +139,7 @@
         simulation.run_until(fixtures::ms(200));
         let again = job_model::JobOffer {
             time_to_deadline: fixtures::ms(1_370),
+            is_resumed: true,
             ..offer_of_lost_pool(&offer)
         };
         simulation.submit(0, &again, profile);
--- a/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/unknown_servers.rs
@@ -81,31 +81,34 @@
     );
 }
 
-/// A server that registers anew with the next leader alone, or whose entry it loses after the takeover, changes the
+/// A new server that registers with the next leader, or a known one whose entry it loses and reads again, changes the
 /// list of servers that have to report, but not the leases that the lost leader has given.
 #[test]
 fn job_of_a_lost_leader_waits_for_its_leases_when_the_list_of_servers_changes_after_the_takeover() {
-    for has_new_entry in [false, true] {
+    for has_new_server in [false, true] {
         let mut simulation = lose_leader_with_unknown_server();
         simulation.run_until(LOST_AT + fixtures::ms(5));
         simulation.lead(1);
         offer_again(&mut simulation);
         simulation.run_until(LOST_AT + fixtures::ms(50));
-        let listed: Arc<str> = simulation.pools[1]
-            .registered_servers()
-            .next()
-            .cloned()
-            .expect("the next leader should know a server");
-        if has_new_entry {
-            simulation.update_registry_entry(1, &listed);
+        if has_new_server {
+            let added = fixtures::server("s3");
+            simulation.servers.insert(Arc::from("s3"), added);
+            simulation.update_registry_entry(1, "s3");
+            simulation.lead(1);
         } else {
+            let listed: Arc<str> = simulation.pools[1]
+                .registered_servers()
+                .next()
+                .cloned()
+                .expect("the next leader should know a server");
             simulation.pools[1].remove_registry_entry(&listed);
             simulation.update_registry_entry(1, &listed);
         }
         simulation.run_until(LOST_AT + fixtures::ms(12_000));
         assert!(
             simulation.violations.is_empty(),
-            "new entry {has_new_entry}: {:?}",
+            "new server {has_new_server}: {:?}",
             simulation.violations
         );
     }
@@ -215,4 +218,19 @@
         fixtures::job_ends(&simulation, "queued"),
         [job_model::JobEnd::NotLeader]
     );
+    // Each coordinator offers its job as the end says.
+    simulation.lead(1);
+    let running_again = job_model::JobOffer {
+        may_have_started: true,
+        ..running
+    };
+    for offer in [&running_again, &queued] {
+        simulation.submit(1, offer, profile);
+    }
+    simulation.run_until(fixtures::ms(2_100));
+    for id in ["running", "queued"] {
+        let ends = fixtures::job_ends(&simulation, id);
+        assert_eq!(ends.last(), Some(&job_model::JobEnd::Completed), "{id}");
+    }
+    assert_eq!(simulation.violations, []);
 }
