Play a deployment's size in the soak

The new parameters have 39 processes, 3 domains of 40 servers, lost leaders in series, lost registry entries, late orders, freezes and restarts, for 15 s.

--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -45,6 +45,9 @@
 /// Seed of the run with processes that freeze.
 const FROZEN_PROCESSES_SEED: u64 = 70_001;
 
+/// Seed of the run of the size of a deployment.
+const DEPLOYMENT_SIZE_SEED: u64 = 7_402;
+
 /// Held during a run, so that the processes of two runs don't compete for the processor.
 static RUN_LOCK: sync::Mutex<()> = sync::Mutex::const_new(());
 
@@ -109,6 +112,17 @@
     .await;
 }
 
+/// Guards against a task that the next leader starts beside its run on a server that it does not know: few servers and
+/// processes are all read by all, as the soaks above have them.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_when_leaders_know_different_servers() {
+    assert_no_overlaps(
+        DEPLOYMENT_SIZE_SEED,
+        &parameters::SoakParameters::with_deployment_size(),
+    )
+    .await;
+}
+
 async fn assert_no_overlaps(seed: u64, parameters: &parameters::SoakParameters) {
     let violations = run_seed(seed, parameters).await;
     let overlaps: Vec<String> = violations
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -149,6 +149,24 @@
         }
     }
 
+    /// Returns the parameters of runs of the size of a deployment, with all faults by which the processes of a failure
+    /// domain come to know different servers: entries that are lost, restarts and freezes, while leaders are lost.
+    pub fn with_deployment_size() -> Self {
+        Self {
+            node_count: 39,
+            servers_per_domain: 40,
+            fault_phase: time::Duration::from_secs(15),
+            fault_rate: 0.5,
+            series_count: 2,
+            series_kinds: DEFAULT_SERIES_KINDS,
+            lost_leader_series: 2,
+            task_cpu_millis: 4_000,
+            lost_entry_probability: 0.1,
+            freeze_probability: 0.15,
+            ..Self::with_late_orders()
+        }
+    }
+
     /// Returns the parameters of a site of two processes and two servers in one failure domain.
     pub fn of_one_domain() -> Self {
         Self {
