--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -13,4 +13,5 @@
 mod resent_jobs;
 mod return_schedules;
 mod servers;
+mod start_permission;
 mod unknown_servers;
