--- a/crates/cuminkeel_replay/tests/promises/start_permission.rs
+++ b/crates/cuminkeel_replay/tests/promises/start_permission.rs
@@ -61,6 +61,9 @@
     DelayServer(usize),
     /// The caller leaves. It sends the job again after `RETRANSMIT_TIME`.
     LeaveCaller,
+    /// The caller loses its coordinator, whose pool learns of it after `COORDINATOR_LOSS`. It sends the job again as
+    /// above, to another coordinator.
+    LoseCoordinator,
 }
 
 /// What precedes the events of a sequence.
@@ -193,6 +196,7 @@
         }
         let can_leave = has_attempt && self.holder.is_some();
         events.push((can_leave, DomainEvent::LeaveCaller));
+        events.push((can_leave, DomainEvent::LoseCoordinator));
         events
             .into_iter()
             .filter_map(|(is_possible, event)| is_possible.then_some(event))
@@ -280,6 +284,14 @@
                 self.withdraw();
                 self.attempt = AttemptState::FailedAt(now);
             }
+            DomainEvent::LoseCoordinator => {
+                if let Some((pool, _)) = self.holder {
+                    self.cut_links.entry(pool).or_insert(now);
+                }
+                self.withdraw();
+                self.cut_links.clear();
+                self.attempt = AttemptState::FailedAt(now);
+            }
         }
         self.exchange_messages();
     }
