--- a/crates/cuminkeel_replay/tests/promises/start_permission.rs
+++ b/crates/cuminkeel_replay/tests/promises/start_permission.rs
@@ -37,6 +37,8 @@
 const SERVERS: [&str; 3] = ["s1", "s2", "s3"];
 /// Server on which the first leader starts the job.
 const RUN_SERVER: &str = "s1";
+/// Job of which `RUN_SERVER` is the arbiter, so that a leader which loses other servers keeps its run.
+const JOB: &str = "a";
 const POOLS: ops::Range<usize> = 0..2;
 
 /// Event of a failure domain; each `usize` is the index of a pool.
@@ -123,7 +125,7 @@
             simulation,
             offer: job_model::JobOffer {
                 time_to_deadline: RUN_TIME * 2,
-                ..fixtures::offer("job", 1, RUN_TIME)
+                ..fixtures::offer(JOB, 1, RUN_TIME)
             },
             attempt: AttemptState::Live,
             holder: None,
