--- a/crates/cuminkeel_replay/tests/promises/start_permission.rs
+++ b/crates/cuminkeel_replay/tests/promises/start_permission.rs
@@ -9,7 +9,8 @@
 
 use crate::fixtures;
 
-/// Number of events of a sequence. `MODEL_CHECK_EVENTS` sets another bound by hand.
+/// Number of events of a sequence. The environment variable `MODEL_CHECK_EVENTS` sets another one for runs by hand: four
+/// events take some minutes in the release profile.
 const EVENT_COUNT: usize = 3;
 /// Times before an event: less than a round trip to a server, less than a lease, and about a lease.
 const GAPS: [time::Duration; 3] = [
@@ -21,13 +22,13 @@
 const SETTLING_TIME: time::Duration = time::Duration::from_millis(2_200);
 /// Interval at which the latest leader claims servers that it lost, and at which coordinators show that they wait.
 const STEP_TIME: time::Duration = time::Duration::from_millis(50);
-/// Time for which an order is late, and in which orders are late.
+/// Time by which orders are late, and for which one event makes them late.
 const ORDER_DELAY: time::Duration = time::Duration::from_millis(700);
 /// Time after which callers send a job again.
 const RETRANSMIT_TIME: time::Duration = time::Duration::from_millis(1_300);
 /// Time after which a pool withdraws the jobs of a coordinator that it can't reach.
 const COORDINATOR_LOSS: time::Duration = time::Duration::from_millis(1_040);
-/// Time for which a process that took a removed entry for incomplete registry keeps to it.
+/// Time for which the registry counts as incomplete after an entry is gone, as in a process.
 const REREGISTRATION_GRACE: time::Duration = time::Duration::from_millis(2_600);
 /// Longest pause after which a process goes on as leader.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(400);
@@ -474,7 +475,7 @@
     event_count: usize,
     sequence: Vec<TimedEvent>,
     explored_count: u64,
-    /// Shortest sequences that failed. None of them continues another one.
+    /// Sequences that failed. None of them continues another one.
     failed_sequences: Vec<Vec<TimedEvent>>,
 }
 
@@ -504,6 +505,7 @@
         if self.sequence.len() == self.event_count {
             return;
         }
+        // Nothing is in progress before the first event but holds that wait.
         let gaps = if self.sequence.is_empty() {
             &GAPS[1..2]
         } else {
