--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -14,4 +14,5 @@
 mod resent_jobs;
 mod return_schedules;
 mod servers;
+mod start_permission;
 mod unknown_servers;
