--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -151,6 +151,7 @@
 
     /// Returns the parameters of runs of the size of a deployment, with all faults by which the processes of a failure
     /// domain come to know different servers: entries that are lost, restarts and freezes, while leaders are lost.
+    /// Callers wait so long that jobs of a lost leader start once its leases have ended; with 1.5 s, all of them fail.
     pub fn with_deployment_size() -> Self {
         Self {
             node_count: 39,
@@ -160,6 +161,7 @@
             series_count: 2,
             series_kinds: DEFAULT_SERIES_KINDS,
             lost_leader_series: 2,
+            caller_deadline: time::Duration::from_secs(4),
             task_cpu_millis: 4_000,
             lost_entry_probability: 0.1,
             freeze_probability: 0.15,
