Take the longer incompleteness of the registry back

After a power loss of all processes no task was started for 1.4 s: the longer history names servers that had lapsed up to 9 s before, so each process took its list for incomplete, for 6.4 s.

--- a/crates/cuminkeel_dispatch/src/settings.rs
+++ b/crates/cuminkeel_dispatch/src/settings.rs
@@ -161,17 +161,6 @@
         }
     }
 
-    /// Returns the longest time after a process has read the registry in which a server that is not in it may have runs
-    /// of another leader, whose reads take at most `read_time`. Not covered is a leader that the store goes on turning
-    /// away while it serves others.
-    pub fn max_unlisted_run_time(&self, read_time: time::Duration) -> time::Duration {
-        // The leader sent a read just before the store was back, which failed.
-        let last_failure = read_time;
-        // It uses the server until its first successful read after the grace.
-        let removal = REREGISTRATION_GRACE + LEADER_POLL_INTERVAL + read_time;
-        last_failure + removal + self.unlisted_lease_time() + self.max_lease
-    }
-
     /// Returns the time for which leases are renewed on a server that has lost its registry entry. The next
     /// leader does not know the server, so its runs have to be over within [`REREGISTRATION_GRACE`]; the
     /// holder may learn of the removal later than the others by one [`LEADER_POLL_INTERVAL`].
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -13,7 +13,7 @@
 
 /// Time allowed for a response of the store in addition to the requested wait: the store may
 /// be slower than usual by a factor of 60.
-pub const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Wait that a configuration read requests, as a percentage of `config_apply`, the time in which a
 /// new configuration must be in force. If that is 2 s, an unanswered read and the pause after it
 /// take 0.7 + 0.6 + 0.25 s, which leaves time for another read.
@@ -23,10 +23,10 @@
 /// Interval between reads of the registry by a process that holds no servers.
 const STANDBY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
 
-/// Number of records before a snapshot that are read for each of its servers. A server writes one in each heartbeat
-/// interval, 1.5 s. So these go back 9 s in which the store was up, further than the time for which a leader may use a
-/// server that lapsed (6.4 s), and one interval for heartbeats that come early. Entries that lapsed before are not found.
-pub const HISTORY_RECORDS_PER_SERVER: usize = 6;
+/// Number of records before a first snapshot that are read for each of its servers. A server writes one
+/// in each heartbeat interval, so these are of about the last four in which the store was up. Entries that
+/// lapsed earlier are not found.
+const HISTORY_RECORDS_PER_SERVER: usize = 4;
 
 /// Maximum number of servers that one log line names. After an outage of the store, the entries of all servers
 /// of a failure domain may be removed at once.
@@ -211,12 +211,6 @@
     let store = client(&node);
     let mut offset = None;
     let mut consecutive_failures = 0;
-    let pool_settings = settings::PoolSettings::new(
-        node.settings.max_lease,
-        node.settings.stop_time,
-        node.settings.resend_delay,
-    );
-    let max_unlisted_run_time = pool_settings.max_unlisted_run_time(STORE_TIMEOUT);
     let mut feed = RegistryFeed {
         node,
         registered: BTreeMap::new(),
@@ -245,7 +239,9 @@
                 let lacks_earlier_entries = is_snapshot || feed.registered.is_empty();
                 if lacks_earlier_entries && feed.entries_may_be_missing(&store, &batch).await {
                     feed.node.pool.apply_registry_change(
-                        pool_driver::RegistryChange::IncompleteUntil(now + max_unlisted_run_time),
+                        pool_driver::RegistryChange::IncompleteUntil(
+                            now + settings::REREGISTRATION_GRACE,
+                        ),
                     );
                 }
                 // The pool may take over as soon as it has the entries.
