Say in comments what the lost pools of a job decide, and where the longest lease is from

The list of lost pools was for the log alone until a resumed offer came to depend on it. A name of the platform leaves a comment of the fake server.

--- a/crates/cuminkeel_node/src/coordinator.rs
+++ b/crates/cuminkeel_node/src/coordinator.rs
@@ -56,7 +56,7 @@
     last_pool: job_table::LastPool,
     /// Time at which the job was offered to the pool that has it, or `None` if none has it.
     offered_at: Option<time::Duration>,
-    /// Pools that were lost while they had the job, for the log.
+    /// Pools that were lost while they had the job.
     lost_pools: LostPools,
 }
 
@@ -149,8 +149,8 @@
         lost.logged_next = Some(next);
     }
 
-    /// Offers the job to the pool of `process`, which has the number `boot`. Returns `None` if the connection to the pool was lost,
-    /// so that the job's end is unknown.
+    /// Offers the job to the pool of `process`, whose boot number is `boot`. Returns `None` if the connection to the
+    /// pool was lost, so that the job's end is unknown.
     async fn offer(
         &self,
         process: &Arc<str>,
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -14,8 +14,8 @@
 /// Factor on the run time of long runs, as the first of the two customers with a shortage has it.
 pub const LONG_RUN_FACTOR: f64 = 7.0;
 
-/// Longest lease that a server grants; orders that ask for a longer one get this. It is `max_hold_ms` of the
-/// deployments that are emulated.
+/// Longest lease that a server grants; orders that ask for a longer one get this. All deployments known so far have
+/// this limit in their settings.
 pub const MAX_LEASE: time::Duration = time::Duration::from_secs(1);
 
 /// Behaviour of a server: healthy or with one kind of fault. `Slow`, `Hanging` and `Failing` apply
