--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -575,6 +576,8 @@
 def main(case_directory, case):
     """Runs the coroutine `case(record, has_trouble)`, which returns the broken rules as lines, and exits as the issue asks."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended, too, when the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(case_directory, "record.txt"))
     record.write("script", "begins", trouble=int(has_trouble))
     try:
