Derive fencing tokens from the server's time, so that none run out

Cause: each attempt of a first claim raised the epoch by 64 << attempts, those without an answer included, so that 31 of them (2.3 s) reached the last one, which statuses carried to all processes; and a process that knew nothing doubled the epoch of a server to outbid it.

Change: a token is the server's own time in ms, which its start (`born`) and the clock in each response tell, with the random number of the process added. The first rejection tells the time; only further ones raise the token beyond it, by steps that grow with rejections, not with attempts. An attempt without a response is repeated with its token, and outcomes belong to an order by its number, which closes the overlap at equal tokens. What peers tell counts only for a server that rejected two tokens of its own time, and is not told on. If the last landing has used up a server's epochs, tokens go beyond 53 bits with 53 significant ones. Wire and frames are as before.

Why it works: a server's clock never stands behind the claims that it granted, so the tokens used are those of the time that has passed: 34 years.

The test of a reconnected leader that regained a server by its old attempts now shows that it doesn't, and that it causes no overlap when it claims the server again.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -6,8 +6,10 @@
 //! monotonic clock.
 
 pub mod capacity_forecast;
+pub mod claim_token;
 pub mod crash_ledger;
 pub mod evacuation;
+
 pub mod health;
 pub mod input_clock;
 pub mod job_limits;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -33,14 +33,10 @@
 use smallvec::SmallVec;
 
 use crate::{
-    crash_ledger, health, job_model, job_order, leadership, pool_action, pool_room, run_time_model,
-    server_model, server_slot, settings,
+    claim_token, crash_ledger, health, job_model, job_order, leadership, pool_action, pool_room,
+    run_time_model, server_model, server_slot, settings,
 };
 
-/// Low bits of a fencing token that identify the process; the epoch takes the bits above.
-const TOKEN_PROCESS_BITS: u32 = 20;
-/// Highest epoch with which tokens are still exact as JSON numbers (53 bits).
-const MAX_EPOCH: u64 = (1 << (53 - TOKEN_PROCESS_BITS)) - 1;
 /// Time that coordinators have to resubmit the jobs of runs that a new leader found: two dials of
 /// a broken link, with their pauses and timeouts.
 const INHERITED_RUN_GRACE: time::Duration = time::Duration::from_millis(400);
@@ -173,10 +169,14 @@
 #[derive(Debug)]
 pub struct ServerPool {
     settings: settings::PoolSettings,
-    /// Low bits of the fencing tokens.
-    process_id: u64,
-    /// Highest epoch that this pool knows.
+    /// Source of the fencing tokens.
+    token_source: claim_token::TokenSource,
+    /// Highest epoch of the claims that were granted to this pool.
     epoch: u64,
+    /// Highest epoch that other processes have told.
+    told_epoch: u64,
+    /// Number of holds ordered so far.
+    hold_count: u64,
     /// Servers by id.
     servers: BTreeMap<Arc<str>, server_slot::ServerSlot>,
     /// Services of the servers that this pool has known.
@@ -258,8 +258,10 @@
     pub fn new(settings: settings::PoolSettings, process_id: u64) -> Self {
         Self {
             settings,
-            process_id: process_id & ((1 << TOKEN_PROCESS_BITS) - 1),
+            token_source: claim_token::TokenSource::new(process_id),
             epoch: 0,
+            told_epoch: 0,
+            hold_count: 0,
             servers: BTreeMap::new(),
             services: SmallVec::new(),
             kind_slowdowns: HashMap::new(),
@@ -317,15 +319,16 @@
         self.needs_placement
     }
 
-    /// Returns the highest epoch that this pool knows.
+    /// Returns the highest epoch of the claims that were granted to this pool. What others told is not passed on.
     pub fn epoch(&self) -> u64 {
         self.epoch
     }
 
-    /// Records an epoch that another process uses; one that no process can use is ignored.
+    /// Records an epoch that another process has told; one that no process can use is ignored. It says nothing of any
+    /// one server, so it counts only for servers that reject the tokens of their own time.
     pub fn observe_epoch(&mut self, epoch: u64) {
         if is_epoch(epoch) {
-            self.epoch = self.epoch.max(epoch);
+            self.told_epoch = self.told_epoch.max(epoch);
         }
     }
 
@@ -496,7 +499,7 @@
 
 /// Whether `epoch` can be that of a fencing token.
 pub fn is_epoch(epoch: u64) -> bool {
-    epoch <= MAX_EPOCH
+    epoch <= claim_token::MAX_EPOCH
 }
 
 /// Inputs of a decision record without inputs.
--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use super::{INHERITED_RUN_GRACE, MAX_EPOCH, NO_INPUTS, ServerPool, TOKEN_PROCESS_BITS, crashes};
-use crate::{job_model, leadership, pool_action, server_model, server_slot};
+use super::{INHERITED_RUN_GRACE, NO_INPUTS, ServerPool, crashes};
+use crate::{claim_token, job_model, leadership, pool_action, server_model, server_slot};
 
 /// Half of the pause before the first repeated claim attempt on an unresponsive server; the pause
 /// doubles with each attempt.
@@ -19,13 +19,6 @@
 /// Mean interval of claim attempts over all servers that refuse connections, up to forty: with more, each is
 /// asked every [`MAX_CLAIM_BACKOFF`].
 const REFUSED_CLAIM_INTERVAL: time::Duration = time::Duration::from_millis(10);
-/// Increase of the epoch with the first attempt of a first claim. It exceeds the increases by 1
-/// that a disconnected previous leader makes in some seconds of repeated attempts, so that the
-/// server fences that leader, which learns of the new claim that way.
-const CLAIM_EPOCH_STEP: u64 = 64;
-/// Maximum number of doublings of `CLAIM_EPOCH_STEP`: the step stays at a billion at most, an
-/// eighth of all epochs.
-const MAX_EPOCH_STEP_DOUBLINGS: u32 = 24;
 /// Number of outstanding first claims up to which new ones are begun. More would time out in this
 /// process itself if it has a small share of a core.
 const MAX_FIRST_CLAIMS_IN_FLIGHT: usize = 64;
@@ -87,6 +80,7 @@
             if slot.claim_state == server_slot::ClaimState::Held {
                 slot.claim_state = server_slot::ClaimState::Suspect;
                 slot.claim_started_at = now;
+                slot.token = self.token_source.successor(slot.token);
             }
             if has_restarted {
                 self.record_restart(&id, lost_incarnation, was_draining, now);
@@ -192,6 +186,13 @@
             slot.claim_attempts = 0;
             slot.refused_claims = 0;
             slot.claim_unanswered = false;
+            slot.rejected_orders = 0;
+            // If another claim was made since the server started, it rejects this one and tells its clock.
+            let server_time_ms = claim_token::server_time_ms(slot.incarnation, 0);
+            slot.token = match slot.token {
+                0 => self.token_source.at(server_time_ms),
+                earlier_token => self.token_source.successor(earlier_token),
+            };
             slot.processed_end_sequence = 0;
             slot.clock = None;
             slot.lease_expiry_ms = 0;
@@ -199,21 +200,23 @@
         self.send_claim_attempt(id, now);
     }
 
-    /// Sends an attempt to claim server `id`: a hold with a higher token than all before.
+    /// Claims server `id` anew with the next token after the one that it granted.
+    pub(super) fn claim_again(&mut self, id: &Arc<str>, now: time::Duration) {
+        if let Some(slot) = self.servers.get_mut(id) {
+            slot.token = self.token_source.successor(slot.token);
+        }
+        self.send_claim_attempt(id, now);
+    }
+
+    /// Sends an attempt to claim server `id`. An attempt that got no response is repeated with its token: a missing
+    /// response says nothing about tokens.
     pub(super) fn send_claim_attempt(&mut self, id: &Arc<str>, now: time::Duration) {
+        self.hold_count += 1;
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
-        // The step doubles with each attempt, as a server that fences one has seen a higher epoch.
-        let epoch_step = match slot.claim_state {
-            server_slot::ClaimState::Claiming => {
-                CLAIM_EPOCH_STEP << slot.claim_attempts.min(MAX_EPOCH_STEP_DOUBLINGS)
-            }
-            _ => 1,
-        };
-        let known_epoch = (slot.token >> TOKEN_PROCESS_BITS).max(self.epoch);
-        let epoch = known_epoch.saturating_add(epoch_step).min(MAX_EPOCH);
-        slot.token = (epoch << TOKEN_PROCESS_BITS) | self.process_id;
+        let token = slot.token;
+        slot.hold_number = self.hold_count;
         slot.claim_attempts += 1;
         slot.next_claim_at = None;
         slot.hold_sent_at = now;
@@ -230,9 +233,10 @@
         slot.lease_expiry_ms = slot.lease_expiry_ms.max(renewed_expiry_ms.unwrap_or(0));
         let renews_leases = renewed_expiry_ms.is_some();
         let order = server_model::HoldOrder {
+            number: slot.hold_number,
             server: Arc::clone(id),
             address: Arc::clone(&slot.entry.address),
-            token: slot.token,
+            token,
             acknowledged_end_sequence: slot.processed_end_sequence,
             lease_expiry_ms: renewed_expiry_ms,
             wait: time::Duration::ZERO,
@@ -240,7 +244,7 @@
             pause: time::Duration::ZERO,
         };
         let inputs = [
-            ("epoch", i64::try_from(epoch).unwrap_or(i64::MAX)),
+            ("epoch", epoch_input(token)),
             ("tries", i64::from(slot.claim_attempts)),
             ("runs", count_input(slot.runs.len())),
         ];
@@ -293,7 +297,7 @@
                     cause,
                     inputs,
                 );
-                self.send_claim_attempt(id, now);
+                self.claim_again(id, now);
             }
             server_slot::ClaimState::Claiming | server_slot::ClaimState::Suspect => {
                 slot.claim_unanswered = true;
@@ -312,16 +316,33 @@
     }
 
     /// Handles an order that server `id` rejected because it has seen a higher token: repeats a
-    /// first claim with a higher epoch, or releases the server.
-    pub(super) fn handle_fenced_order(&mut self, id: &Arc<str>, now: time::Duration) {
+    /// first claim with a higher token, or releases the server. `clock_ms` is the server's clock, if the response has it.
+    pub(super) fn handle_fenced_order(
+        &mut self,
+        id: &Arc<str>,
+        clock_ms: Option<u64>,
+        now: time::Duration,
+    ) {
+        let told_epoch = self.told_epoch;
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
+        let server_time_ms =
+            claim_token::server_time_ms(slot.incarnation, clock_ms.unwrap_or_default());
         slot.rejected_orders = slot.rejected_orders.saturating_add(1);
         match slot.claim_state {
             server_slot::ClaimState::Claiming
                 if slot.claim_attempts < MAX_FENCED_CLAIM_ATTEMPTS =>
             {
+                let rejection = claim_token::ClaimRejection {
+                    token: slot.token,
+                    count: slot.rejected_orders,
+                    server_time_ms,
+                    told_epoch,
+                };
+                if let Some(token) = self.token_source.after_rejection(&rejection) {
+                    slot.token = token;
+                }
                 if !self.is_taking_over(now) {
                     self.record_fenced_order(now);
                 }
@@ -510,6 +531,11 @@
     }
 }
 
+/// Returns the epoch of `token` as an input of a decision record.
+pub(super) fn epoch_input(token: u64) -> i64 {
+    i64::try_from(claim_token::epoch(token)).unwrap_or(i64::MAX)
+}
+
 /// Returns a count as an input of a decision record.
 pub(super) fn count_input(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -7,8 +7,8 @@
     inherited_runs::TAKEOVER_TIME, starts,
 };
 use crate::{
-    crash_ledger, job_model, overdue_run, pool_action, run_evidence, server_model, server_slot,
-    settings,
+    claim_token, crash_ledger, job_model, overdue_run, pool_action, run_evidence, server_model,
+    server_slot, settings,
 };
 
 /// Number of runs up to which a report is short, so that the next hold follows at once.
@@ -35,7 +35,8 @@
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
-        if slot.token != order.token || slot.claim_state == server_slot::ClaimState::Unclaimed {
+        let is_outdated = slot.hold_number != order.number;
+        if is_outdated || slot.claim_state == server_slot::ClaimState::Unclaimed {
             return;
         }
         // A single order that goes unanswered is no loss: the claim that follows it is answered.
@@ -50,16 +51,18 @@
             server_model::HoldOutcome::Reported(report) => {
                 self.apply_hold_report(id, &report, now);
                 // If the report led to a new claim, that claim has already sent its own hold.
-                let is_same_claim = self
+                let is_latest_hold = self
                     .servers
                     .get(id)
-                    .is_some_and(|slot| slot.token == order.token);
-                if is_same_claim {
+                    .is_some_and(|slot| slot.hold_number == order.number);
+                if is_latest_hold {
                     self.send_next_hold(id, now);
                 }
                 self.needs_placement = true;
             }
-            server_model::HoldOutcome::Fenced => self.handle_fenced_order(id, now),
+            server_model::HoldOutcome::Fenced { clock_ms } => {
+                self.handle_fenced_order(id, clock_ms, now);
+            }
             server_model::HoldOutcome::OtherServer => {
                 slot.health.eject(now);
                 self.handle_failed_order(id, now, "other_server");
@@ -128,7 +131,7 @@
         if has_restarted {
             // Starts that were sent to the previous incarnation may still arrive. A new token fences
             // them, and the report on it shows which of the remaining runs the server has.
-            self.send_claim_attempt(id, now);
+            self.claim_again(id, now);
         }
         self.remove_if_unregistered(id);
     }
@@ -183,6 +186,10 @@
             let max_lease_ms =
                 u64::try_from(self.settings.max_lease.as_millis()).unwrap_or(u64::MAX / 2);
             slot.lease_expiry_ms = slot.lease_expiry_ms.max(reading.clock_ms + max_lease_ms);
+            // The first token on a server that nobody had claimed is that of its start. From the next hold on, the
+            // token is that of this claim, so that a claim which was made before can't outbid it.
+            let server_time_ms = claim_token::server_time_ms(slot.incarnation, reading.clock_ms);
+            slot.token = self.token_source.at(server_time_ms).max(slot.token);
         }
         slot.claim_state = server_slot::ClaimState::Held;
         slot.released_runs_until = time::Duration::ZERO;
@@ -199,7 +206,7 @@
         slot.rejected_orders = 0;
         let has_restarted = slot.restart.is_some();
         let was_unresponsive = std::mem::take(&mut slot.claim_unanswered);
-        let epoch = slot.token >> super::TOKEN_PROCESS_BITS;
+        let epoch = claim_token::epoch(slot.token);
         self.epoch = self.epoch.max(epoch);
         self.record_decision(
             pool_action::DecisionKind::Held,
@@ -482,6 +489,8 @@
     }
 
     fn send_next_hold(&mut self, id: &Arc<str>, now: time::Duration) {
+        self.hold_count += 1;
+        let hold_number = self.hold_count;
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
@@ -508,6 +517,7 @@
             None => self.settings.hold_wait,
         };
         slot.hold_sent_at = now;
+        slot.hold_number = hold_number;
         let wait = match () {
             // What the server reported before another pool claimed servers has to be confirmed at once.
             () if slot.reported_at < self.foreign_claim_at => time::Duration::ZERO,
@@ -518,6 +528,7 @@
                 .clamp(MIN_HOLD_WAIT, self.settings.hold_wait),
         };
         let order = server_model::HoldOrder {
+            number: hold_number,
             server: Arc::clone(id),
             address: Arc::clone(&slot.entry.address),
             token: slot.token,
--- a/crates/cuminkeel_dispatch/src/pool/schedule.rs
+++ b/crates/cuminkeel_dispatch/src/pool/schedule.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{ServerPool, TOKEN_PROCESS_BITS, TaskEntry, TaskPhase, claims, crashes, open_servers};
+use super::{ServerPool, TaskEntry, TaskPhase, claims, crashes, open_servers};
 use crate::{
     crash_ledger, job_model, job_order, pool_action, run_evidence, server_model, server_slot,
     settings, task_placement,
@@ -266,12 +266,12 @@
         else {
             return false;
         };
-        let epoch = order.token >> TOKEN_PROCESS_BITS;
+        let epoch = claims::epoch_input(order.token);
         let inputs = [
             ("wait_ms", pool_action::whole_ms(wait)),
             ("expected_ms", pool_action::whole_ms(expected_run_time)),
             ("run", i64::try_from(run_id).unwrap_or(i64::MAX)),
-            ("epoch", i64::try_from(epoch).unwrap_or(i64::MAX)),
+            ("epoch", epoch),
             ("unreported", claims::count_input(evidence.unreported_count)),
             ("led_ms", pool_action::whole_ms(evidence.led_time)),
             ("may_have_started", i64::from(may_run_elsewhere)),
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -47,7 +47,7 @@
                 self.handle_failed_order(&order.server, now, "start_unanswered");
             }
             server_model::StartOutcome::Fenced if !is_stale => {
-                self.handle_fenced_order(&order.server, now);
+                self.handle_fenced_order(&order.server, None, now);
             }
             server_model::StartOutcome::Fenced
             | server_model::StartOutcome::StaleRunId
--- a/crates/cuminkeel_dispatch/src/server_model.rs
+++ b/crates/cuminkeel_dispatch/src/server_model.rs
@@ -113,7 +113,10 @@
     /// The server reported its runs.
     Reported(HoldReport),
     /// The server has seen a higher token.
-    Fenced,
+    Fenced {
+        /// The server's monotonic clock, in ms, if the response has it.
+        clock_ms: Option<u64>,
+    },
     /// Another server responded at this address.
     OtherServer,
     /// No process accepts connections at the server's address, so the order was not sent. The server has
@@ -181,6 +184,8 @@
 /// than all that the server has seen claims the server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HoldOrder {
+    /// Number of the order in its pool; 0 if it does not matter which order an outcome belongs to.
+    pub number: u64,
     /// Id of the server that receives the order.
     pub server: Arc<str>,
     /// `IP:PORT` of the server.
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -218,8 +218,10 @@
     pub unlisted_runs_until: time::Duration,
     /// Claim state of the server.
     pub claim_state: ClaimState,
-    /// Fencing token of the latest claim attempt.
+    /// Fencing token of the latest claim attempt, or zero.
     pub token: u64,
+    /// Number of the latest hold; outcomes of earlier ones are ignored.
+    pub hold_number: u64,
     /// Sequence number up to which reported ends have been processed.
     pub processed_end_sequence: u64,
     /// Latest reading of the server's clock; without one, no run is started.
@@ -295,6 +297,7 @@
             unlisted_runs_until: time::Duration::ZERO,
             claim_state: ClaimState::Unclaimed,
             token: 0,
+            hold_number: 0,
             processed_end_sequence: 0,
             clock: None,
             lease_expiry_ms: 0,
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -117,7 +117,7 @@
             ),
             (
                 "fencing_epoch",
-                "Highest epoch of fencing tokens that this process knows; the last one is 8589934591",
+                "Highest epoch of the fencing tokens granted to this process; 8589934591 stands for tokens beyond 53 bits",
                 &self.fencing_epoch,
             ),
             (
--- a/crates/cuminkeel_node/tests/node/crashes.rs
+++ b/crates/cuminkeel_node/tests/node/crashes.rs
@@ -151,6 +151,7 @@
     let id: Arc<str> = Arc::from("s1");
     let client = server_client::ServerClient::new(&id, &address);
     let order = server_model::HoldOrder {
+        number: 0,
         server: id,
         address,
         token: 1,
@@ -172,6 +173,7 @@
         .await
         .expect("server should start");
     let order = server_model::HoldOrder {
+        number: 0,
         server: Arc::from("s2"),
         address: server.address(),
         token: 1,
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -18,6 +18,9 @@
 /// this limit in their settings.
 pub const MAX_LEASE: time::Duration = time::Duration::from_secs(1);
 
+/// Unix time in ms at which the first incarnation of a server starts, which is the origin of `now`.
+pub const FIRST_INCARNATION: u64 = 1_800_000_000_000;
+
 /// Behaviour of a server: healthy or with one kind of fault. `Slow`, `Hanging` and `Failing` apply
 /// to runs that start in this mode; a run in progress keeps its end when the mode changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -154,7 +157,7 @@
                 memory_mb: 32_768,
                 gpus: 0,
                 labels,
-                incarnation: 1,
+                incarnation: FIRST_INCARNATION,
                 sequence: 1,
                 cold_remaining: time::Duration::ZERO,
             },
@@ -200,7 +203,8 @@
     pub fn restart(&mut self, now: time::Duration) {
         // Records the ends of the runs that ended before.
         self.advance(now);
-        self.entry.incarnation += 1;
+        let started_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX / 2);
+        self.entry.incarnation = (FIRST_INCARNATION + started_ms).max(self.entry.incarnation + 1);
         self.entry.sequence += 1;
         for (task, run) in std::mem::take(&mut self.runs) {
             self.record_run(&task, &run, now, None);
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -793,7 +793,9 @@
             return;
         }
         let outcome = match server.apply_hold(&order, now) {
-            false => Some(server_model::HoldOutcome::Fenced),
+            false => Some(server_model::HoldOutcome::Fenced {
+                clock_ms: Some(server.clock_ms(now)),
+            }),
             true if order.wait.is_zero()
                 || server.has_unacknowledged_ends(order.acknowledged_end_sequence) =>
             {
@@ -839,7 +841,11 @@
                 (ORDER_TIMEOUT, server_model::HoldOutcome::Unanswered)
             }
             _ if server.is_stale_token(order.token) || server.rejects_order(now) => {
-                (ONE_WAY_LATENCY, server_model::HoldOutcome::Fenced)
+                let clock_ms = Some(server.clock_ms(now));
+                (
+                    ONE_WAY_LATENCY,
+                    server_model::HoldOutcome::Fenced { clock_ms },
+                )
             }
             _ => (
                 ONE_WAY_LATENCY,
--- a/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
+++ b/crates/cuminkeel_replay/tests/promises/resent_jobs.rs
@@ -557,10 +557,9 @@
     );
 }
 
-/// The next leader claims a server that the previous one could not reach, with a lower epoch than the
-/// previous leader's unanswered claims. That leader lives and takes the server back with its next claim,
-/// while the holds that wait at the other servers don't show yet that these are lost. It would start a
-/// copy on the regained server beside the run that the next leader started on another one.
+/// The next leader claims a server that the previous one could not reach. That leader lives, loses the server with its
+/// next attempt and takes it back at once, while the holds that wait at the other servers don't show yet that
+/// these are lost. It would start a copy on the regained server beside the run that the next leader started on another one.
 #[test]
 fn resent_job_is_not_started_on_a_regained_server_while_other_holds_wait() {
     let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
@@ -577,8 +576,13 @@
     let job = fixtures::offer("job", 1, fixtures::LONG_RUN);
     submit(&mut simulation, 1, &job, fixtures::LONG_RUN);
     let mut regained_at = None;
+    let mut was_lost = false;
     for step in 0..400 {
         simulation.run_until(fixtures::ms(4_530 + step));
+        if simulation.pools[0].claim_state("s1") == Some(server_slot::ClaimState::Unclaimed) {
+            was_lost = true;
+            simulation.lead(0);
+        }
         if regained_at.is_none()
             && simulation.pools[0].claim_state("s1") == Some(server_slot::ClaimState::Held)
         {
@@ -586,6 +590,10 @@
             submit(&mut simulation, 0, &job, fixtures::LONG_RUN);
         }
     }
+    assert!(
+        was_lost,
+        "attempts from before the claim of the next leader should not outbid it"
+    );
     assert!(
         regained_at.is_some(),
         "the previous leader should regain s1"
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -564,6 +564,7 @@
     server.restart(restarted_at);
     start(&mut server, 100, restarted_at);
     let hold = server_model::HoldOrder {
+        number: 0,
         server: Arc::clone(&id),
         address: Arc::clone(&address),
         token: 7,
