Let no event of one server renew the time for which all jobs wait for others

What callers saw: 503 no_pool from a failure domain whose leader took over beside a silent server, for as long as other servers registered, or an entry came and went, every second or so.

Cause: the time until which unknown runs may live was one figure for the whole domain (inherited_unresolved_until), and each claim that began later raised it (mark_inherited_unresolved), so the silent server was waited for anew. Found while looking for waits that one server can renew.

Change: the time belongs to the server that may have the runs (`inherited_runs_until`). All are marked at a takeover and when another process has claimed a server of this pool; a claim that begins later marks its own server only, if this pool had lost it, and a server that registers during a takeover is waited for as long as the others are. Retry-After after a takeover tells the longest of these times that is left.

Why it works: runs that a lost leader started end with its leases, 1.4 s after the takeover, on whichever server they are.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -49,13 +49,19 @@
         }
         let is_draining = entry.draining;
         let is_new = !self.servers.contains_key(&id);
-        let may_have_inherited_runs = is_new && !self.takeover_resolved(now);
+        // Leases that another leader granted there end when those on the other servers do.
+        let inherited_runs_until = match self.leading_since {
+            Some(since) if is_new && !self.takeover_resolved(now) => {
+                self.inherited_expiry(since.max(self.foreign_claim_at))
+            }
+            Some(_) | None => time::Duration::ZERO,
+        };
         let slot = self
             .servers
             .entry(Arc::clone(&id))
             .or_insert_with(|| server_slot::ServerSlot::new(entry.clone()));
         if is_new {
-            slot.may_have_inherited_runs = may_have_inherited_runs;
+            slot.inherited_runs_until = inherited_runs_until;
             self.record_replaced_servers(&entry, now);
         }
         let Some(slot) = self.servers.get_mut(&id) else {
@@ -191,7 +197,14 @@
     }
 
     fn begin_claim(&mut self, id: &Arc<str>, now: time::Duration) {
-        self.mark_inherited_unresolved(now);
+        // Another leader may have renewed leases there until now, if this pool had lost the server to it.
+        let was_lost = self
+            .servers
+            .get(id)
+            .is_some_and(|slot| slot.token != 0 && now < slot.inherited_runs_until);
+        if was_lost || self.is_taking_over(now) {
+            self.mark_inherited(id, now);
+        }
         if let Some(slot) = self.servers.get_mut(id) {
             slot.claim_state = server_slot::ClaimState::Claiming;
             slot.claim_started_at = now;
@@ -501,13 +514,12 @@
             return;
         };
         slot.claim_state = server_slot::ClaimState::Unclaimed;
-        slot.may_have_inherited_runs = true;
         slot.next_claim_at = None;
         let runs = std::mem::take(&mut slot.runs);
         if !runs.is_empty() {
             slot.released_runs_until = released_runs_until;
         }
-        self.mark_inherited_unresolved(now);
+        self.mark_inherited(id, now);
         let inputs = [("runs", count_input(runs.len())), ("", 0), ("", 0)];
         self.record_decision(
             pool_action::DecisionKind::Fenced,
--- a/crates/cuminkeel_dispatch/src/pool/evidence.rs
+++ b/crates/cuminkeel_dispatch/src/pool/evidence.rs
@@ -127,12 +127,12 @@
             return;
         }
         self.takeover_wait_logged_at = Some(now);
-        let due_in = self.inherited_unresolved_until.saturating_sub(now);
         let waits: Vec<_> = self
             .unreported_servers(now)
-            .filter(|(_, slot)| slot.may_have_inherited_runs)
+            .filter(|(_, slot)| now < slot.inherited_runs_until)
             .take(MAX_LOGGED_WAITS)
             .map(|(id, slot)| {
+                let due_in = slot.inherited_runs_until.saturating_sub(now);
                 let inputs = [
                     ("led_ms", pool_action::whole_ms(now.saturating_sub(since))),
                     ("due_in_ms", pool_action::whole_ms(due_in)),
--- a/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
+++ b/crates/cuminkeel_dispatch/src/pool/inherited_runs.rs
@@ -60,10 +60,7 @@
         }
         if !led_all_before || (wants_servers && !has_claims) {
             self.leading_since = Some(now);
-            for slot in self.servers.values_mut() {
-                slot.may_have_inherited_runs = slot.delays_takeover(now);
-            }
-            self.mark_inherited_unresolved(now);
+            self.mark_all_inherited(now);
             self.record_takeover(now);
             self.actions.push(pool_action::PoolAction::ReadRegistry);
         }
@@ -90,26 +87,37 @@
         }
     }
 
-    /// Records that servers may have runs that this pool does not know, until they have expired.
-    pub(super) fn mark_inherited_unresolved(&mut self, now: time::Duration) {
-        let resolved_at = self.inherited_expiry(now);
-        self.inherited_unresolved_until = self.inherited_unresolved_until.max(resolved_at);
+    /// Records that all servers that can delay a takeover may have runs that this pool does not know.
+    fn mark_all_inherited(&mut self, now: time::Duration) {
+        let expires_at = self.inherited_expiry(now);
+        for slot in self.servers.values_mut() {
+            slot.inherited_runs_until = if slot.delays_takeover(now) {
+                expires_at
+            } else {
+                time::Duration::ZERO
+            };
+        }
+        self.inherited_unresolved_until = self.inherited_unresolved_until.max(expires_at);
+    }
+
+    /// Records that server `id` may have runs that this pool does not know. The wait for other servers goes on as
+    /// it was: events that concern one server don't renew it.
+    pub(super) fn mark_inherited(&mut self, id: &str, now: time::Duration) {
+        let expires_at = self.inherited_expiry(now);
+        if let Some(slot) = self.servers.get_mut(id) {
+            slot.inherited_runs_until = expires_at;
+        }
+        self.inherited_unresolved_until = self.inherited_unresolved_until.max(expires_at);
     }
 
-    /// Records that runs unknown to this pool have expired, so that claims which begin later don't make
-    /// the servers count that still have not responded.
-    ///
-    /// Removes servers without an entry in the registry whose runs have expired, too.
+    /// Removes servers without an entry in the registry whose runs have expired. Once those on all servers have,
+    /// only the servers of the led shards count.
     pub(super) fn expire_inherited_runs(&mut self, now: time::Duration) {
         self.servers.retain(|_, slot| {
             slot.counts_for_takeover(now) || !slot.runs.is_empty() || slot.claim_state.knows_runs()
         });
-        if now < self.inherited_unresolved_until {
-            return;
-        }
-        self.takeover_shards = self.shards;
-        for slot in self.servers.values_mut() {
-            slot.may_have_inherited_runs = false;
+        if now >= self.inherited_unresolved_until {
+            self.takeover_shards = self.shards;
         }
     }
 
@@ -123,10 +131,7 @@
     /// servers and run copies of any job there, so all servers have to report again.
     pub(super) fn record_fenced_order(&mut self, now: time::Duration) {
         self.record_foreign_claim(now);
-        self.mark_inherited_unresolved(now);
-        for slot in self.servers.values_mut() {
-            slot.may_have_inherited_runs = slot.delays_takeover(now);
-        }
+        self.mark_all_inherited(now);
     }
 
     /// Whether a takeover began less than [`TAKEOVER_TIME`] ago, so that the claims of all its servers
@@ -152,7 +157,7 @@
         let claims_resolved = now >= self.inherited_unresolved_until
             || self
                 .unreported_servers(now)
-                .all(|(_, slot)| !slot.may_have_inherited_runs);
+                .all(|(_, slot)| now >= slot.inherited_runs_until);
         registry_resolved && claims_resolved
     }
 
@@ -174,9 +179,11 @@
     /// unknown runs have expired.
     pub(super) fn expected_takeover_wait(&self, now: time::Duration) -> time::Duration {
         match self.leading_since {
-            Some(since) if now > since + TAKEOVER_TIME => {
-                self.inherited_unresolved_until.saturating_sub(now)
-            }
+            Some(since) if now > since + TAKEOVER_TIME => self
+                .unreported_servers(now)
+                .map(|(_, slot)| slot.inherited_runs_until.saturating_sub(now))
+                .max()
+                .unwrap_or_default(),
             Some(_) | None => time::Duration::ZERO,
         }
     }
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -270,9 +270,9 @@
     pub hold_sent_at: time::Duration,
     /// Time at which the hold was sent that the latest report answers.
     pub reported_at: time::Duration,
-    /// Whether the server may have inherited runs that make all jobs wait: it was registered when this
-    /// pool took over, or lost to another pool since, and the leases have not expired.
-    pub may_have_inherited_runs: bool,
+    /// Time until which the server may have inherited runs that make all jobs wait: it was registered when this
+    /// pool took over, or lost to another pool since, and the leases have not expired by then.
+    pub inherited_runs_until: time::Duration,
     /// Time by which the runs have expired that the server had when this pool released it; zero if it had
     /// none. Until then the server counts, even if the registry has lost its entry.
     pub released_runs_until: time::Duration,
@@ -331,7 +331,7 @@
             next_claim_at: None,
             hold_sent_at: time::Duration::ZERO,
             reported_at: time::Duration::ZERO,
-            may_have_inherited_runs: true,
+            inherited_runs_until: time::Duration::ZERO,
             released_runs_until: time::Duration::ZERO,
             latest_loss: None,
             restart: None,
--- a/crates/cuminkeel_replay/tests/promises/false_fences.rs
+++ b/crates/cuminkeel_replay/tests/promises/false_fences.rs
@@ -110,7 +110,7 @@
     let orders_before = beside.server_mut(REJECTING_SERVER).order_count;
     let served = served_calls(&mut beside, settled_at);
     let orders = beside.server_mut(REJECTING_SERVER).order_count - orders_before;
-    let observed_time = beside.now() - rejects_from;
+    let observed_time = beside.now().saturating_sub(rejects_from);
     assert_eq!(beside.violations, []);
     let count = |value: usize| f64::from(u32::try_from(value).expect("few calls"));
     assert!(
--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -16,4 +16,5 @@
 mod return_schedules;
 mod servers;
 mod start_permission;
+mod takeover_waits;
 mod unknown_servers;
