Let the soak and the replays play servers that reject orders, and odd clocks

SOAK_REJECTIONS lets servers reject all orders, starts, some orders, or orders in spells, for 0.2 to 6 s; the default is none, so that old seeds draw the same faults. A replay claims a server that tells 0 and 2^53 - 1 in turn by fifty processes, one after the other, and serves as much as without it.

The longest time for which a server that rejects orders falsely is left out is a minute in place of five: all servers of a domain may do so at once.

--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -19,8 +19,8 @@
 const UNSTEADY_TIME: time::Duration = time::Duration::from_secs(10);
 /// Shortest time for which a server that rejects orders falsely gets no run: some leases.
 const MIN_DISTRUST_TIME: time::Duration = time::Duration::from_secs(5);
-/// Longest such time: an operator who has mended the server sees it used within minutes.
-const MAX_DISTRUST_TIME: time::Duration = time::Duration::from_mins(5);
+/// Longest such time: an operator who has mended the server sees it used within a minute.
+const MAX_DISTRUST_TIME: time::Duration = time::Duration::from_mins(1);
 /// Capacity counted for a run of unknown size: more than any server has.
 pub const UNKNOWN_CAPACITY: u32 = u32::MAX;
 
--- a/crates/cuminkeel_node/tests/soak/faults.rs
+++ b/crates/cuminkeel_node/tests/soak/faults.rs
@@ -49,6 +49,7 @@
     RestoreProxy(usize),
     ReplaceServer(usize),
     RestoreEntry(usize),
+    EndRejections(usize),
 }
 
 /// Distinguishes the random numbers of the later kinds of faults from those of the first kinds, so
@@ -58,6 +59,8 @@
 const LOST_ENTRIES_SEED: u64 = 0x656e_7472_6965;
 /// Distinguishes the random numbers of freezes from the others.
 const FREEZES_SEED: u64 = 0x6672_6565_7a65;
+/// Distinguishes the random numbers of false rejections from the others.
+const REJECTIONS_SEED: u64 = 0x7265_6a65_6374;
 /// Distinguishes the random numbers of late orders from the others.
 const LATE_ORDERS_SEED: u64 = 0x6f72_6465_7273;
 /// Number of configurations in a storm.
@@ -74,6 +77,7 @@
     let mut later_random = StdRng::seed_from_u64(seed ^ LATER_KINDS_SEED);
     let mut entry_random = StdRng::seed_from_u64(seed ^ LOST_ENTRIES_SEED);
     let mut freeze_random = StdRng::seed_from_u64(seed ^ FREEZES_SEED);
+    let mut rejection_random = StdRng::seed_from_u64(seed ^ REJECTIONS_SEED);
     let mut repairs: Vec<(time::Duration, Repair)> = Vec::new();
     tokio::time::sleep(DISCOVERY_TIME).await;
     for (server, number) in site.servers.iter().zip(0_u64..) {
@@ -120,6 +124,12 @@
                 fault_duration,
             ));
         }
+        if rejection_random.random_bool(parameters.rejection_probability) {
+            let fault = inject_rejections(site, &mut rejection_random);
+            let fault_duration =
+                time::Duration::from_millis(rejection_random.random_range(200..6_000));
+            injected.push((fault, fault_duration));
+        }
         for ((description, repair), fault_duration) in injected {
             fault_log.record(description);
             repairs.extend(repair.map(|repair| (now + fault_duration, repair)));
@@ -250,6 +260,25 @@
     }
 }
 
+/// Lets one server reject orders for no reason. Returns the same as [`inject_one`].
+fn inject_rejections(site: &site::SoakSite, random: &mut StdRng) -> (String, Option<Repair>) {
+    let server = random.random_range(0..site.servers.len());
+    let rejection = match random.random_range(0..4) {
+        0 => fake_server::OrderRejection::All,
+        1 => fake_server::OrderRejection::Starts,
+        2 => fake_server::OrderRejection::OneIn(random.random_range(2..6)),
+        _ => fake_server::OrderRejection::Spells {
+            period: time::Duration::from_millis(random.random_range(300..1_500)),
+            length: time::Duration::from_millis(random.random_range(50..300)),
+        },
+    };
+    site.servers[server].set_rejection(rejection);
+    (
+        format!("server {server} rejects orders: {rejection:?}"),
+        Some(Repair::EndRejections(server)),
+    )
+}
+
 async fn repair_fault(site: &site::SoakSite, repair: Repair) {
     match repair {
         Repair::RestartNode(node) => {
@@ -271,6 +300,9 @@
         Repair::RestoreEntry(server) => {
             site.servers[server].set_reaches_store(true, &site.store);
         }
+        Repair::EndRejections(server) => {
+            site.servers[server].set_rejection(fake_server::OrderRejection::None);
+        }
         Repair::RestoreStore => site.store.set_mode(emulated_store::StoreMode::Up),
         Repair::RestoreProxy(index) => {
             site.set_proxy_mode(index, loopback_proxy::ProxyMode::Forward);
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -56,6 +56,8 @@
     pub lost_entry_probability: f64,
     /// `SOAK_FREEZES`: probability, each 100 ms, that a process freezes for 0.3 to 3.5 s.
     pub freeze_probability: f64,
+    /// `SOAK_REJECTIONS`: probability, each 100 ms, that a server rejects orders for no reason for 0.2 to 6 s.
+    pub rejection_probability: f64,
     /// `SOAK_DUPLICATES`: probability that a job is sent to two random processes at once, if they
     /// are of one failure domain.
     pub duplicate_probability: f64,
@@ -93,6 +95,7 @@
             late_order_share: read_variable("SOAK_LATE_ORDERS").unwrap_or(0.0),
             lost_entry_probability: read_variable("SOAK_LOST_ENTRIES").unwrap_or(0.0),
             freeze_probability: read_variable("SOAK_FREEZES").unwrap_or(0.0),
+            rejection_probability: read_variable("SOAK_REJECTIONS").unwrap_or(0.0),
             duplicate_probability: read_variable("SOAK_DUPLICATES").unwrap_or(0.1),
             deadly_probability: read_variable("SOAK_DEADLY").unwrap_or(0.01),
             hangup_probability: read_variable("SOAK_HANGUPS").unwrap_or(0.05),
--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -121,6 +121,8 @@
     pub slowdown_factor: f64,
     /// Orders that the server rejects for no reason.
     pub rejection: OrderRejection,
+    /// Whether the server tells 0 or 2^53 - 1 in place of its clock, in turn.
+    pub tells_odd_clock: bool,
     /// Number of orders that have reached the server.
     pub order_count: u64,
     /// Share of the runs that take [`LONG_RUN_FACTOR`] times as long, drawn by task and run id.
@@ -166,6 +168,7 @@
             mode: ServerMode::Healthy,
             slowdown_factor,
             rejection: OrderRejection::None,
+            tells_odd_clock: false,
             order_count: 0,
             long_run_share: 0.0,
             runs: BTreeMap::new(),
@@ -186,6 +189,15 @@
             .unwrap_or(u64::MAX)
     }
 
+    /// Returns the clock that the server tells.
+    pub fn told_clock_ms(&self, now: time::Duration) -> u64 {
+        match self.order_count % 2 {
+            0 if self.tells_odd_clock => 0,
+            _ if self.tells_odd_clock => (1 << 53) - 1,
+            _ => self.clock_ms(now),
+        }
+    }
+
     /// Returns the processor in use, in thousandths of a core.
     pub fn used_cpu_millis(&self) -> u32 {
         self.runs.values().map(|run| run.cpu_millis).sum()
@@ -311,7 +323,9 @@
         self.extend_lease(order.lease_expiry_ms, clock_ms);
         let runs_here = |run: &FakeRun| run.run_id == order.run_id;
         if self.runs.get(&order.task).is_some_and(runs_here) {
-            return server_model::StartOutcome::Started { clock_ms };
+            return server_model::StartOutcome::Started {
+                clock_ms: self.told_clock_ms(now),
+            };
         }
         let highest_ended = self.highest_ended_runs.get(&order.task);
         if highest_ended.is_some_and(|ended| order.run_id <= *ended) {
@@ -343,7 +357,9 @@
             },
         );
         self.peak_cpu_millis = self.peak_cpu_millis.max(self.used_cpu_millis());
-        server_model::StartOutcome::Started { clock_ms }
+        server_model::StartOutcome::Started {
+            clock_ms: self.told_clock_ms(now),
+        }
     }
 
     /// Whether the server rejects any order that arrives at `now`.
@@ -452,7 +468,7 @@
     /// Returns the hold report at `now`.
     pub fn report(&self, now: time::Duration) -> server_model::HoldReport {
         server_model::HoldReport {
-            clock_ms: self.clock_ms(now),
+            clock_ms: self.told_clock_ms(now),
             unreadable_count: 0,
             incarnation: Some(self.entry.incarnation),
             running: self
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -794,7 +794,7 @@
         }
         let outcome = match server.apply_hold(&order, now) {
             false => Some(server_model::HoldOutcome::Fenced {
-                clock_ms: Some(server.clock_ms(now)),
+                clock_ms: Some(server.told_clock_ms(now)),
             }),
             true if order.wait.is_zero()
                 || server.has_unacknowledged_ends(order.acknowledged_end_sequence) =>
@@ -849,7 +849,7 @@
                 (ORDER_TIMEOUT, server_model::HoldOutcome::Unanswered)
             }
             _ if server.is_stale_token(order.token) || server.rejects_order(now) => {
-                let clock_ms = Some(server.clock_ms(now));
+                let clock_ms = Some(server.told_clock_ms(now));
                 (
                     ONE_WAY_LATENCY,
                     server_model::HoldOutcome::Fenced { clock_ms },
--- a/crates/cuminkeel_replay/tests/promises/false_fences.rs
+++ b/crates/cuminkeel_replay/tests/promises/false_fences.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, pool_action, settings};
+use cuminkeel_dispatch::{job_model, pool_action, server_slot, settings};
 use cuminkeel_replay::{fake_server, pool_simulation};
 
 use crate::fixtures;
@@ -173,6 +173,37 @@
     check_domain(fake_server::OrderRejection::OneIn(3), fixtures::ms(1_000));
 }
 
+/// Guards against the tokens, or the leases, of a domain that end with one server which tells odd times: it is claimed again
+/// by one process after the other.
+#[test]
+fn domain_is_served_beside_a_server_that_tells_odd_times() {
+    let mut simulation = simulation(Some(fake_server::OrderRejection::None));
+    simulation.server_mut(REJECTING_SERVER).tells_odd_clock = true;
+    simulation.lead(0);
+    simulation.run_until(fixtures::ms(1_000));
+    for _ in 0..50 {
+        simulation.restart_pool(0, &SERVERS);
+        simulation.lead(0);
+        let settled_at = simulation.now() + fixtures::ms(500);
+        simulation.run_until(settled_at);
+        for server in SERVERS {
+            let state = simulation.pools[0].claim_state(server);
+            let is_held = state == Some(server_slot::ClaimState::Held);
+            assert!(
+                is_held || server == REJECTING_SERVER,
+                "{server} at {settled_at:?}"
+            );
+        }
+    }
+    let settled_at = simulation.now();
+    let served = served_calls(&mut simulation, settled_at);
+    let mut without = self::simulation(None);
+    without.lead(0);
+    without.run_until(settled_at);
+    assert!(served >= served_calls(&mut without, settled_at));
+    assert_eq!(simulation.violations, []);
+}
+
 /// Guards against an outage whose cause no log line names: the server for which all jobs wait.
 #[test]
 fn takeover_that_waits_names_the_server() {
