Forget what a server rejected when it has restarted

What callers would have seen: the room of a sound server missing for 5 s. It had rejected the orders of a leader that another one had replaced; after a restart, which that leader learnt from the registry while it held no claim, it granted the rejected token.

Cause: the contradiction (a token rejected, then granted) holds within one incarnation, and the rejection was kept when an entry brought a new one.

Change: one setter for the incarnation of a server clears its rejections.

Evidence: false_fences::server_that_restarts_after_a_rejection_is_not_distrusted failed before (one server distrusted), also if the restart is learnt while the server is claimed.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -78,7 +78,7 @@
         // Incarnation 0 stands for one that is unknown. The entry may be older than the last report.
         let lost_incarnation = slot.incarnation;
         let has_restarted = lost_incarnation != 0 && entry.incarnation > lost_incarnation;
-        slot.incarnation = slot.incarnation.max(entry.incarnation);
+        slot.set_incarnation(slot.incarnation.max(entry.incarnation));
         if is_new || !slot.registered {
             slot.listed_since = now;
         }
@@ -97,9 +97,6 @@
                 slot.claim_started_at = now;
                 slot.set_token(self.token_source.successor(slot.token));
             }
-            if has_restarted {
-                slot.forget_rejections();
-            }
             if has_restarted {
                 self.record_restart(&id, lost_incarnation, was_draining, now);
             }
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -113,7 +113,7 @@
         let is_rejection_false = slot.contradicts_rejection(report.incarnation);
         let lost_incarnation = slot.incarnation;
         if let Some(incarnation) = report.incarnation {
-            slot.incarnation = incarnation;
+            slot.set_incarnation(incarnation);
         }
         let sent_at = slot.hold_sent_at;
         let was_draining = slot.entry.draining;
@@ -162,7 +162,6 @@
             return;
         };
         slot.record_loss(now);
-        slot.forget_rejections();
         slot.restart = Some(server_slot::EndedIncarnation {
             incarnation: lost_incarnation,
             was_draining,
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -412,11 +412,15 @@
         distrust_time
     }
 
-    /// Forgets what the server did in an earlier incarnation.
-    pub fn forget_rejections(&mut self) {
-        self.token_rejections = 0;
-        self.false_rejections = 0;
-        self.distrusted_until = time::Duration::ZERO;
+    /// Sets the incarnation of the server. What an earlier one rejected says nothing of a new one, which has seen no
+    /// token.
+    pub fn set_incarnation(&mut self, incarnation: u64) {
+        if incarnation != self.incarnation {
+            self.incarnation = incarnation;
+            self.token_rejections = 0;
+            self.false_rejections = 0;
+            self.distrusted_until = time::Duration::ZERO;
+        }
     }
 
     /// Replaces the registry entry by `entry`, which was read at `now`.
--- a/crates/cuminkeel_replay/tests/promises/false_fences.rs
+++ b/crates/cuminkeel_replay/tests/promises/false_fences.rs
@@ -223,3 +223,30 @@
     assert_eq!(servers, BTreeSet::from([REJECTING_SERVER]));
     assert_eq!(simulation.pools[0].rejecting_server_count(), 1);
 }
+
+/// Guards against a sound server that is left out as one that rejects orders falsely: it rejected those of a leader that
+/// another one had replaced, and grants the same token after a restart.
+#[test]
+fn server_that_restarts_after_a_rejection_is_not_distrusted() {
+    for restarts_while_led in [true, false] {
+        let mut simulation = fixtures::simulation_with_leader(2, &["s1", "s2"]);
+        simulation.run_until(fixtures::ms(1_000));
+        simulation.lead(1);
+        simulation.run_until(fixtures::ms(3_000));
+        assert!(simulation.lost_servers.iter().any(|(pool, _)| *pool == 0));
+        let now = simulation.now();
+        if restarts_while_led {
+            simulation.lead(0);
+        }
+        simulation.server_mut("s1").restart(now);
+        simulation.step_down(1);
+        simulation.update_registry_entry(0, "s1");
+        simulation.lead(0);
+        simulation.run_until(fixtures::ms(3_500));
+        let state = simulation.pools[0].claim_state("s1");
+        assert_eq!(state, Some(server_slot::ClaimState::Held));
+        let distrusted = pool_action::DecisionKind::Distrusted;
+        assert_eq!(fixtures::decision_count(&simulation, distrusted), 0);
+        assert_eq!(simulation.pools[0].rejecting_server_count(), 0);
+    }
+}
