--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Returns the parameters of runs with all usual faults in which servers reject orders for no reason, too.
+    pub fn with_rejected_orders() -> Self {
+        Self {
+            rejection_probability: 0.06,
+            ..Self::from_environment()
+        }
+    }
+
     /// Returns the parameters of runs whose only fault is late orders. A task may take longer than its
     /// caller waits, and the job comes again while a run that was not stopped is at work. Several runs
     /// share a server, so that holds for the others renew the lease of that run.
