--- a/crates/cuminkeel_dispatch/src/claim_token.rs
+++ b/crates/cuminkeel_dispatch/src/claim_token.rs
@@ -34,7 +34,7 @@
 const STEP_GROWTH_BITS: u32 = 4;
 /// Number of rejections in a row after which the tokens grow beyond the server's time: the first one tells the time, and
 /// the second one that another claim was made at about the same time.
-const EXPECTED_REJECTIONS: u32 = 2;
+pub const EXPECTED_REJECTIONS: u32 = 2;
 
 /// Highest epoch: the last one whose tokens are exact as JSON numbers of any size.
 pub const MAX_EPOCH: u64 = (1 << (EXACT_BITS - PROCESS_BITS)) - 1;
--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -16,6 +16,7 @@
 mod open_servers;
 mod queue_review;
 mod queue_wait;
+mod rejections;
 mod released_jobs;
 mod reports;
 mod run_ends;
--- a/crates/cuminkeel_replay/tests/promises/takeover_waits.rs
+++ b/crates/cuminkeel_replay/tests/promises/takeover_waits.rs
@@ -44,15 +44,19 @@
     assert_eq!(simulation.violations, []);
 }
 
+/// Registers a new server with a pool.
+fn add_server(simulation: &mut pool_simulation::PoolSimulation, server: fake_server::FakeServer) {
+    let now = simulation.now();
+    simulation.pools[0].apply_registry_entry(server.entry.clone(), now);
+    let id = Arc::clone(&server.entry.id);
+    simulation.servers.insert(id, server);
+}
+
 /// Guards against a domain that waits for a silent server for good, as each server that registers renews that wait.
 #[test]
 fn takeover_ends_while_servers_register() {
     check_jobs_are_served(|simulation, round| {
-        let server = fixtures::server(&format!("new-{round}"));
-        let now = simulation.now();
-        simulation.pools[0].apply_registry_entry(server.entry.clone(), now);
-        let id = Arc::clone(&server.entry.id);
-        simulation.servers.insert(id, server);
+        add_server(simulation, fixtures::server(&format!("new-{round}")));
     });
 }
 
@@ -62,10 +66,7 @@
     check_jobs_are_served(|simulation, round| {
         let mut server = fixtures::server(&format!("silent-{round}"));
         server.mode = fake_server::ServerMode::Unreachable;
-        let now = simulation.now();
-        simulation.pools[0].apply_registry_entry(server.entry.clone(), now);
-        let id = Arc::clone(&server.entry.id);
-        simulation.servers.insert(id, server);
+        add_server(simulation, server);
     });
 }
 
