--- a/crates/cuminkeel_node/tests/node/false_fences.rs
+++ b/crates/cuminkeel_node/tests/node/false_fences.rs
@@ -88,3 +88,20 @@
     }
     platform.ended_runs_without_overlap();
 }
+
+/// Guards against tokens that run out over restarts of all processes, which made ever more calls fail from the 56th on.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_after_a_hundred_restarts_of_all_processes() {
+    let platform = test_platform::TestPlatform::start_with_servers(&["north"], 4).await;
+    for restart in 0..100 {
+        let mut node = platform
+            .start_ready_node(&format!("n{restart}"), "north")
+            .await;
+        for call in 0..4 {
+            let (status, body) = node.submit(&test_platform::random_id(), "20", 2).await;
+            assert_eq!(status, 200, "restart {restart}, call {call}: {body:?}");
+        }
+        node.kill();
+    }
+    platform.ended_runs_without_overlap();
+}
