--- a/crates/cuminkeel_dispatch/src/claim_token.rs
+++ b/crates/cuminkeel_dispatch/src/claim_token.rs
@@ -5,7 +5,7 @@
 //! a process needs no memory to outbid the claims before its own, and no process, peer or other server can use up
 //! the tokens of a server.
 //!
-//! The upper 40 bits of a token are the server's time in ms since [`ORIGIN_UNIX_MS`], which lasts for 34 years. The
+//! The upper 40 bits of a token are the server's time in ms since the beginning of 2026, which lasts for 34 years. The
 //! random number of the process is added to the lower 20 bits, so that two processes which claim a server at about the
 //! same time have different tokens. Releases before this one took a token for an epoch ([`epoch`]) and that number.
 //!
