Count no server as rejecting that is left to another process

What on-call engineers would have seen: `rejecting_servers` above zero for good at each process that had been replaced as leader, although its servers were sound and held by the next one.

Cause: the rejections of a server are kept until it grants a claim, and servers that a pool has given up were counted, too. Found by reading the change once more; no decision reads the figure.

Change: only servers that the pool claims are counted. leaders::reconnected_leader_is_fenced_by_the_next_leader asserts it and failed before (1, not 0).

--- a/crates/cuminkeel_dispatch/src/pool.rs
+++ b/crates/cuminkeel_dispatch/src/pool.rs
@@ -343,10 +343,12 @@
         self.registry_read_at = self.registry_read_at.max(started_at);
     }
 
-    /// Returns the number of servers that this pool wants to use and that rejected its latest orders for their token.
+    /// Returns the number of servers that this pool claims and that rejected its latest orders for their token, or were
+    /// found to do so for no reason.
     pub fn rejecting_server_count(&self) -> usize {
         let servers = self.servers.values();
         servers
+            .filter(|slot| slot.claim_state != server_slot::ClaimState::Unclaimed)
             .filter(|slot| slot.rejected_orders > 0 || slot.is_unreliable())
             .count()
     }
--- a/crates/cuminkeel_replay/tests/promises/leaders.rs
+++ b/crates/cuminkeel_replay/tests/promises/leaders.rs
@@ -372,6 +372,8 @@
     assert_eq!(state_in(0), Some(server_slot::ClaimState::Unclaimed));
     assert_eq!(state_in(1), Some(server_slot::ClaimState::Held));
     assert!(simulation.lost_servers.iter().any(|(pool, _)| *pool == 0));
+    // A server that the next leader holds is none that rejects claims.
+    assert_eq!(simulation.pools[0].rejecting_server_count(), 0);
 }
 
 /// The address of a server changes while the first claim on it is unanswered. Its runs are still
