Let the stand-in of a server show two runs of a task that overlap on it

Cause: FakeServer keeps its runs by task, and a start with a higher run id replaced the run that was in progress without a trace. So neither the replays, the model check nor the soak, whose emulated servers wrap it, could see two runs of one task on one server.

Change: the server records such a task, the simulation counts it as overlapping runs, and the history has the earlier run up to its own end, so that the audit of the soak sees it.

Result: servers::two_runs_of_a_task_on_one_server_are_seen fails without the change (the second run replaced the first).

--- a/crates/cuminkeel_replay/src/fake_server.rs
+++ b/crates/cuminkeel_replay/src/fake_server.rs
@@ -129,6 +129,8 @@
     pub long_run_share: f64,
     /// Runs in progress, by task.
     pub runs: BTreeMap<job_model::TaskName, FakeRun>,
+    /// Tasks of which a run was started here beside another one.
+    pub overlapping_tasks: Vec<job_model::TaskName>,
     /// Highest fencing token that an order had.
     highest_token: u64,
     /// Highest id of a stopped or ended run of each task; lower and equal ones are not started.
@@ -172,6 +174,7 @@
             order_count: 0,
             long_run_share: 0.0,
             runs: BTreeMap::new(),
+            overlapping_tasks: Vec::new(),
             highest_token: 0,
             highest_ended_runs: BTreeMap::new(),
             lease_expiry_ms: 0,
@@ -346,16 +349,19 @@
         } else {
             slowdown_factor
         };
-        self.runs.insert(
-            order.task.clone(),
-            FakeRun {
-                run_id: order.run_id,
-                cpu_millis: profile.cpu_millis,
-                ends_at: now + profile.nominal_run_time.mul_f64(slowdown_factor),
-                fails,
-                started_at: now,
-            },
-        );
+        let run = FakeRun {
+            run_id: order.run_id,
+            cpu_millis: profile.cpu_millis,
+            ends_at: now + profile.nominal_run_time.mul_f64(slowdown_factor),
+            fails,
+            started_at: now,
+        };
+        if let Some(earlier) = self.runs.insert(order.task.clone(), run) {
+            // Servers run both, so the history has the end that the earlier one would have by itself.
+            self.overlapping_tasks.push(order.task.clone());
+            let end = Some(server_model::RunEnd::Lost);
+            self.record_run(&order.task, &earlier, earlier.ends_at, end);
+        }
         self.peak_cpu_millis = self.peak_cpu_millis.max(self.used_cpu_millis());
         server_model::StartOutcome::Started {
             clock_ms: self.told_clock_ms(now),
--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -726,7 +726,11 @@
                 usize::from(server.runs.contains_key(task))
             })
             .sum::<usize>();
-        if run_count > 1 {
+        let is_beside_another = self
+            .servers
+            .get_mut(server_id)
+            .is_some_and(|server| !std::mem::take(&mut server.overlapping_tasks).is_empty());
+        if run_count > 1 || is_beside_another {
             self.violations
                 .push(InvariantViolation::OverlappingRuns(task.clone()));
         }
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time};
 
 use cuminkeel_dispatch::{job_model, pool_action, server_model, server_slot, settings};
-use cuminkeel_replay::{fake_server, pool_simulation};
+use cuminkeel_replay::{fake_server, pool_simulation, run_audit};
 
 use crate::fixtures;
 
@@ -578,3 +578,38 @@
     server.advance(restarted_at + max_lease + fixtures::ms(1));
     assert_eq!(server.runs.len(), 0);
 }
+
+/// Guards against overlaps that no replay and no soak sees: two runs of a task on one server, of which the stand-in kept
+/// only the second.
+#[test]
+fn two_runs_of_a_task_on_one_server_are_seen() {
+    let mut server = fixtures::server("s1");
+    let task = job_model::TaskName {
+        job: Arc::from("a"),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    for run_id in [1, 2] {
+        let order = server_model::StartOrder {
+            server: Arc::clone(&server.entry.id),
+            address: Arc::clone(&server.entry.address),
+            task: task.clone(),
+            run_id,
+            payload: Arc::from("payload"),
+            lease_expiry_ms: 1_000,
+            token: 1,
+        };
+        let profile = fixtures::task_profile(fixtures::SHORT_RUN);
+        let outcome = server.start(&order, profile, fixtures::ms(10 * run_id));
+        assert!(matches!(
+            outcome,
+            server_model::StartOutcome::Started { .. }
+        ));
+    }
+    assert_eq!(server.overlapping_tasks, [task]);
+    server.advance(fixtures::ms(500));
+    let mut audit = run_audit::RunAudit::default();
+    audit.add(server.history.clone());
+    assert_eq!(audit.overlapping_runs().len(), 1);
+}
