Guard the matching of answers to holds by the number of the order

Two holds of one server and one token are on their way at once when a second start fails while the claim that the first one led to is unanswered.

The test plays that with the order of every message its own: the first answer after the second hold was sent, the second after the next one, with and without a run that started between. It also checks that each granted claim has a higher token than all starts sent before it.

--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -1,6 +1,7 @@
 //! Invariants of pools and answers to their callers, with and without faults, simulated in virtual
 //! time.
 
+mod answers;
 mod caller_returns;
 mod capacity;
 mod cold_servers;
