Match the answer to a start by the claim under which it was sent

What callers could see: a task that runs twice on one server. A leader that gives up its servers and claims them again at once gets a copy of a job whose first start is still unanswered. The copy's start has the same task, server and run id, so the answer to the first one ("fenced", by the new claim) was taken for that to the second: the run counted as rejected while it ran, and the next one was started beside it.

Cause: apply_start_outcome matched an answer by task and run id. Run ids begin anew with each admission of a job.

Change: the token of the order must be that of the run, too. A run that a later claim has reported has that claim's token, and needs no answer.

Result: answers::answer_to_a_start_is_not_taken_for_that_to_a_later_one_with_its_run_id failed before (overlap of a.0.0.0), passes after.

--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -25,9 +25,9 @@
         let Some(run) = slot.runs.get_mut(&order.task) else {
             return;
         };
-        // Ignores the outcome for an earlier run of the task, and for a run that a hold report has
-        // confirmed.
-        if run.run_id != order.run_id
+        // Ignores the outcome for an earlier run of the task, which may have had the same id under an earlier claim,
+        // and for a run that a hold report has confirmed.
+        if (run.run_id, run.token) != (order.run_id, order.token)
             || (run.phase == server_slot::RunPhase::Running && run.confirmed_at.is_some())
         {
             return;
--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -335,3 +335,35 @@
         assert_eq!(run_ids, [2, 2], "run between: {has_run_between}");
     }
 }
+
+/// Guards against a run that counts as rejected, and a task that runs twice, as the answer to a start is taken for that to a
+/// later one with its run id: the job was sent again to a pool that had given up its servers and claimed them anew.
+#[test]
+fn answer_to_a_start_is_not_taken_for_that_to_a_later_one_with_its_run_id() {
+    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    test.submit("a", 1, 1);
+    let first = test.take_start("a");
+    let server = Arc::clone(first.server());
+    test.pool.step_down(test.now, "test");
+    test.collect();
+    test.orders.clear();
+    test.lead();
+    test.answer_holds();
+    let first_answer = test.carry_out(first);
+    assert!(matches!(
+        first_answer,
+        Answer::Start(_, server_model::StartOutcome::Fenced)
+    ));
+    test.submit("a", 1, 2);
+    let second = test.take_start("a");
+    assert_eq!(*second.server(), server);
+    let second_answer = test.carry_out(second);
+    test.now += fixtures::ms(1);
+    test.deliver(first_answer);
+    while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+        test.answer(start);
+    }
+    test.deliver(second_answer);
+    test.answer_holds();
+    test.assert_sound();
+}
