Ignore an unconfirmed stop that a later claim has fenced

What callers saw: up to 0.6 s without starts on a sound server. A stop that was sent under an earlier claim is rejected, as the later claim of the same leader fences it; the rejection counted as a failed order of the present claim, so the server was suspected and claimed once more.

Cause: apply_stop_outcome matched nothing but the server.

Change: only a stop under the latest token makes its server suspect. The report on a later claim shows whether the run is still there, and the stop is then sent again, as before.

Result: answers::unconfirmed_stop_of_an_earlier_claim_does_not_make_a_server_suspect failed before (one suspicion), passes after.

--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -139,8 +139,16 @@
         now: time::Duration,
     ) {
         self.step_down_after_pause(now);
-        if outcome == server_model::StopOutcome::Unconfirmed {
-            self.record_unconfirmed_stop(order, now);
+        if outcome == server_model::StopOutcome::Accepted {
+            return;
+        }
+        self.record_unconfirmed_stop(order, now);
+        // A claim that was made since shows whether the server still has the run, and fences the stop.
+        let is_latest_claim = self
+            .servers
+            .get(&order.server)
+            .is_some_and(|slot| slot.token == order.token);
+        if is_latest_claim {
             self.handle_failed_order(&order.server, now, "stop_unanswered");
         }
     }
--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -367,3 +367,30 @@
     test.answer_holds();
     test.assert_sound();
 }
+
+/// Guards against a sound server that gets no starts for a while, as a stop of an earlier claim was not confirmed.
+#[test]
+fn unconfirmed_stop_of_an_earlier_claim_does_not_make_a_server_suspect() {
+    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    test.submit("a", 1, 1);
+    let start = test.take_start("a");
+    test.answer(start);
+    test.pool
+        .withdraw(&Arc::from("a"), pool_action::WaiterId(1), test.now);
+    test.collect();
+    let stop = test
+        .take_order(|order| matches!(order, Order::Stop(_)))
+        .expect("a stop of the run");
+    test.pool.step_down(test.now, "test");
+    test.collect();
+    test.orders.clear();
+    test.lead();
+    test.answer_holds();
+    let answer = test.carry_out(stop);
+    assert!(matches!(
+        answer,
+        Answer::Stop(_, server_model::StopOutcome::Unconfirmed)
+    ));
+    test.deliver(answer);
+    assert_eq!(test.suspect_count, 0);
+}
