Claim a server with a new token once it has granted one that it rejected

What callers could see: a task that runs twice. A start is on its way to a server (late by up to a lease); the server rejects three orders falsely and is given up; it is claimed back with the token that it had rejected, which the start has, too, and reports that it runs nothing. A copy of the job that comes then is started elsewhere, and the late start is obeyed beside it. Each token that is above the server's time does this: beyond 53 bits always, else for 128 ms after two claims at the same moment.

Cause: begin_claim repeats its token for a server that was given up after a rejection, to learn whether the rejection was false, and the grant of a token that starts were sent under fences none of them. The same holds for a restart of the server in the meantime, and for a registry entry that shows a restart or another address while such a check is in progress.

Change: the grant of a token that had been rejected shows only that the rejection was false. The claim begins anew with the next token, and only the report on that one counts. A new address or incarnation raises the token in every state of a claim.

Why it works: before a server counts as held, it has granted a token above those of all starts that were sent to it, so it obeys none of them any more.

--- a/crates/cuminkeel_dispatch/src/pool/claims.rs
+++ b/crates/cuminkeel_dispatch/src/pool/claims.rs
@@ -83,8 +83,9 @@
             if slot.claim_state == server_slot::ClaimState::Held {
                 slot.claim_state = server_slot::ClaimState::Suspect;
                 slot.claim_started_at = now;
-                slot.set_token(self.token_source.successor(slot.token));
             }
+            // Starts under the earlier token may still arrive.
+            slot.set_token(self.token_source.successor(slot.token));
             if has_restarted {
                 self.record_restart(&id, lost_incarnation, was_draining, now);
             }
@@ -222,6 +223,18 @@
         self.send_claim_attempt(id, now);
     }
 
+    /// Begins the claim on server `id` anew, which has granted a token that it had rejected. Orders which this pool sent
+    /// under that token, before it gave the server up or in the meantime, may still arrive: the next token fences
+    /// them, and only the report on that one shows which runs the server has.
+    pub(super) fn restart_claim(&mut self, id: &Arc<str>, now: time::Duration) {
+        if let Some(slot) = self.servers.get_mut(id) {
+            slot.claim_started_at = now;
+            slot.claim_attempts = 0;
+            slot.rejected_tokens = 0;
+        }
+        self.claim_again(id, now);
+    }
+
     /// Sends an attempt to claim server `id`. An attempt that got no response is repeated with its token: a missing
     /// response says nothing about tokens.
     pub(super) fn send_claim_attempt(&mut self, id: &Arc<str>, now: time::Duration) {
--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -110,6 +110,7 @@
         let has_restarted = report
             .incarnation
             .is_some_and(|incarnation| incarnation != slot.incarnation && slot.incarnation != 0);
+        let was_rejected = slot.token_rejections > 0;
         let is_rejection_false = slot.contradicts_rejection(report.incarnation);
         let lost_incarnation = slot.incarnation;
         if let Some(incarnation) = report.incarnation {
@@ -126,14 +127,18 @@
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
-        slot.reported_at = sent_at;
         starts::record_clock(slot, report.clock_ms, now);
+        if was_rejected {
+            if is_rejection_false {
+                self.distrust_server(id, now);
+            }
+            self.restart_claim(id, now);
+            return;
+        }
+        slot.reported_at = sent_at;
         slot.token_rejections = 0;
         if slot.claim_state != server_slot::ClaimState::Held {
-            self.mark_held(id, report.running.len(), is_rejection_false, now);
-        }
-        if is_rejection_false {
-            self.distrust_server(id, now);
+            self.mark_held(id, report.running.len(), now);
         }
         self.apply_reported_ends(id, &report.finished, now);
         self.apply_reported_runs(id, report, sent_at, now);
@@ -183,21 +188,13 @@
         );
     }
 
-    /// Records that server `id` has granted the claim. `was_rejected_falsely` is whether it took long because the server
-    /// rejected it falsely, and not because another pool had claimed the server.
-    fn mark_held(
-        &mut self,
-        id: &Arc<str>,
-        running: usize,
-        was_rejected_falsely: bool,
-        now: time::Duration,
-    ) {
+    /// Records that server `id` has granted the claim.
+    fn mark_held(&mut self, id: &Arc<str>, running: usize, now: time::Duration) {
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
         // A claim that took long may have been granted because its epoch outgrew that of another pool.
-        let is_late_first_claim = !was_rejected_falsely
-            && slot.claim_state == server_slot::ClaimState::Claiming
+        let is_late_first_claim = slot.claim_state == server_slot::ClaimState::Claiming
             && now > slot.claim_started_at + TAKEOVER_TIME;
         let sent_at = slot.hold_sent_at;
         if slot.claim_state == server_slot::ClaimState::Claiming
--- a/crates/cuminkeel_replay/tests/promises/false_fences.rs
+++ b/crates/cuminkeel_replay/tests/promises/false_fences.rs
@@ -2,11 +2,13 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time,
 };
 
-use cuminkeel_dispatch::{job_model, pool_action, server_slot, settings};
+use cuminkeel_dispatch::{claim_token, job_model, pool_action, server_slot, settings};
 use cuminkeel_replay::{fake_server, pool_simulation};
+use rand::{SeedableRng, rngs};
 
 use crate::fixtures;
 
@@ -250,3 +252,75 @@
         assert_eq!(simulation.pools[0].rejecting_server_count(), 0);
     }
 }
+
+/// Guards against a task that runs twice, as a server which was given up is claimed with the token of the starts that are
+/// still on their way to it: the server obeys them after it has reported that it runs nothing.
+#[test]
+fn start_sent_before_its_server_was_given_up_is_fenced_by_the_next_claim() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2", "s3"]);
+    // The last landing has used up the epochs of the servers, so that tokens are beyond those of their time.
+    simulation.step_down(0);
+    for name in ["s1", "s2", "s3"] {
+        simulation.server_mut(name).set_highest_token((1 << 53) - 1);
+    }
+    simulation.restart_pool(0, &["s1", "s2", "s3"]);
+    simulation.pools[0].observe_epoch(claim_token::MAX_EPOCH);
+    simulation.lead(0);
+    simulation.run_until(fixtures::ms(3_000));
+    let offer = fixtures::offer("a", 1, fixtures::LONG_RUN);
+    let sent_at = simulation.now();
+    simulation
+        .late_order_rules
+        .push(pool_simulation::LateOrderRule {
+            kinds: vec![pool_simulation::OrderKind::Start],
+            pool_index: None,
+            server: None,
+            arrival: sent_at..sent_at + fixtures::ms(2),
+            share: 1.0,
+            delay: fixtures::ms(500)..=fixtures::ms(500),
+            rng: rngs::StdRng::seed_from_u64(0),
+        });
+    simulation.submit(0, &offer, fixtures::task_profile(fixtures::LONG_RUN));
+    let is_started =
+        |record: &pool_action::DecisionRecord| record.kind == pool_action::DecisionKind::Placed;
+    let started = simulation
+        .decisions
+        .iter()
+        .find_map(|(_, record)| record.server.clone().filter(|_| is_started(record)))
+        .expect("the job should be started");
+    simulation.run_until(sent_at + fixtures::ms(3));
+    // Starts of other jobs are rejected until the server is given up.
+    simulation.server_mut(&started).rejection = fake_server::OrderRejection::All;
+    for job in ["b", "c", "d"] {
+        let other = fixtures::offer(job, 1, fixtures::SHORT_RUN);
+        simulation.submit(0, &other, fixtures::task_profile(fixtures::SHORT_RUN));
+    }
+    simulation.run_until(sent_at + fixtures::ms(30));
+    assert!(
+        simulation
+            .lost_servers
+            .iter()
+            .any(|(_, server)| *server == started),
+        "{:?}",
+        simulation.lost_servers
+    );
+    simulation.server_mut(&started).rejection = fake_server::OrderRejection::None;
+    let copy = job_model::JobOffer {
+        source: Arc::from("another-vm"),
+        ..offer
+    };
+    let mut next_answer = 0;
+    for now_ms in (35..2_500).step_by(5) {
+        simulation.run_until(sent_at + fixtures::ms(now_ms));
+        simulation.lead(0);
+        // A copy of the job comes to another coordinator after the pool has abandoned the first one.
+        while let Some(answer) = simulation.answers.get(next_answer).cloned() {
+            next_answer += 1;
+            if *answer.job == *"a" && answer.end == job_model::JobEnd::PoolLost {
+                simulation.submit(0, &copy, fixtures::task_profile(fixtures::LONG_RUN));
+            }
+        }
+    }
+    assert_eq!(simulation.violations, []);
+    assert!(fixtures::job_ends(&simulation, "a").contains(&job_model::JobEnd::Completed));
+}
