Count the leases of a restarted server from its first answer

What callers could see: a task that runs twice beside a server that has restarted. A start that was sent before the process knew of the restart asks for a lease on the earlier clock, which the new incarnation cuts to the longest one.

Cause: record_restart forgets the latest lease expiry together with the clock. The answer to an order from an earlier life of the server then stood for "no leases".

Change: the first clock reading after a restart counts with the longest lease, as that of a first claim does.

Result: answers::answer_of_a_restarted_server_does_not_end_the_leases_of_its_runs failed before (overlap), passes after.

--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -127,7 +127,7 @@
         let Some(slot) = self.servers.get_mut(id) else {
             return;
         };
-        starts::record_clock(slot, report.clock_ms, now);
+        starts::record_clock(slot, report.clock_ms, self.settings.max_lease, now);
         if was_rejected {
             if is_rejection_false {
                 self.distrust_server(id, now);
--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -38,7 +38,7 @@
                 if run.phase == server_slot::RunPhase::Starting {
                     run.phase = server_slot::RunPhase::Running;
                 }
-                record_clock(slot, clock_ms, now);
+                record_clock(slot, clock_ms, self.settings.max_lease, now);
                 if slot.open_starts() + 1 == open_servers::MAX_OPEN_STARTS {
                     self.needs_placement = true;
                 }
@@ -156,7 +156,19 @@
 
 /// Records a reading of the server's clock; ignores one older than the latest reading, which can
 /// arrive late on another connection.
-pub(super) fn record_clock(slot: &mut server_slot::ServerSlot, clock_ms: u64, now: time::Duration) {
+pub(super) fn record_clock(
+    slot: &mut server_slot::ServerSlot,
+    clock_ms: u64,
+    max_lease: time::Duration,
+    now: time::Duration,
+) {
+    // Starts that were sent before the restart was known asked for leases on the earlier clock, which the server
+    // has cut to the longest one.
+    let may_have_leases = slot.restart.is_some() && slot.clock.is_none() && !slot.runs.is_empty();
+    if may_have_leases {
+        let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX / 2);
+        slot.lease_expiry_ms = slot.lease_expiry_ms.max(clock_ms + max_lease_ms);
+    }
     let is_newer = slot
         .clock
         .is_none_or(|reading| clock_ms >= reading.clock_ms);
--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -394,3 +394,30 @@
     test.deliver(answer);
     assert_eq!(test.suspect_count, 0);
 }
+
+/// Guards against a task that runs twice after its server has restarted: the first answer of the new incarnation told its
+/// clock, and the leases on the earlier clock counted as ended at once.
+#[test]
+fn answer_of_a_restarted_server_does_not_end_the_leases_of_its_runs() {
+    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    test.submit("a", 1, 1);
+    let start = test.take_start("a");
+    let server = Arc::clone(start.server());
+    let now = test.now;
+    let restarted = test.servers.get_mut(&server).expect("a server of the test");
+    restarted.restart(now);
+    let entry = restarted.entry.clone();
+    let answer = test.carry_out(start);
+    test.pool.apply_registry_entry(entry, now);
+    test.collect();
+    test.deliver(answer);
+    // The claim of the new incarnation gets no answer, and the leases end.
+    for _ in 0..60 {
+        test.advance(fixtures::ms(20));
+        while let Some(next) = test.take_order(|order| matches!(order, Order::Start(_))) {
+            test.answer(next);
+        }
+    }
+    test.assert_sound();
+    assert!(test.servers.values().any(|server| !server.runs.is_empty()));
+}
