Check any order of orders and answers against overlapping runs

A property test drives the pool against the stand-ins of servers with each message on its own: orders and answers arrive in any order, are lost, late or doubled; servers reject orders for no reason and restart; the process loses and regains the leadership; copies of jobs come and callers leave. No task may have two runs at once, and each granted claim has a higher token than all starts that were sent before it.

A restart loses the orders on their way, as it resets their connections: an order that waits in the network until a server has restarted and forgotten its tokens is obeyed, which no claim can prevent.

--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -6,6 +6,7 @@
     job_model, leadership, pool, pool_action, server_model, server_slot, settings,
 };
 use cuminkeel_replay::fake_server;
+use proptest::strategy::{self, Strategy as _};
 
 use crate::fixtures;
 
@@ -421,3 +422,207 @@
     test.assert_sound();
     assert!(test.servers.values().any(|server| !server.runs.is_empty()));
 }
+
+/// What happens next to a pool, its servers and the messages between them. Numbers choose among the messages on their way.
+#[derive(Clone, Copy, Debug)]
+enum MessageEvent {
+    /// An order reaches its server. Its answer is on its way.
+    Reach(usize),
+    /// An order reaches its server, and the answer is lost.
+    LoseAnswer(usize),
+    /// An order is lost.
+    LoseOrder(usize),
+    /// An order counts as unanswered, and reaches its server later.
+    DelayOrder(usize),
+    /// A delayed order reaches its server.
+    ReachLate(usize),
+    /// The server rejects an order for no reason.
+    Reject(usize),
+    /// An answer reaches the pool.
+    Deliver(usize),
+    /// An answer reaches the pool, and does so again later.
+    DeliverTwice(usize),
+    /// Time passes, in ms.
+    Pass(u64),
+    /// The job with this number is sent, or sent again.
+    Submit(usize),
+    /// All callers of the job with this number leave.
+    Withdraw(usize),
+    /// The process reconciles its claims.
+    Lead,
+    /// The process loses the leadership and gains it again.
+    StepDown,
+    /// A server restarts under its id. The orders on their way to it are lost with its connections.
+    Restart(usize),
+    /// The process reads the registry entry of a server.
+    ReadEntry(usize),
+}
+
+/// Longest sequence of events of a case.
+const EVENTS_PER_CASE: usize = 120;
+const JOBS: [&str; 3] = ["a", "b", "c"];
+const SERVERS: [&str; 2] = ["s1", "s2"];
+
+/// Messages of which the test decides when they arrive.
+#[derive(Default)]
+struct MessageDeck {
+    answers: Vec<Answer>,
+    late_orders: Vec<Order>,
+    waiter_count: u64,
+    waiters: BTreeMap<&'static str, Vec<pool_action::WaiterId>>,
+}
+
+fn take<T>(items: &mut Vec<T>, number: usize) -> Option<T> {
+    (!items.is_empty()).then(|| items.remove(number % items.len()))
+}
+
+impl MessageDeck {
+    fn apply(&mut self, event: MessageEvent, test: &mut OrderTest) {
+        match event {
+            MessageEvent::Reach(number) => {
+                if let Some(order) = take(&mut test.orders, number) {
+                    self.answers.push(test.carry_out(order));
+                }
+            }
+            MessageEvent::LoseAnswer(number) => {
+                if let Some(order) = take(&mut test.orders, number) {
+                    self.answers.push(order.clone().without_response());
+                    test.carry_out(order);
+                }
+            }
+            MessageEvent::LoseOrder(number) => {
+                if let Some(order) = take(&mut test.orders, number) {
+                    self.answers.push(order.without_response());
+                }
+            }
+            MessageEvent::DelayOrder(number) => {
+                if let Some(order) = take(&mut test.orders, number) {
+                    self.answers.push(order.clone().without_response());
+                    self.late_orders.push(order);
+                }
+            }
+            MessageEvent::ReachLate(number) => {
+                if let Some(order) = take(&mut self.late_orders, number) {
+                    test.carry_out(order);
+                }
+            }
+            MessageEvent::Reject(number) => {
+                if let Some(order) = take(&mut test.orders, number) {
+                    self.answers.push(test.reject(order));
+                }
+            }
+            MessageEvent::Deliver(number) => {
+                if let Some(answer) = take(&mut self.answers, number) {
+                    test.deliver(answer);
+                }
+            }
+            MessageEvent::DeliverTwice(number) => {
+                if let Some(answer) = take(&mut self.answers, number) {
+                    test.deliver(answer.clone());
+                    self.answers.push(answer);
+                }
+            }
+            MessageEvent::Pass(duration_ms) => test.advance(fixtures::ms(duration_ms)),
+            MessageEvent::Submit(number) => {
+                let job = JOBS[number % JOBS.len()];
+                self.waiter_count += 1;
+                test.submit(job, 2, self.waiter_count);
+                let waiter = pool_action::WaiterId(self.waiter_count);
+                self.waiters.entry(job).or_default().push(waiter);
+            }
+            MessageEvent::Withdraw(number) => {
+                let job = JOBS[number % JOBS.len()];
+                for waiter in self.waiters.remove(job).unwrap_or_default() {
+                    test.pool.withdraw(&Arc::from(job), waiter, test.now);
+                    test.collect();
+                }
+            }
+            MessageEvent::Lead => test.lead(),
+            MessageEvent::StepDown => {
+                test.pool.step_down(test.now, "test");
+                test.collect();
+                test.lead();
+            }
+            MessageEvent::Restart(number) => {
+                let name = SERVERS[number % SERVERS.len()];
+                let is_there = |order: &mut Order| **order.server() == *name;
+                self.late_orders.retain_mut(|order| !is_there(order));
+                let lost_orders = test.orders.extract_if(.., is_there);
+                self.answers
+                    .extend(lost_orders.map(Order::without_response));
+                let server = test.servers.get_mut(name);
+                server.expect("a server of the test").restart(test.now);
+            }
+            MessageEvent::ReadEntry(number) => {
+                let entry = test.servers[SERVERS[number % SERVERS.len()]].entry.clone();
+                test.pool.apply_registry_entry(entry, test.now);
+                test.collect();
+            }
+        }
+    }
+}
+
+impl OrderTest {
+    /// Returns the answer of a server that rejects `order` for its token, for no reason.
+    fn reject(&self, order: Order) -> Answer {
+        let clock_ms = Some(self.servers[order.server()].clock_ms(self.now));
+        match order {
+            Order::Start(order) => Answer::Start(order, server_model::StartOutcome::Fenced),
+            Order::Stop(order) => Answer::Stop(order, server_model::StopOutcome::Unconfirmed),
+            Order::Hold(order) => {
+                Answer::Hold(order, server_model::HoldOutcome::Fenced { clock_ms })
+            }
+        }
+    }
+}
+
+fn message_event() -> impl strategy::Strategy<Value = MessageEvent> {
+    let number = 0_usize..8;
+    proptest::prop_oneof![
+        12 => number.clone().prop_map(MessageEvent::Reach),
+        3 => number.clone().prop_map(MessageEvent::LoseAnswer),
+        1 => number.clone().prop_map(MessageEvent::LoseOrder),
+        3 => number.clone().prop_map(MessageEvent::DelayOrder),
+        2 => number.clone().prop_map(MessageEvent::ReachLate),
+        2 => number.clone().prop_map(MessageEvent::Reject),
+        12 => number.clone().prop_map(MessageEvent::Deliver),
+        3 => number.clone().prop_map(MessageEvent::DeliverTwice),
+        6 => (1_u64..120).prop_map(MessageEvent::Pass),
+        4 => number.clone().prop_map(MessageEvent::Submit),
+        1 => number.clone().prop_map(MessageEvent::Withdraw),
+        2 => strategy::Just(MessageEvent::Lead),
+        1 => strategy::Just(MessageEvent::StepDown),
+        1 => number.clone().prop_map(MessageEvent::Restart),
+        1 => number.prop_map(MessageEvent::ReadEntry),
+    ]
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: case_count(),
+        ..proptest::test_runner::Config::default()
+    })]
+
+    /// Guards against answers that are taken for those to other orders: whatever the order in which orders and answers
+    /// arrive, and whichever of them are lost, late or doubled, no task has two runs at once, and each claim that is
+    /// granted fences the starts that were sent before it.
+    #[test]
+    fn no_order_of_messages_runs_a_task_twice(
+        events in proptest::collection::vec(message_event(), 1..EVENTS_PER_CASE)
+    ) {
+        let mut test = OrderTest::leading(&SERVERS, fixtures::LONG_RUN * 10);
+        let mut deck = MessageDeck::default();
+        for event in &events {
+            deck.apply(*event, &mut test);
+            proptest::prop_assert!(test.overlaps.is_empty(), "{:?}", test.overlaps);
+            proptest::prop_assert!(test.unfenced_claims.is_empty(), "{:?}", test.unfenced_claims);
+        }
+    }
+}
+
+/// Returns the number of cases of the property test: that of `PROPTEST_CASES`, for runs by hand, or some that take a
+/// few seconds.
+fn case_count() -> u32 {
+    let count = std::env::var("PROPTEST_CASES").ok();
+    count.and_then(|count| count.parse().ok()).unwrap_or(2_000)
+}
