--- a/crates/cuminkeel_replay/src/pool_simulation.rs
+++ b/crates/cuminkeel_replay/src/pool_simulation.rs
@@ -44,6 +44,8 @@
     StartOutcomeArrives(usize, server_model::StartOrder, server_model::StartOutcome),
     StopOutcomeArrives(usize, server_model::StopOrder, server_model::StopOutcome),
     HoldOutcomeArrives(usize, server_model::HoldOrder, server_model::HoldOutcome),
+    /// The outcome of an order, an event as the three before, arrives in place of one that a rule has changed.
+    ChangedOutcomeArrives(Box<Event>),
     HoldWaitEnds(usize, server_model::HoldOrder),
     /// A run on the server of this id ends or is first without a lease.
     RunEndDue(Arc<str>),
@@ -122,6 +124,26 @@
     }
 }
 
+/// What happens to answers on their way from a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerFault {
+    /// They are lost, so that their orders count as unanswered although they were carried out at once.
+    Lost,
+    /// They arrive later by this time, which leaves them within the time limit of their orders.
+    Late(time::Duration),
+}
+
+/// Rule for answers that are lost or late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerRule {
+    /// Kind of the orders.
+    pub kind: OrderKind,
+    /// What happens to their answers.
+    pub fault: AnswerFault,
+    /// Time until which the answers would arrive.
+    pub until: time::Duration,
+}
+
 #[derive(Debug)]
 struct ScheduledEvent {
     at: time::Duration,
@@ -213,6 +235,8 @@
     pub lost_servers: Vec<(usize, Arc<str>)>,
     /// Rules for late orders; the first one that delays an order applies.
     pub late_order_rules: Vec<LateOrderRule>,
+    /// Rules for lost and late answers; the first one that applies to an answer counts.
+    pub answer_rules: Vec<AnswerRule>,
 }
 
 impl PoolSimulation {
@@ -262,6 +286,7 @@
             crashes: Vec::new(),
             lost_servers: Vec::new(),
             late_order_rules: Vec::new(),
+            answer_rules: Vec::new(),
         };
         for pool_index in 0..pool_count {
             for server in simulation.servers.values() {
@@ -524,8 +549,49 @@
     }
 
     fn handle(&mut self, event: Event) {
+        let Some(event) = self.change_outcome(event) else {
+            return;
+        };
+        match event {
+            Event::ChangedOutcomeArrives(outcome) => self.handle_unchanged(*outcome),
+            event => self.handle_unchanged(event),
+        }
+    }
+
+    /// Applies the rules for answers to `event`. Returns `None` if the answer arrives later, or its order counts as
+    /// unanswered later.
+    fn change_outcome(&mut self, event: Event) -> Option<Event> {
+        let now = self.now;
+        let kind = match &event {
+            Event::StartOutcomeArrives(_, _, outcome)
+                if *outcome != server_model::StartOutcome::Unanswered =>
+            {
+                OrderKind::Start
+            }
+            Event::StopOutcomeArrives(_, _, server_model::StopOutcome::Accepted) => OrderKind::Stop,
+            Event::HoldOutcomeArrives(_, _, outcome)
+                if *outcome != server_model::HoldOutcome::Unanswered =>
+            {
+                OrderKind::Hold
+            }
+            _ => return Some(event),
+        };
+        let is_for = |rule: &&AnswerRule| rule.kind == kind && now < rule.until;
+        let Some(rule) = self.answer_rules.iter().find(is_for) else {
+            return Some(event);
+        };
+        let (delay, event) = match rule.fault {
+            AnswerFault::Late(delay) => (delay, event),
+            AnswerFault::Lost => (ORDER_TIMEOUT, without_answer(event)),
+        };
+        self.push(now + delay, Event::ChangedOutcomeArrives(Box::new(event)));
+        None
+    }
+
+    fn handle_unchanged(&mut self, event: Event) {
         let now = self.now;
         match event {
+            Event::ChangedOutcomeArrives(_) => {}
             Event::Tick(pool_index) => {
                 if self.paused.contains_key(&pool_index) {
                     return;
@@ -997,3 +1063,19 @@
         }
     }
 }
+
+/// Returns the outcome of an order whose answer was lost, in place of the `event` of its arrival.
+fn without_answer(event: Event) -> Event {
+    match event {
+        Event::StartOutcomeArrives(pool_index, order, _) => {
+            Event::StartOutcomeArrives(pool_index, order, server_model::StartOutcome::Unanswered)
+        }
+        Event::StopOutcomeArrives(pool_index, order, _) => {
+            Event::StopOutcomeArrives(pool_index, order, server_model::StopOutcome::Unconfirmed)
+        }
+        Event::HoldOutcomeArrives(pool_index, order, _) => {
+            Event::HoldOutcomeArrives(pool_index, order, server_model::HoldOutcome::Unanswered)
+        }
+        other => other,
+    }
+}
