Let the soak restart all processes beside refused connections, then delay orders in spells

SOAK_REFUSALS sets the number of such series; its random numbers are its own, so earlier seeds draw what they drew.

--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -47,6 +47,9 @@
 /// Seed of the run with servers that reject orders.
 const REJECTED_ORDERS_SEED: u64 = 95_001;
 
+/// Seed of the run with restarts beside servers that refuse connections.
+const REFUSED_CLAIMS_SEED: u64 = 63_001;
+
 /// Seed of the run with lost leaders.
 const LOST_LEADERS_SEED: u64 = 50_602;
 
@@ -91,6 +94,17 @@
     check_seeds(&[REJECTED_ORDERS_SEED], &parameters).await;
 }
 
+/// Guards against claims that go wrong while a server refuses connections during a rolling restart, which shows only when
+/// orders are late afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_when_restarts_meet_refused_connections() {
+    assert_no_overlaps(
+        REFUSED_CLAIMS_SEED,
+        &parameters::SoakParameters::with_refused_claims(),
+    )
+    .await;
+}
+
 async fn check_seeds(seeds: &[u64], parameters: &parameters::SoakParameters) {
     let mut failed_seeds = Vec::new();
     for seed in seeds.iter().copied() {
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -38,6 +38,9 @@
     /// `SOAK_LOST_LEADERS`: number of series, at the same time, in each of which a leader is killed, and then
     /// each of its successors soon after it leads.
     pub lost_leader_series: u64,
+    /// `SOAK_REFUSALS`: number of series, at the same time, in each of which all processes are restarted in turn beside
+    /// servers that refuse connections, and then orders are late in spells.
+    pub refusal_series: u64,
     /// `SOAK_CALLERS`: number of callers per process.
     pub callers_per_node: u64,
     /// `SOAK_MAX_WORK_MS`: upper limit of the run time of a task, in ms.
@@ -85,6 +88,7 @@
                 .unwrap_or(DEFAULT_SERIES_KINDS)
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
             lost_leader_series: read_variable("SOAK_LOST_LEADERS").unwrap_or(0),
+            refusal_series: read_variable("SOAK_REFUSALS").unwrap_or(0),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
             max_estimate_ms: read_variable("SOAK_MAX_ESTIMATE_MS").unwrap_or(u64::MAX),
@@ -111,6 +115,20 @@
         }
     }
 
+    /// Returns the parameters of runs in which all processes are restarted in turn beside servers that refuse connections,
+    /// so that each new leader makes its first claims on them while they do, and in which orders are late after that.
+    pub fn with_refused_claims() -> Self {
+        Self {
+            domain_count: 2,
+            node_count: 6,
+            servers_per_domain: 6,
+            fault_phase: time::Duration::from_secs(12),
+            refusal_series: 1,
+            late_order_share: 0.0,
+            ..Self::with_late_orders()
+        }
+    }
+
     /// Returns the parameters of runs whose only fault is late orders. A task may take longer than its
     /// caller waits, and the job comes again while a run that was not stopped is at work. Several runs
     /// share a server, so that holds for the others renew the lease of that run.
@@ -129,6 +147,7 @@
             caller_deadline: time::Duration::from_millis(1_500),
             late_order_share: 0.03,
             lost_leader_series: 0,
+            refusal_series: 0,
             lost_entry_probability: 0.0,
             freeze_probability: 0.0,
             duplicate_probability: 0.0,
--- a/crates/cuminkeel_node/tests/soak/series.rs
+++ b/crates/cuminkeel_node/tests/soak/series.rs
@@ -15,6 +15,14 @@
 
 /// Distinguishes the random numbers of leaders that are lost in turn from those of the other series.
 const LOST_LEADERS_SEED: u64 = 0x6c6f_7374;
+/// Distinguishes the random numbers of restarts beside refused connections from those of the other series.
+const REFUSALS_SEED: u64 = 0x7265_6675_7365;
+/// Share of the servers that refuse connections during the restarts.
+const REFUSING_SHARE: f64 = 0.17;
+/// Time for which they do: a first claim makes some fifty attempts in it.
+const REFUSAL_TIME: time::Duration = time::Duration::from_millis(3_800);
+/// Share of the orders that are late in a spell.
+const SPELL_SHARE: f64 = 0.055;
 /// Longest time that a domain may be without a leader before a series of lost leaders ends.
 const LEADER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -45,9 +53,68 @@
             parameters.fault_phase,
         ));
     }
+    for number in 0..parameters.refusal_series {
+        let random = StdRng::seed_from_u64(seed ^ REFUSALS_SEED ^ (number << 56));
+        series.spawn(inject_refusals(
+            Arc::clone(site),
+            Arc::clone(fault_log),
+            random,
+            *parameters,
+        ));
+    }
     series
 }
 
+/// Restarts all processes in turn beside servers that refuse connections, then lets orders be late in spells.
+async fn inject_refusals(
+    site: Arc<site::SoakSite>,
+    fault_log: Arc<faults::FaultLog>,
+    mut random: StdRng,
+    parameters: parameters::SoakParameters,
+) {
+    tokio::time::sleep(faults::DISCOVERY_TIME).await;
+    while fault_log.started_at.elapsed() < parameters.fault_phase {
+        for _ in 0..random.random_range(1..=3) {
+            let mut refusing: Vec<usize> = (0..site.servers.len()).collect();
+            refusing.retain(|_| random.random_bool(REFUSING_SHARE));
+            fault_log.record(format!(
+                "rolling restart of all, servers {refusing:?} refuse connections"
+            ));
+            let nodes = (0..site.nodes.len()).collect();
+            let restarts = restart_in_turn(&site, nodes, &mut random);
+            tokio::join!(restarts, refuse_connections(&site, &refusing));
+        }
+        for _ in 0..random.random_range(2..=4) {
+            let order_seed = random.random();
+            fault_log.record(String::from("orders are late"));
+            set_late_orders(&site, SPELL_SHARE, order_seed);
+            tokio::time::sleep(random_ms(&mut random, 400..2_000)).await;
+            set_late_orders(&site, parameters.late_order_share, order_seed);
+            tokio::time::sleep(random_ms(&mut random, 100..500)).await;
+        }
+    }
+}
+
+async fn refuse_connections(site: &site::SoakSite, servers: &[usize]) {
+    let set_mode = |mode| {
+        for server in servers {
+            site.server_proxies[*server].set_mode(mode);
+            for path in site.paths_to_server(*server) {
+                path.set_mode(mode);
+            }
+        }
+    };
+    set_mode(loopback_proxy::ProxyMode::Refuse);
+    tokio::time::sleep(REFUSAL_TIME).await;
+    set_mode(loopback_proxy::ProxyMode::Forward);
+}
+
+fn set_late_orders(site: &site::SoakSite, share: f64, order_seed: u64) {
+    for (server, number) in site.servers.iter().zip(0_u64..) {
+        server.set_late_orders(share, order_seed ^ (number << 48));
+    }
+}
+
 async fn inject_lost_leaders(
     site: Arc<site::SoakSite>,
     fault_log: Arc<faults::FaultLog>,
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -310,6 +310,17 @@
             .collect()
     }
 
+    /// Returns the proxies between single processes and the server with this index.
+    pub fn paths_to_server(
+        &self,
+        server: usize,
+    ) -> impl Iterator<Item = &loopback_proxy::LoopbackProxy> {
+        let servers_per_domain = self.servers.len() / self.domain_count;
+        let domain = server / servers_per_domain;
+        let nodes = self.nodes.iter().filter(move |node| node.domain == domain);
+        nodes.map(move |node| &node.server_paths[server % servers_per_domain])
+    }
+
     /// Returns the number of fault points that [`Self::set_proxy_mode`] distinguishes.
     pub fn proxy_count(&self) -> usize {
         1 + self.server_proxies.len() + self.nodes.len()
