Guard against tokens of one server that raise those of all others

What was missing: a test of the postmortem's first cause, "an epoch was one figure for all servers", within one process. The test for what peers tell stands already. A process that holds a server with high tokens now claims another one again and again, and uses tokens of that server's time.

--- a/crates/cuminkeel_dispatch/tests/epochs.rs
+++ b/crates/cuminkeel_dispatch/tests/epochs.rs
@@ -18,10 +18,15 @@
 fn new_pool(process_id: u64) -> pool::ServerPool {
     let pool_settings = settings::PoolSettings::new(ms(1_000), ms(50), ms(1_300));
     let mut pool = pool::ServerPool::new(pool_settings, process_id);
-    let entry = server_model::ServerEntry {
-        id: Arc::from("s1"),
+    pool.apply_registry_entry(entry("s1"), ms(1));
+    pool
+}
+
+fn entry(server: &str) -> server_model::ServerEntry {
+    server_model::ServerEntry {
+        id: Arc::from(server),
         service: Arc::from("desk"),
-        address: Arc::from("s1:1"),
+        address: Arc::from(format!("{server}:1")),
         failure_domain: Arc::from("here"),
         draining: false,
         cpu_millis: 16_000,
@@ -31,9 +36,7 @@
         incarnation: INCARNATION,
         sequence: 1,
         cold_remaining: time::Duration::ZERO,
-    };
-    pool.apply_registry_entry(entry, ms(1));
-    pool
+    }
 }
 
 /// A server that keeps the highest token that it has seen, as the protocol has it.
@@ -129,6 +132,39 @@
     assert!(pool.epoch() < claim_token::MAX_EPOCH / 2);
 }
 
+/// Guards against tokens of one server that use up those of all others: a process that holds a server with high tokens
+/// claims another one, also again and again, with tokens of that server's own time.
+#[test]
+fn high_token_of_a_server_raises_those_of_no_other_server() {
+    let mut high_server = TokenServer::new();
+    high_server.highest_token = 1 << 51;
+    let mut pool = new_pool(7);
+    assert!(high_server.claim(&mut pool).is_some());
+    pool.observe_epoch(claim_token::epoch(high_server.highest_token));
+    pool.apply_registry_entry(entry("s2"), ms(5_000));
+    let wanted = BTreeSet::from([Arc::from("s1"), Arc::from("s2")]);
+    let mut sound_server = TokenServer::new();
+    for round in 0..100 {
+        let now = ms(5_000 + round * 50);
+        pool.reconcile_claims(&wanted, leadership::ShardSet::ALL, now);
+        pool.tick(now);
+        for action in pool.take_actions(now) {
+            let pool_action::PoolAction::Hold(order) = action else {
+                continue;
+            };
+            // Each second answer of the sound server is lost, so that it is claimed again.
+            let outcome = match &*order.server {
+                "s2" if sound_server.grants(&order) && round % 2 == 0 => sound_server.report(),
+                "s2" => server_model::HoldOutcome::Unanswered,
+                _ => high_server.report(),
+            };
+            pool.apply_hold_outcome(&order, outcome, now);
+        }
+    }
+    assert!(sound_server.highest_token > 0);
+    assert!(share_left(sound_server.highest_token) > 0.9);
+}
+
 /// Guards against servers that no process can claim any more after all processes were started anew, again and again.
 /// Each time the epoch about doubled, as the new processes learn it only from what the server rejects.
 #[test]
