Guard the matching of ends of jobs to submissions over a link

A job end belongs to a submission by its number, which a link doesn't use again on later connections. The test plays ends in another order than the jobs, doubled, for a withdrawn job, of an unknown number, and of the connection before.

Result: passes; nothing had to be changed.

--- a/crates/cuminkeel_node/tests/node/peers.rs
+++ b/crates/cuminkeel_node/tests/node/peers.rs
@@ -199,12 +199,9 @@
     assert_eq!(held_servers(), Some(3));
 }
 
-#[tokio::test]
-async fn job_for_a_link_that_is_down_is_not_sent() {
-    let node = idle_node().await;
-    let link = peer_link::start_link(&node, &hello("n1", "127.0.0.1:1"));
+fn offer(job: &str) -> job_model::JobOffer {
     let spec = job_model::JobSpec {
-        id: Arc::from("00000000000000d1"),
+        id: Arc::from(job),
         route: Arc::from("orders"),
         service: Arc::from("order-desk"),
         payload: Arc::from(""),
@@ -214,7 +211,7 @@
         stretch_factor: 1.0,
         target_latency_ms: 0,
     };
-    let mut job = link.submit(job_model::JobOffer {
+    job_model::JobOffer {
         spec: Arc::new(spec),
         age: std::time::Duration::ZERO,
         time_to_deadline: test_platform::TEST_TIMEOUT,
@@ -224,7 +221,14 @@
         source: Arc::from("north-1"),
         session: job_model::OfferSession::default(),
         is_resumed: false,
-    });
+    }
+}
+
+#[tokio::test]
+async fn job_for_a_link_that_is_down_is_not_sent() {
+    let node = idle_node().await;
+    let link = peer_link::start_link(&node, &hello("n1", "127.0.0.1:1"));
+    let mut job = link.submit(offer("00000000000000d1"));
     let end = job
         .wait_for_end()
         .await
@@ -237,14 +241,23 @@
     listener: &tokio::net::TcpListener,
     address: &str,
 ) -> tokio::net::TcpStream {
-    let dial = tokio::time::timeout(test_platform::TEST_TIMEOUT, listener.accept()).await;
-    let (mut stream, _) = dial
-        .expect("the link should dial in time")
-        .expect("the dial should be accepted");
     let status = link_frame::PeerStatus {
         leaving: true,
         ..link_frame::PeerStatus::default()
     };
+    accept_with_status(listener, address, status).await
+}
+
+/// Answers the dial of a link as the process `n1`, with `status`.
+async fn accept_with_status(
+    listener: &tokio::net::TcpListener,
+    address: &str,
+    status: link_frame::PeerStatus,
+) -> tokio::net::TcpStream {
+    let dial = tokio::time::timeout(test_platform::TEST_TIMEOUT, listener.accept()).await;
+    let (mut stream, _) = dial
+        .expect("the link should dial in time")
+        .expect("the dial should be accepted");
     let frames = [
         link_frame::LinkFrame::Hello(hello("n1", address)),
         link_frame::LinkFrame::Status(status),
@@ -255,6 +268,91 @@
     stream
 }
 
+/// Reads the submission of `job` from the connection, and returns its number.
+async fn read_submission(connection: &mut tokio::net::TcpStream, job: &str) -> u64 {
+    loop {
+        let frame = link_frame::read_frame(connection).await;
+        match frame.expect("a frame") {
+            link_frame::LinkFrame::Submit {
+                submission_id,
+                offer,
+            } if *offer.spec.id == *job => return submission_id,
+            _ => {}
+        }
+    }
+}
+
+async fn send_end(
+    connection: &mut tokio::net::TcpStream,
+    submission_id: u64,
+    end: job_model::JobEnd,
+) {
+    let frame = link_frame::LinkFrame::End { submission_id, end };
+    link_frame::write_frames(connection, &[frame])
+        .await
+        .expect("the end should be sent");
+}
+
+/// Guards against a caller that gets the answer to another request: ends that come in another order than the jobs, twice,
+/// for a job that was withdrawn, or from the connection before.
+#[tokio::test]
+async fn end_of_a_job_finds_its_submission_in_any_order() {
+    let node = idle_node().await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port should be free");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    node_state::upsert_peer(&node, hello("n1", &address));
+    let link = peer_link::start_link(&node, &hello("n1", &address));
+    if let Some(peer) = node.peers().get_mut("n1") {
+        peer.link = Some(link.clone());
+    }
+    let status = link_frame::PeerStatus::default;
+    let probed = async || node.peers().get("n1").is_some_and(|peer| peer.probed);
+    let mut connection = accept_with_status(&listener, &address, status()).await;
+    test_platform::wait_until("the peer to be probed", probed).await;
+    let failed = job_model::JobEnd::Failed(job_model::FailureReason::AttemptsExhausted);
+    let mut first = link.submit(offer("00000000000000e1"));
+    let mut second = link.submit(offer("00000000000000e2"));
+    let withdrawn = link.submit(offer("00000000000000e3"));
+    let first_id = read_submission(&mut connection, "00000000000000e1").await;
+    let second_id = read_submission(&mut connection, "00000000000000e2").await;
+    let withdrawn_id = read_submission(&mut connection, "00000000000000e3").await;
+    drop(withdrawn);
+    send_end(&mut connection, withdrawn_id, failed.clone()).await;
+    send_end(&mut connection, u64::MAX, failed.clone()).await;
+    for _ in 0..2 {
+        send_end(&mut connection, second_id, job_model::JobEnd::Completed).await;
+    }
+    send_end(&mut connection, first_id, failed.clone()).await;
+    let first_end = first.wait_for_end().await.expect("an end");
+    let second_end = second.wait_for_end().await.expect("an end");
+    assert_eq!(first_end, failed);
+    assert_eq!(second_end, job_model::JobEnd::Completed);
+
+    // The job of a lost connection has no end, and that of its successor is told apart from it.
+    let mut lost = link.submit(offer("00000000000000e4"));
+    let lost_id = read_submission(&mut connection, "00000000000000e4").await;
+    drop(connection);
+    assert!(lost.wait_for_end().await.is_err());
+    let mut connection = accept_with_status(&listener, &address, status()).await;
+    let mut next = loop {
+        let mut job = link.submit(offer("00000000000000e5"));
+        let end = tokio::time::timeout(std::time::Duration::from_millis(50), job.wait_for_end());
+        match end.await {
+            // The link has not read the status of the new connection.
+            Ok(end) => assert_eq!(end.ok(), Some(job_model::JobEnd::NotLeader)),
+            Err(_) => break job,
+        }
+    };
+    let next_id = read_submission(&mut connection, "00000000000000e5").await;
+    assert_ne!(next_id, lost_id);
+    send_end(&mut connection, lost_id, failed).await;
+    send_end(&mut connection, next_id, job_model::JobEnd::Completed).await;
+    let next_end = next.wait_for_end().await.expect("an end");
+    assert_eq!(next_end, job_model::JobEnd::Completed);
+}
+
 /// Two processes that are about to stop forgot each other when their connection was reset. Both then led and
 /// used the same servers (soak seed 3106).
 #[tokio::test]
