Let only whole entries of the registry count

An entry of another writer, which lacks version, slots and cold_remaining_ms and says ready, had replaced that of the server.

Cause: decode_bounded_entry required only the fields that it uses; others counted as their defaults if they were missing or of another type.

Such an entry is logged and counted (registry_entries_ignored), and the one before it holds.

Capacities without mem_mb or gpu in tests were entries that no server writes; they got these fields.

The same in other records, by reading: the store accepts only valid configurations, so routes and limits come from the operator alone; an evacuation that can't be read counts as one; entries of members are written by this program and need all their fields. Nothing changed there.

--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -47,6 +47,7 @@
     rejections: Family<ReasonLabels, counter::Counter>,
     store_failures: Family<ReasonLabels, counter::Counter>,
     withdrawn_orphans: counter::Counter,
+    ignored_entries: counter::Counter,
     caller_connections: gauge::Gauge,
     state_gauges: StateGauges,
 }
@@ -152,6 +153,7 @@
         let rejections = Family::default();
         let store_failures = Family::default();
         let withdrawn_orphans = counter::Counter::default();
+        let ignored_entries = counter::Counter::default();
         let caller_connections = gauge::Gauge::default();
         registry.register(
             "answers",
@@ -184,6 +186,11 @@
             "Jobs of lost connections of peers that were withdrawn after their grace",
             withdrawn_orphans.clone(),
         );
+        registry.register(
+            "registry_entries_ignored",
+            "Entries of the registry that name no server to use, as another writer left them",
+            ignored_entries.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
@@ -199,6 +206,7 @@
             rejections,
             store_failures,
             withdrawn_orphans,
+            ignored_entries,
             caller_connections,
             state_gauges,
         }
@@ -251,6 +259,11 @@
         self.withdrawn_orphans.inc();
     }
 
+    /// Counts an entry of the registry that names no server to use.
+    pub fn count_ignored_entry(&self) {
+        self.ignored_entries.inc();
+    }
+
     /// Counts a failed request to the store.
     pub fn count_store_failure(&self, feed: &'static str) {
         self.store_failures
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -481,6 +481,7 @@
             Err(error) => {
                 slog::info!(self.node.logger, "registry_entry_ignored";
                     "server" => &**server, "error" => %error);
+                self.node.metrics.count_ignored_entry();
                 false
             }
         }
--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -208,7 +208,7 @@
 fn history_of_the_registry_shows_the_servers_whose_entries_lapsed() {
     let entry = |domain: &str, state: &str| {
         format!(
-            r#"{{"service":"order-desk","address":"a:1","zone":"{domain}","state":"{state}","seq_no":1,"capacity":{{"cpu":1}}}}"#
+            r#"{{"service":"order-desk","address":"a:1","zone":"{domain}","version":"v1","slots":8,"state":"{state}","cold_remaining_ms":0,"seq_no":1,"capacity":{{"cpu":1,"mem_mb":1,"gpu":0}},"labels":[]}}"#
         )
     };
     let (ready, draining) = (entry("north", "ready"), entry("north", "draining"));
--- a/crates/cuminkeel_node/tests/node/odd_entries.rs
+++ b/crates/cuminkeel_node/tests/node/odd_entries.rs
@@ -18,6 +18,8 @@
         ("service", "\"order-desk\""),
         ("address", &*address),
         ("zone", "\"north\""),
+        ("version", "\"v1\""),
+        ("slots", "8"),
         ("state", "\"ready\""),
         ("seq_no", "1"),
         ("born", BORN),
@@ -38,7 +40,7 @@
 fn odd_entries(closed_address: &str) -> Vec<(&'static str, Vec<u8>)> {
     let deep_value = format!("{}{}", "[".repeat(60_000), "]".repeat(60_000));
     let long_label = format!("[\"{}\"]", "x".repeat(100_000));
-    let fields: [(&str, &[(&str, &str)]); 24] = [
+    let fields: [(&str, &[(&str, &str)]); 27] = [
         ("deeply nested field", &[("news", &deep_value)]),
         ("deeply nested capacity", &[("capacity", &deep_value)]),
         (
@@ -73,6 +75,9 @@
             )],
         ),
         ("no capacity", &[("capacity", "")]),
+        ("no version", &[("version", "")]),
+        ("slots of another type", &[("slots", "\"8\"")]),
+        ("no cold time", &[("cold_remaining_ms", "")]),
         ("long label", &[("labels", &long_label)]),
         ("cold for ever", &[("cold_remaining_ms", "1e308")]),
     ];
@@ -359,3 +364,35 @@
         );
     }
 }
+
+/// Guards against work for a server that drains, as an entry of another writer, which lacks a field, replaced its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_server_gets_no_work_after_an_entry_of_another_writer() {
+    for missing_field in ["version", "slots", "cold_remaining_ms"] {
+        let platform = test_platform::TestPlatform::start(&["north"]).await;
+        let node = platform.start_ready_node("n1", "north").await;
+        let draining = &platform.servers[0];
+        draining.drain(&platform.store);
+        test_platform::wait_until("the drain to be read", async || {
+            node.gauge_value("free_cpu_millis").await == Some(16_000)
+        })
+        .await;
+        let sound_runs = started_count(&[draining]);
+        let fields = [("seq_no", "1000"), (missing_field, "")];
+        let entry = entry_text(&draining.address(), &fields);
+        platform.store.put("keyed.servers", &draining.id(), entry);
+        test_platform::wait_until("the entry to be ignored", async || {
+            let text = node.metrics_text().await;
+            text.contains("registry_entries_ignored_total 1")
+        })
+        .await;
+        let ids: Vec<String> = (0..20).map(|number| format!("{number:016x}")).collect();
+        let statuses = test_platform::submit_concurrently(&node, &ids, "20", 1).await;
+        assert_eq!(statuses, [200; 20], "without {missing_field}");
+        assert_eq!(
+            started_count(&[draining]),
+            sound_runs,
+            "without {missing_field}"
+        );
+    }
+}
