Start nothing on a server whose entry is of another incarnation

Cause: a report of a new incarnation began a new claim, while labels and capacity of the registry entry of the earlier one counted until the next read.

Change: a server is used only if its entry is of the incarnation that it last reported (an entry without born counts as current). A report that shows another one asks for a read of the registry at once. Until the entry has come, the server gets no start and no other server waits; the record of the restart says whether the entry was read (entry_read).

--- a/crates/cuminkeel_dispatch/src/pool/reports.rs
+++ b/crates/cuminkeel_dispatch/src/pool/reports.rs
@@ -174,9 +174,10 @@
         slot.processed_end_sequence = 0;
         slot.lease_expiry_ms = 0;
         slot.clock = None;
+        let has_current_entry = slot.has_current_entry();
         let inputs = [
             ("runs", claims::count_input(slot.runs.len())),
-            ("", 0),
+            ("entry_read", i64::from(has_current_entry)),
             ("", 0),
         ];
         self.record_decision(
@@ -186,6 +187,9 @@
             "runs_unknown",
             inputs,
         );
+        if !has_current_entry {
+            self.actions.push(pool_action::PoolAction::ReadRegistry);
+        }
     }
 
     /// Records that server `id` has granted the claim.
--- a/crates/cuminkeel_dispatch/src/server_slot.rs
+++ b/crates/cuminkeel_dispatch/src/server_slot.rs
@@ -364,10 +364,17 @@
             .is_none_or(|since| !self.entry.draining && now < since + unlisted_time)
     }
 
+    /// Whether the registry entry is of the incarnation that the server last reported. Another incarnation may be of
+    /// another kind and have another capacity.
+    pub fn has_current_entry(&self) -> bool {
+        self.entry.incarnation == 0 || self.entry.incarnation == self.incarnation
+    }
+
     /// Whether new runs may be ordered on the server.
     pub fn is_usable(&self, now: time::Duration) -> bool {
         self.claim_state == ClaimState::Held
             && self.registered
+            && self.has_current_entry()
             && !self.entry.draining
             && self.clock.is_some()
             && now >= self.distrusted_until
--- a/crates/cuminkeel_replay/tests/promises/servers.rs
+++ b/crates/cuminkeel_replay/tests/promises/servers.rs
@@ -613,3 +613,36 @@
     audit.add(server.history.clone());
     assert_eq!(audit.overlapping_runs().len(), 1);
 }
+
+/// Guards against tasks on a server of the wrong kind, or beyond its capacity: after a restart, the labels and the capacity
+/// of the earlier incarnation counted until the next read of the registry. The other servers go on.
+#[test]
+fn restarted_server_starts_nothing_until_its_entry_is_read() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+    let restarted_at = simulation.now();
+    simulation.server_mut("s1").restart(restarted_at);
+    simulation.reset_connections("s1");
+    simulation.run_until(restarted_at + fixtures::ms(700));
+    let held = Some(server_slot::ClaimState::Held);
+    assert_eq!(simulation.pools[0].claim_state("s1"), held);
+    let submit = |simulation: &mut pool_simulation::PoolSimulation, jobs: [&str; 4]| {
+        for job in jobs {
+            let offer = fixtures::offer(job, 1, fixtures::SHORT_RUN);
+            let profile = fixtures::task_profile(fixtures::SHORT_RUN);
+            simulation.submit(0, &offer, profile);
+        }
+        let end = simulation.now() + fixtures::ms(600);
+        simulation.run_until(end);
+        for job in jobs {
+            let ends = fixtures::job_ends(simulation, job);
+            assert_eq!(ends, [job_model::JobEnd::Completed], "{job}");
+        }
+    };
+    submit(&mut simulation, ["a", "b", "c", "d"]);
+    assert_eq!(simulation.server_mut("s1").history, []);
+    simulation.update_registry_entry(0, "s1");
+    simulation.run_until(restarted_at + fixtures::ms(1_600));
+    submit(&mut simulation, ["e", "f", "g", "h"]);
+    assert_ne!(simulation.server_mut("s1").history, []);
+    assert_eq!(simulation.violations, []);
+}
