--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    fn token(&self) -> u64 {
+        match self {
+            Self::Start(order) => order.token,
+            Self::Stop(order) => order.token,
+            Self::Hold(order) => order.token,
+        }
+    }
+
     /// Returns the answer of a server that is not reached, or whose answer is lost.
     fn without_response(self) -> Answer {
         match self {
@@ -289,10 +297,7 @@
         test.deliver(start_b.without_response());
         test.advance(fixtures::ms(40));
         let second = test.take_hold("s1");
-        let (Order::Hold(first_hold), Order::Hold(second_hold)) = (&first, &second) else {
-            unreachable!("both are holds");
-        };
-        assert_eq!(first_hold.token, second_hold.token);
+        assert_eq!(first.token(), second.token());
         let first_answer = test.carry_out(first);
         let second_answer = test.carry_out(second);
         test.deliver(first_answer);
@@ -337,6 +342,39 @@
     }
 }
 
+/// Guards against a run that counts as lost, and a task that runs twice, as the answer to a hold is taken for that to the
+/// claim that repeats its token: the hold was answered before the run started, the claim was sent after it.
+#[test]
+fn answer_to_a_hold_is_not_taken_for_that_to_a_repeated_claim_with_its_token() {
+    let mut test = OrderTest::leading(&["s1"], fixtures::LONG_RUN);
+    test.submit("a", 1, 1);
+    test.submit("b", 1, 2);
+    let (start_a, start_b) = (test.take_start("a"), test.take_start("b"));
+    test.orders.clear();
+    test.deliver(start_a.without_response());
+    let claim = test.take_hold("s1");
+    // The claim is to be repeated, although its first attempt is granted before that.
+    test.deliver(start_b.without_response());
+    test.answer(claim);
+    let hold = test.take_hold("s1");
+    let hold_token = hold.token();
+    let early_answer = test.carry_out(hold);
+    for job in ["a", "b"] {
+        test.now += fixtures::ms(1);
+        let start = test.take_start(job);
+        test.answer(start);
+    }
+    test.advance(fixtures::ms(40));
+    let repeated_claim = test.take_hold("s1");
+    assert_eq!(repeated_claim.token(), hold_token);
+    test.deliver(early_answer);
+    while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+        test.answer(start);
+    }
+    test.answer(repeated_claim);
+    test.assert_sound();
+}
+
 /// Guards against a run that counts as rejected, and a task that runs twice, as the answer to a start is taken for that to a
 /// later one with its run id: the job was sent again to a pool that had given up its servers and claimed them anew.
 #[test]
