Count no trial as lost whose start was rejected

A suspected task was tried alone on a server, which rejected the start (the run id was too old); the next crash of that server, which ran nothing of it, counted as the second one under the task.

Cause: a trial is recorded as an open loss before its order is sent, so that it counts if the leader is lost with the server. The rejection, which proves that nothing was started, left it open until the server's next report.

Change: the rejection of a start closes the loss, and tells the other processes so.

--- a/crates/cuminkeel_dispatch/src/pool/starts.rs
+++ b/crates/cuminkeel_dispatch/src/pool/starts.rs
@@ -109,6 +109,8 @@
             _ => "fenced",
         };
         self.remove_run_server(&order.server, &order.task);
+        // A trial counts as a loss from its order on; this one has not begun.
+        self.record_survival(&order.server, &order.task, order.run_id, now);
         let request = Some(Arc::from(order.task.to_string()));
         let server = Some(Arc::clone(&order.server));
         self.record_decision(
--- a/crates/cuminkeel_replay/tests/promises/crashes.rs
+++ b/crates/cuminkeel_replay/tests/promises/crashes.rs
@@ -585,3 +585,42 @@
     simulation.run_until(fixtures::ms(8_000));
     assert_eq!(simulation.violations, []);
 }
+
+/// Guards against a sound task that is shown as failed with the next crash of a server that runs nothing of it: the server
+/// rejected the start of its trial, which stayed an open loss.
+#[test]
+fn rejected_start_of_a_trial_is_no_loss() {
+    let mut simulation = fixtures::simulation_with_leader(1, &["s1", "s2"]);
+    submit(&mut simulation, 0, &patient_offer("job", 1));
+    simulation.run_until(fixtures::ms(150));
+    let is_used = |server: &&fake_server::FakeServer| !server.runs.is_empty();
+    let used = simulation.servers.values().find(is_used);
+    let crashed = used.expect("the job should run").entry.id.clone();
+    let other = if *crashed == *"s1" { "s2" } else { "s1" };
+    let now = simulation.now();
+    let mode = fake_server::ServerMode::Crashed;
+    simulation.server_mut(&crashed).crash(mode, now);
+    simulation.reset_connections(&crashed);
+    simulation.run_until(fixtures::ms(1_600));
+    let trial = &simulation.server_mut(other).runs;
+    assert!(!trial.is_empty(), "the task should be tried alone");
+    // Its caller leaves and sends the job again. The server has stopped a run with a higher id than that of the copy.
+    simulation.withdraw(0, "job");
+    simulation.run_until(fixtures::ms(1_700));
+    submit(&mut simulation, 0, &patient_offer("job", 1));
+    simulation.run_until(fixtures::ms(1_701));
+    let rejected = pool_action::DecisionKind::StartRejected;
+    assert_eq!(fixtures::decision_count(&simulation, rejected), 1);
+    // It leaves once more, and the server crashes without a run.
+    simulation.withdraw(0, "job");
+    simulation.run_until(fixtures::ms(1_703));
+    let now = simulation.now();
+    assert!(simulation.server_mut(other).runs.is_empty());
+    simulation.server_mut(other).crash(mode, now);
+    simulation.reset_connections(other);
+    simulation.run_until(fixtures::ms(1_900));
+    submit(&mut simulation, 0, &patient_offer("job", 1));
+    simulation.run_until(fixtures::ms(2_500));
+    assert!(!is_given_up(&simulation, "job"));
+    assert_eq!(simulation.violations, []);
+}
