--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -2,282 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc, time};
 
-use cuminkeel_dispatch::{
-    job_model, leadership, pool, pool_action, server_model, server_slot, settings,
-};
-use cuminkeel_replay::fake_server;
+use cuminkeel_dispatch::{pool_action, server_model};
 use proptest::strategy::{self, Strategy as _};
 
-use crate::fixtures;
-
-/// Interval of the ticks of the pool, below the pause after which it steps down.
-const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
-
-/// Order of the pool, on its way to a server or answered by it.
-#[derive(Clone, Debug)]
-enum Order {
-    Start(server_model::StartOrder),
-    Stop(server_model::StopOrder),
-    Hold(server_model::HoldOrder),
-}
-
-impl Order {
-    fn server(&self) -> &Arc<str> {
-        match self {
-            Self::Start(order) => &order.server,
-            Self::Stop(order) => &order.server,
-            Self::Hold(order) => &order.server,
-        }
-    }
-
-    fn token(&self) -> u64 {
-        match self {
-            Self::Start(order) => order.token,
-            Self::Stop(order) => order.token,
-            Self::Hold(order) => order.token,
-        }
-    }
-
-    /// Returns the answer of a server that is not reached, or whose answer is lost.
-    fn without_response(self) -> Answer {
-        match self {
-            Self::Start(order) => Answer::Start(order, server_model::StartOutcome::Unanswered),
-            Self::Stop(order) => Answer::Stop(order, server_model::StopOutcome::Unconfirmed),
-            Self::Hold(order) => Answer::Hold(order, server_model::HoldOutcome::Unanswered),
-        }
-    }
-}
-
-/// Answer of a server to an order.
-#[derive(Clone, Debug)]
-enum Answer {
-    Start(server_model::StartOrder, server_model::StartOutcome),
-    Stop(server_model::StopOrder, server_model::StopOutcome),
-    Hold(server_model::HoldOrder, server_model::HoldOutcome),
-}
-
-/// A pool and its servers, of which a test delivers each order and each answer itself.
-struct OrderTest {
-    pool: pool::ServerPool,
-    servers: BTreeMap<Arc<str>, fake_server::FakeServer>,
-    now: time::Duration,
-    run_time: time::Duration,
-    /// Orders that have not reached their servers, oldest first.
-    orders: Vec<Order>,
-    ends: Vec<(pool_action::WaiterId, job_model::JobEnd)>,
-    suspect_count: usize,
-    /// Tasks of which two runs were in progress.
-    overlaps: Vec<job_model::TaskName>,
-    /// Highest token of the starts to each server so far.
-    start_tokens: BTreeMap<Arc<str>, u64>,
-    /// Servers of which a claim was granted under a token that starts sent before it had, so that it fences none of them.
-    unfenced_claims: Vec<Arc<str>>,
-}
-
-impl OrderTest {
-    /// Returns a pool that has begun to claim servers of two tasks each.
-    fn claiming(servers: &[&str], run_time: time::Duration) -> Self {
-        let pool_settings = settings::PoolSettings::new(
-            fake_server::MAX_LEASE,
-            fixtures::ms(50),
-            fixtures::ms(1_300),
-        );
-        let mut test = Self {
-            pool: pool::ServerPool::new(pool_settings, 1),
-            servers: servers
-                .iter()
-                .map(|name| (Arc::from(*name), fixtures::server(name)))
-                .collect(),
-            now: fixtures::ms(1_000),
-            run_time,
-            orders: Vec::new(),
-            ends: Vec::new(),
-            suspect_count: 0,
-            overlaps: Vec::new(),
-            start_tokens: BTreeMap::new(),
-            unfenced_claims: Vec::new(),
-        };
-        for server in test.servers.values() {
-            test.pool
-                .apply_registry_entry(server.entry.clone(), test.now);
-        }
-        test.lead();
-        test
-    }
-
-    /// Returns a pool that holds the servers, each of which has got a hold that it has not answered.
-    fn leading(servers: &[&str], run_time: time::Duration) -> Self {
-        let mut test = Self::claiming(servers, run_time);
-        test.answer_holds();
-        test.now += fixtures::ms(10);
-        test
-    }
-
-    fn lead(&mut self) {
-        let all = self.pool.registered_servers().cloned().collect();
-        let shards = leadership::ShardSet::ALL;
-        self.pool.reconcile_claims(&all, shards, self.now);
-        self.pool.record_registry_read(self.now);
-        self.collect();
-    }
-
-    fn collect(&mut self) {
-        for action in self.pool.take_actions(self.now) {
-            match action {
-                pool_action::PoolAction::Start(order) => {
-                    let highest = self
-                        .start_tokens
-                        .entry(Arc::clone(&order.server))
-                        .or_default();
-                    *highest = order.token.max(*highest);
-                    self.orders.push(Order::Start(order));
-                }
-                pool_action::PoolAction::Stop(order) => self.orders.push(Order::Stop(order)),
-                pool_action::PoolAction::Hold(order) => self.orders.push(Order::Hold(order)),
-                pool_action::PoolAction::AnswerWaiter { waiter, end } => {
-                    self.ends.push((waiter, end));
-                }
-                pool_action::PoolAction::LogDecision(record) => {
-                    let is_suspect = record.kind == pool_action::DecisionKind::Suspect;
-                    self.suspect_count += usize::from(is_suspect);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn advance(&mut self, duration: time::Duration) {
-        let end = self.now + duration;
-        while self.now < end {
-            self.now = (self.now + TICK_INTERVAL).min(end);
-            self.pool.tick(self.now);
-            self.collect();
-        }
-    }
-
-    fn submit(&mut self, job: &str, task_count: u16, number: u64) {
-        let offer = job_model::JobOffer {
-            sent_at: self.now,
-            source: Arc::from(format!("vm-{number}")),
-            time_to_deadline: time::Duration::from_mins(1),
-            ..fixtures::offer(job, task_count, self.run_time)
-        };
-        let waiter = pool_action::WaiterId(number);
-        self.pool.submit(&offer, waiter, self.now);
-        self.collect();
-    }
-
-    /// Takes the first order that `is_wanted` and that has not reached its server.
-    fn take_order(&mut self, is_wanted: impl Fn(&Order) -> bool) -> Option<Order> {
-        let position = self.orders.iter().position(is_wanted)?;
-        Some(self.orders.remove(position))
-    }
-
-    fn take_start(&mut self, job: &str) -> Order {
-        self.take_order(|order| matches!(order, Order::Start(start) if *start.task.job == *job))
-            .expect("a start of the job")
-    }
-
-    fn take_hold(&mut self, server: &str) -> Order {
-        self.take_order(|order| matches!(order, Order::Hold(hold) if *hold.server == *server))
-            .expect("a hold of the server")
-    }
-
-    /// Lets the server carry out an order now, and returns its answer.
-    fn carry_out(&mut self, order: Order) -> Answer {
-        let profile = fixtures::task_profile(self.run_time);
-        let server = self
-            .servers
-            .get_mut(order.server())
-            .expect("a server of the test");
-        let answer = match order {
-            Order::Start(order) => {
-                let outcome = server.start(&order, profile, self.now);
-                Answer::Start(order, outcome)
-            }
-            Order::Stop(order) => {
-                let outcome = if server.stop(&order, self.now) {
-                    server_model::StopOutcome::Accepted
-                } else {
-                    server_model::StopOutcome::Unconfirmed
-                };
-                Answer::Stop(order, outcome)
-            }
-            Order::Hold(order) => {
-                let outcome = if server.apply_hold(&order, self.now) {
-                    server_model::HoldOutcome::Reported(server.report(self.now))
-                } else {
-                    let clock_ms = Some(server.clock_ms(self.now));
-                    server_model::HoldOutcome::Fenced { clock_ms }
-                };
-                Answer::Hold(order, outcome)
-            }
-        };
-        self.check_overlaps();
-        answer
-    }
-
-    fn check_overlaps(&mut self) {
-        let mut counts: BTreeMap<job_model::TaskName, usize> = BTreeMap::new();
-        for server in self.servers.values_mut() {
-            server.advance(self.now);
-            self.overlaps.append(&mut server.overlapping_tasks);
-            for task in server.runs.keys() {
-                *counts.entry(task.clone()).or_default() += 1;
-            }
-        }
-        let overlaps = counts.into_iter().filter(|(_, count)| *count > 1);
-        self.overlaps.extend(overlaps.map(|(task, _)| task));
-    }
-
-    /// Lets the pool read an answer.
-    fn deliver(&mut self, answer: Answer) {
-        match answer {
-            Answer::Start(order, outcome) => {
-                self.pool.apply_start_outcome(&order, outcome, self.now);
-            }
-            Answer::Stop(order, outcome) => self.pool.apply_stop_outcome(&order, outcome, self.now),
-            Answer::Hold(order, outcome) => {
-                let held = Some(server_slot::ClaimState::Held);
-                let was_held = self.pool.claim_state(&order.server) == held;
-                self.pool.apply_hold_outcome(&order, outcome, self.now);
-                let is_granted = !was_held && self.pool.claim_state(&order.server) == held;
-                let start_token = self.start_tokens.get(&order.server).copied();
-                if is_granted && start_token.is_some_and(|token| order.token <= token) {
-                    self.unfenced_claims.push(order.server);
-                }
-            }
-        }
-        self.collect();
-    }
-
-    /// Carries out `order` and lets the pool read its answer at once.
-    fn answer(&mut self, order: Order) {
-        let answer = self.carry_out(order);
-        self.deliver(answer);
-    }
-
-    /// Answers the first hold of each server that has one.
-    fn answer_holds(&mut self) {
-        let names: Vec<Arc<str>> = self.servers.keys().cloned().collect();
-        for name in names {
-            if let Some(order) =
-                self.take_order(|order| matches!(order, Order::Hold(hold) if hold.server == name))
-            {
-                self.answer(order);
-            }
-        }
-    }
-
-    fn assert_sound(&self) {
-        assert_eq!(self.overlaps, [], "tasks with two runs at once");
-        assert_eq!(
-            self.unfenced_claims,
-            [],
-            "claims that fence no earlier start"
-        );
-    }
-}
+use crate::{fixtures, order_test};
 
 /// Guards against a run that counts as lost, and a task that runs twice, as the answer to one hold is taken for that to
 /// another with the same token: a claim that a failed start repeats while its first attempt is on its way. The answer
@@ -285,13 +13,13 @@
 #[test]
 fn answer_to_a_hold_is_not_taken_for_that_to_a_later_one_with_its_token() {
     for has_run_between in [false, true] {
-        let mut test = OrderTest::leading(&["s1"], fixtures::LONG_RUN);
+        let mut test = order_test::OrderTest::leading(&["s1"], fixtures::LONG_RUN);
         test.submit("a", 1, 1);
         test.submit("b", 1, 2);
         let (start_a, start_b) = (test.take_start("a"), test.take_start("b"));
         test.deliver(start_a.without_response());
         test.orders.retain(
-            |order| !matches!(order, Order::Hold(hold) if hold.wait > time::Duration::ZERO),
+            |order| !matches!(order, order_test::Order::Hold(hold) if hold.wait > time::Duration::ZERO),
         );
         let first = test.take_hold("s1");
         test.deliver(start_b.without_response());
@@ -302,12 +30,14 @@
         let second_answer = test.carry_out(second);
         test.deliver(first_answer);
         let mut early_answers = vec![second_answer];
-        if let Some(next) = test.take_order(|order| matches!(order, Order::Hold(_))) {
+        if let Some(next) = test.take_order(|order| matches!(order, order_test::Order::Hold(_))) {
             early_answers.push(test.carry_out(next));
         }
         if has_run_between {
             test.now += fixtures::ms(1);
-            while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+            while let Some(start) =
+                test.take_order(|order| matches!(order, order_test::Order::Start(_)))
+            {
                 test.answer(start);
             }
         }
@@ -319,14 +49,16 @@
         let hold_count = test
             .orders
             .iter()
-            .filter(|order| matches!(order, Order::Hold(_)))
+            .filter(|order| matches!(order, order_test::Order::Hold(_)))
             .count();
         assert_eq!(
             hold_count, 1,
             "holds on their way, run between: {has_run_between}"
         );
         for _ in 0..10 {
-            while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+            while let Some(start) =
+                test.take_order(|order| matches!(order, order_test::Order::Start(_)))
+            {
                 test.answer(start);
             }
             test.answer_holds();
@@ -346,7 +78,7 @@
 /// claim that repeats its token: the hold was answered before the run started, the claim was sent after it.
 #[test]
 fn answer_to_a_hold_is_not_taken_for_that_to_a_repeated_claim_with_its_token() {
-    let mut test = OrderTest::leading(&["s1"], fixtures::LONG_RUN);
+    let mut test = order_test::OrderTest::leading(&["s1"], fixtures::LONG_RUN);
     test.submit("a", 1, 1);
     test.submit("b", 1, 2);
     let (start_a, start_b) = (test.take_start("a"), test.take_start("b"));
@@ -368,7 +100,7 @@
     let repeated_claim = test.take_hold("s1");
     assert_eq!(repeated_claim.token(), hold_token);
     test.deliver(early_answer);
-    while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+    while let Some(start) = test.take_order(|order| matches!(order, order_test::Order::Start(_))) {
         test.answer(start);
     }
     test.answer(repeated_claim);
@@ -379,7 +111,7 @@
 /// later one with its run id: the job was sent again to a pool that had given up its servers and claimed them anew.
 #[test]
 fn answer_to_a_start_is_not_taken_for_that_to_a_later_one_with_its_run_id() {
-    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    let mut test = order_test::OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
     test.submit("a", 1, 1);
     let first = test.take_start("a");
     let server = Arc::clone(first.server());
@@ -391,7 +123,7 @@
     let first_answer = test.carry_out(first);
     assert!(matches!(
         first_answer,
-        Answer::Start(_, server_model::StartOutcome::Fenced)
+        order_test::Answer::Start(_, server_model::StartOutcome::Fenced)
     ));
     test.submit("a", 1, 2);
     let second = test.take_start("a");
@@ -399,7 +131,7 @@
     let second_answer = test.carry_out(second);
     test.now += fixtures::ms(1);
     test.deliver(first_answer);
-    while let Some(start) = test.take_order(|order| matches!(order, Order::Start(_))) {
+    while let Some(start) = test.take_order(|order| matches!(order, order_test::Order::Start(_))) {
         test.answer(start);
     }
     test.deliver(second_answer);
@@ -410,7 +142,7 @@
 /// Guards against a sound server that gets no starts for a while, as a stop of an earlier claim was not confirmed.
 #[test]
 fn unconfirmed_stop_of_an_earlier_claim_does_not_make_a_server_suspect() {
-    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    let mut test = order_test::OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
     test.submit("a", 1, 1);
     let start = test.take_start("a");
     test.answer(start);
@@ -418,7 +150,7 @@
         .withdraw(&Arc::from("a"), pool_action::WaiterId(1), test.now);
     test.collect();
     let stop = test
-        .take_order(|order| matches!(order, Order::Stop(_)))
+        .take_order(|order| matches!(order, order_test::Order::Stop(_)))
         .expect("a stop of the run");
     test.pool.step_down(test.now, "test");
     test.collect();
@@ -428,7 +160,7 @@
     let answer = test.carry_out(stop);
     assert!(matches!(
         answer,
-        Answer::Stop(_, server_model::StopOutcome::Unconfirmed)
+        order_test::Answer::Stop(_, server_model::StopOutcome::Unconfirmed)
     ));
     test.deliver(answer);
     assert_eq!(test.suspect_count, 0);
@@ -438,7 +170,7 @@
 /// clock, and the leases on the earlier clock counted as ended at once.
 #[test]
 fn answer_of_a_restarted_server_does_not_end_the_leases_of_its_runs() {
-    let mut test = OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
+    let mut test = order_test::OrderTest::leading(&["s1", "s2"], fixtures::LONG_RUN);
     test.submit("a", 1, 1);
     let start = test.take_start("a");
     let server = Arc::clone(start.server());
@@ -453,7 +185,8 @@
     // The claim of the new incarnation gets no answer, and the leases end.
     for _ in 0..60 {
         test.advance(fixtures::ms(20));
-        while let Some(next) = test.take_order(|order| matches!(order, Order::Start(_))) {
+        while let Some(next) = test.take_order(|order| matches!(order, order_test::Order::Start(_)))
+        {
             test.answer(next);
         }
     }
@@ -504,8 +237,8 @@
 /// Messages of which the test decides when they arrive.
 #[derive(Default)]
 struct MessageDeck {
-    answers: Vec<Answer>,
-    late_orders: Vec<Order>,
+    answers: Vec<order_test::Answer>,
+    late_orders: Vec<order_test::Order>,
     waiter_count: u64,
     waiters: BTreeMap<&'static str, Vec<pool_action::WaiterId>>,
 }
@@ -515,7 +248,7 @@
 }
 
 impl MessageDeck {
-    fn apply(&mut self, event: MessageEvent, test: &mut OrderTest) {
+    fn apply(&mut self, event: MessageEvent, test: &mut order_test::OrderTest) {
         match event {
             MessageEvent::Reach(number) => {
                 if let Some(order) = take(&mut test.orders, number) {
@@ -583,11 +316,11 @@
             }
             MessageEvent::Restart(number) => {
                 let name = SERVERS[number % SERVERS.len()];
-                let is_there = |order: &mut Order| **order.server() == *name;
+                let is_there = |order: &mut order_test::Order| **order.server() == *name;
                 self.late_orders.retain_mut(|order| !is_there(order));
                 let lost_orders = test.orders.extract_if(.., is_there);
                 self.answers
-                    .extend(lost_orders.map(Order::without_response));
+                    .extend(lost_orders.map(order_test::Order::without_response));
                 let server = test.servers.get_mut(name);
                 server.expect("a server of the test").restart(test.now);
             }
@@ -600,20 +333,6 @@
     }
 }
 
-impl OrderTest {
-    /// Returns the answer of a server that rejects `order` for its token, for no reason.
-    fn reject(&self, order: Order) -> Answer {
-        let clock_ms = Some(self.servers[order.server()].clock_ms(self.now));
-        match order {
-            Order::Start(order) => Answer::Start(order, server_model::StartOutcome::Fenced),
-            Order::Stop(order) => Answer::Stop(order, server_model::StopOutcome::Unconfirmed),
-            Order::Hold(order) => {
-                Answer::Hold(order, server_model::HoldOutcome::Fenced { clock_ms })
-            }
-        }
-    }
-}
-
 fn message_event() -> impl strategy::Strategy<Value = MessageEvent> {
     let number = 0_usize..8;
     proptest::prop_oneof![
@@ -648,7 +367,7 @@
     fn no_order_of_messages_runs_a_task_twice(
         events in proptest::collection::vec(message_event(), 1..EVENTS_PER_CASE)
     ) {
-        let mut test = OrderTest::leading(&SERVERS, fixtures::LONG_RUN * 10);
+        let mut test = order_test::OrderTest::leading(&SERVERS, fixtures::LONG_RUN * 10);
         let mut deck = MessageDeck::default();
         for event in &events {
             deck.apply(*event, &mut test);
--- a/crates/cuminkeel_replay/tests/promises/main.rs
+++ b/crates/cuminkeel_replay/tests/promises/main.rs
@@ -13,6 +13,7 @@
 mod jobs;
 mod leaders;
 mod lost_leader_copies;
+mod order_test;
 mod resent_jobs;
 mod return_schedules;
 mod servers;
