Guard the read of the registry that a restarted server needs

The read that a report of a new incarnation asks for was one: nothing saw it. The test's harness counts such reads now, in place of answers to callers that it collected and nobody read.

--- a/crates/cuminkeel_replay/tests/promises/answers.rs
+++ b/crates/cuminkeel_replay/tests/promises/answers.rs
@@ -194,6 +194,18 @@
     assert!(test.servers.values().any(|server| !server.runs.is_empty()));
 }
 
+/// Guards against a restarted server whose room is missing until the next usual read of the registry.
+#[test]
+fn report_of_a_new_incarnation_asks_for_its_registry_entry() {
+    let mut test = order_test::OrderTest::leading(&["s1"], fixtures::LONG_RUN);
+    let reads_before = test.registry_reads;
+    let now = test.now;
+    let server = test.servers.get_mut("s1").expect("a server of the test");
+    server.restart(now);
+    test.answer_holds();
+    assert_eq!(test.registry_reads, reads_before + 1);
+}
+
 /// What happens next to a pool, its servers and the messages between them. Numbers choose among the messages on their way.
 #[derive(Clone, Copy, Debug)]
 enum MessageEvent {
--- a/crates/cuminkeel_replay/tests/promises/order_test.rs
+++ b/crates/cuminkeel_replay/tests/promises/order_test.rs
@@ -63,7 +63,8 @@
     pub run_time: time::Duration,
     /// Orders that have not reached their servers, oldest first.
     pub orders: Vec<Order>,
-    pub ends: Vec<(pool_action::WaiterId, job_model::JobEnd)>,
+    /// Number of reads of the registry that the pool has asked for.
+    pub registry_reads: usize,
     pub suspect_count: usize,
     /// Tasks of which two runs were in progress.
     pub overlaps: Vec<job_model::TaskName>,
@@ -90,7 +91,7 @@
             now: fixtures::ms(1_000),
             run_time,
             orders: Vec::new(),
-            ends: Vec::new(),
+            registry_reads: 0,
             suspect_count: 0,
             overlaps: Vec::new(),
             start_tokens: BTreeMap::new(),
@@ -133,9 +134,7 @@
                 }
                 pool_action::PoolAction::Stop(order) => self.orders.push(Order::Stop(order)),
                 pool_action::PoolAction::Hold(order) => self.orders.push(Order::Hold(order)),
-                pool_action::PoolAction::AnswerWaiter { waiter, end } => {
-                    self.ends.push((waiter, end));
-                }
+                pool_action::PoolAction::ReadRegistry => self.registry_reads += 1,
                 pool_action::PoolAction::LogDecision(record) => {
                     let is_suspect = record.kind == pool_action::DecisionKind::Suspect;
                     self.suspect_count += usize::from(is_suspect);
