--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -28,21 +28,28 @@
     let runs = Arc::default();
     let store = Store::default();
     let is_away = Arc::new(AtomicBool::new(false));
-    let views = [store.serve_unless("127.0.0.1:0", &is_away), store.serve("127.0.0.1:0")];
+    let views =
+        [store.serve_unless("127.0.0.1:0", &is_away), store.serve("127.0.0.1:0"), store.serve("127.0.0.1:0")];
     put_config(&store, 1);
     // Of equal machines, the first by name leads.
-    let machines = [Machine::new("edge-gebze-1", "gebze", "127.0.0.11"), Machine::new("edge-gebze-2", "gebze", "127.0.0.12")];
+    let machines = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+        .iter()
+        .zip(1..)
+        .map(|(ip, number)| Machine::new(&format!("edge-gebze-{number}"), "gebze", ip))
+        .collect::<Vec<_>>();
     let runners: Vec<Runner> =
-        ["i-g1", "i-g2"].iter().map(|id| Runner::start(id, "gebze", CAPACITY, &store, &record, &runs)).collect();
+        (1..=8).map(|number| Runner::start(&format!("i-g{number}"), "gebze", CAPACITY, &store, &record, &runs)).collect();
+    // A quarter of the runners.
+    let shrinking = &runners[..2];
     let nodes: Vec<Node> =
         machines.iter().zip(&views).map(|(machine, view)| machine.start(&machines, view, &folder.0)).collect();
     wait_until_ready(&nodes);
     thread::sleep(Duration::from_millis(1_500));
 
     let is_over = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..8_u64)
+    let callers: Vec<_> = (0..28_u64)
         .map(|caller| {
-            let (address, is_over) = (nodes[1].frontend.clone(), Arc::clone(&is_over));
+            let (address, is_over) = (nodes[1 + caller as usize % 2].frontend.clone(), Arc::clone(&is_over));
             thread::spawn(move || {
                 let step = format!("{{\"count\":1,\"cpu\":{TASK_CPU},\"mem_mb\":64,\"estimate_ms\":{WORK_MS}}}");
                 let mut number = caller << 32;
@@ -62,7 +69,7 @@
     }
     thread::sleep(Duration::from_millis(500));
     let mut shrunk_at = Duration::ZERO;
-    for runner in &runners {
+    for runner in shrinking {
         runner.set_cpu(SHRUNK, &store);
         shrunk_at = record.now();
     }
@@ -78,7 +85,10 @@
 
     let runs = lock(&runs).clone();
     let mut found = 0;
-    for run in runs.iter().filter(|run| run.from > shrunk_at + GRACE && run.from < served_at) {
+    for run in runs
+        .iter()
+        .filter(|run| shrinking.iter().any(|runner| runner.id == run.server))
+        .filter(|run| run.from > shrunk_at + GRACE && run.from < served_at) {
         let beside = runs
             .iter()
             .filter(|other| other.server == run.server && (other.from, &other.task) < (run.from, &run.task))
