Move the reader of the registry into a file of its own

store_feed.rs held the reader of the configuration, the reader of the registry and what both share. Paths in one test file follow.

--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod probe_listener;
 pub mod process;
 pub mod process_log;
+pub mod registry_feed;
 pub mod request_body;
 pub mod request_cause;
 pub mod send_time;
--- a/crates/cuminkeel_node/src/process.rs
+++ b/crates/cuminkeel_node/src/process.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     connection_gate, frontend, link_frame, link_listener, link_reconciler, node_state, node_tuning,
-    peer_discovery, pool_driver, probe_listener, process_log, store_feed,
+    peer_discovery, pool_driver, probe_listener, process_log, registry_feed, store_feed,
 };
 
 /// Maximum number of attempts to bind an address, to which a previous process may still be bound.
@@ -168,7 +168,7 @@
     let (stop_sender, stop_receiver) = watch::channel(false);
     tokio::spawn(pool_driver::run_pool(Arc::clone(&node), pool_inbox));
     tokio::spawn(store_feed::follow_config(Arc::clone(&node)));
-    tokio::spawn(store_feed::follow_registry(Arc::clone(&node)));
+    tokio::spawn(registry_feed::follow_registry(Arc::clone(&node)));
     tokio::spawn(peer_discovery::discover_peers(Arc::clone(&node)));
     tokio::spawn(link_reconciler::run_link_reconciler(Arc::clone(&node)));
     tokio::spawn(link_listener::accept_connections(
--- a/crates/cuminkeel_node/tests/node/components.rs
+++ b/crates/cuminkeel_node/tests/node/components.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time};
 
 use cuminkeel_dispatch::{job_model, leadership};
-use cuminkeel_node::{claim_targets, link_frame, link_interval, node_tuning, store_feed};
+use cuminkeel_node::{claim_targets, link_frame, link_interval, node_tuning, registry_feed};
 use platform_adapter::store;
 
 fn ms(value: u64) -> time::Duration {
@@ -15,7 +15,7 @@
 #[test]
 fn registry_entries_that_expire_in_a_store_outage_are_kept_for_a_grace_period() {
     let server: Arc<str> = Arc::from("s1");
-    let mut pending_removals = store_feed::PendingRemovals::default();
+    let mut pending_removals = registry_feed::PendingRemovals::default();
     assert!(
         pending_removals.record_removal(&server, ms(100)),
         "without an outage, the server should be removed immediately"
@@ -237,7 +237,7 @@
                 value: (!value.is_empty()).then(|| value.as_bytes().to_vec().into()),
             })
             .collect();
-        let has_lapsed = !store_feed::lapsed_servers(&history, "north").is_empty();
+        let has_lapsed = !registry_feed::lapsed_servers(&history, "north").is_empty();
         assert_eq!(has_lapsed, expected, "{name}");
     }
 }
@@ -255,7 +255,7 @@
     ];
     for (name, asked, read, lapsed, expected) in cases {
         assert_eq!(
-            store_feed::shows_missing_entries(asked, read, lapsed),
+            registry_feed::shows_missing_entries(asked, read, lapsed),
             expected,
             "{name}"
         );
