Tell how old a process's knowledge of the registry is

read_progress::ReadProgress holds the offset and the start of the last read that reached the end of the log, with now as an argument. registry_stale is logged when its age reaches two seconds, the time after which a draining server must get no more work, and registry_regained when a read ends that; two gauges show age and offset at each fetch of the metrics.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod pool_action;
 pub mod pool_room;
+pub mod read_progress;
 pub mod retry_advice;
 pub mod room_ledger;
 pub mod run_evidence;
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{connection_budget, offer_plan, pool_action};
+use cuminkeel_dispatch::{connection_budget, offer_plan, pool_action, read_progress};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter, family, gauge, histogram},
@@ -165,6 +165,8 @@
     held_removals: gauge::Gauge,
     fencing_epoch: gauge::Gauge,
     rejecting_servers: gauge::Gauge,
+    registry_age_ms: gauge::Gauge,
+    registry_offset: gauge::Gauge,
 }
 
 impl StateGauges {
@@ -225,6 +227,16 @@
                 "Backend servers that rejected the latest orders of this process for their fencing token",
                 &self.rejecting_servers,
             ),
+            (
+                "registry_age_ms",
+                "Age of what this process knows of the registry of backend servers, in ms; -1 before its first read",
+                &self.registry_age_ms,
+            ),
+            (
+                "registry_offset",
+                "Offset of the registry's log up to which this process knows all records; -1 before its first read",
+                &self.registry_offset,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -428,6 +440,14 @@
         self.state_gauges.held_removals.set(to_gauge_value(servers));
     }
 
+    /// Sets the gauges for what this process knows of the registry at `now`.
+    pub fn set_registry_gauges(&self, progress: &read_progress::ReadProgress, now: time::Duration) {
+        let age = progress.age(now).map_or(-1, pool_action::whole_ms);
+        let offset = progress.next_offset().map_or(-1, to_gauge_value);
+        self.state_gauges.registry_age_ms.set(age);
+        self.state_gauges.registry_offset.set(offset);
+    }
+
     /// Returns the metrics of the connections of `listener`.
     pub fn listener(&self, listener: &'static str) -> ListenerMetrics {
         let metrics = self.connections.clone();
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -7,7 +7,9 @@
 };
 
 use bytes::Bytes;
-use cuminkeel_dispatch::{evacuation, input_clock, leadership, pool_room, room_ledger};
+use cuminkeel_dispatch::{
+    evacuation, input_clock, leadership, pool_room, read_progress, room_ledger,
+};
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
 
@@ -73,6 +75,8 @@
     peer_changes: watch::Sender<u64>,
     /// Requests of the pool that the registry be read at once.
     registry_requests: Notify,
+    /// How far this process has read the registry.
+    registry_progress: Mutex<read_progress::ReadProgress>,
 }
 
 impl NodeState {
@@ -114,6 +118,7 @@
             status_changes: watch::Sender::new(0),
             peer_changes: watch::Sender::new(0),
             registry_requests: Notify::new(),
+            registry_progress: Mutex::default(),
         }
     }
 
@@ -419,6 +424,13 @@
         self.peer_changes.subscribe()
     }
 
+    /// Locks the progress of the reads of the registry.
+    pub fn registry_progress(&self) -> MutexGuard<'_, read_progress::ReadProgress> {
+        self.registry_progress
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Requests that the registry of backend servers be read at once.
     pub fn request_registry_read(&self) {
         self.registry_requests.notify_one();
--- a/crates/cuminkeel_node/src/probe_listener.rs
+++ b/crates/cuminkeel_node/src/probe_listener.rs
@@ -35,6 +35,10 @@
     let gate = Arc::clone(&node.gates.metrics);
     let measured_node = Arc::clone(&node);
     serve_by_path(node, gate, listener, move |_| {
+        let progress = *measured_node.registry_progress();
+        measured_node
+            .metrics
+            .set_registry_gauges(&progress, measured_node.now());
         let text = Bytes::from(measured_node.metrics.encode());
         let mut response = http::Response::new(Full::new(text));
         response.headers_mut().insert(
--- a/crates/cuminkeel_node/src/registry_feed.rs
+++ b/crates/cuminkeel_node/src/registry_feed.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{pool_action, server_model, settings};
+use cuminkeel_dispatch::{pool_action, read_progress, server_model, settings};
 use platform_adapter::{registry, store};
 
 use crate::{link_reconciler, node_state, pool_driver, store_feed};
@@ -132,6 +132,7 @@
     };
     loop {
         feed.wait_until_needed().await;
+        feed.log_age_change(consecutive_failures);
         let is_snapshot = offset.is_none();
         let started_at = feed.node.now();
         let batch = match offset {
@@ -165,10 +166,14 @@
                 feed.apply_records(batch.records, is_snapshot, now);
                 feed.log_held_removals(now);
                 feed.publish_view(now);
+                feed.node
+                    .registry_progress()
+                    .set_next_offset(Some(batch.next_offset));
                 if batch.next_offset < batch.end_offset {
                     // The response has as many records as fit, so the entries read are not the newest.
                     continue;
                 }
+                feed.node.registry_progress().record_read(started_at);
                 feed.node
                     .pool
                     .apply_registry_change(pool_driver::RegistryChange::Read(started_at));
@@ -368,6 +373,26 @@
         self.node.metrics.set_held_removals_gauge(held_count);
     }
 
+    /// Logs whether what this process knows of the registry has become out of date, or is up to date again.
+    fn log_age_change(&self, failures: u32) {
+        let now = self.node.now();
+        let mut progress = self.node.registry_progress();
+        let change = progress.check_age(now);
+        let offset = progress.next_offset();
+        drop(progress);
+        match change {
+            Some(read_progress::AgeChange::Stale { age }) => {
+                slog::warn!(self.node.logger, "registry_stale"; "age_ms" => pool_action::whole_ms(age),
+                    "offset" => offset, "failures" => failures, "held_servers" => self.node.own_status().held_servers);
+            }
+            Some(read_progress::AgeChange::Regained { gap }) => {
+                slog::info!(self.node.logger, "registry_regained"; "gap_ms" => pool_action::whole_ms(gap),
+                    "offset" => offset);
+            }
+            None => {}
+        }
+    }
+
     /// Tells the pool how the registry is read, if that has changed.
     fn publish_view(&mut self, now: time::Duration) {
         let view = server_model::RegistryView {
--- a/crates/cuminkeel_node/tests/node/registry_logs.rs
+++ b/crates/cuminkeel_node/tests/node/registry_logs.rs
@@ -137,3 +137,25 @@
     assert_eq!(line["lost_pools"], format!("n1/{boot}"));
     assert_eq!(line["boot"], next_boot);
 }
+
+/// Without the lines and the gauges, a leader that goes on with what it read long ago looks like one that reads what its
+/// peers do.
+#[tokio::test(flavor = "multi_thread")]
+async fn registry_that_no_process_can_read_is_logged_and_measured_with_its_age() {
+    let platform = test_platform::TestPlatform::start(&["north"]).await;
+    let node = platform.start_ready_node("n1", "north").await;
+    let mut log = LogReader::new(&node);
+    platform
+        .store
+        .set_mode(emulated_store::StoreMode::Unavailable);
+    let stale = log.take_line("registry_stale").await;
+    assert!(stale["age_ms"].as_u64() >= Some(2_000), "{stale}");
+    assert_eq!(stale["held_servers"], 2);
+    assert_eq!(stale["offset"], 2);
+    assert!(node.gauge_value("registry_age_ms").await >= Some(2_000));
+    platform.servers[0].register(&platform.store);
+    platform.store.set_mode(emulated_store::StoreMode::Up);
+    let regained = log.take_line("registry_regained").await;
+    assert!(regained["gap_ms"].as_u64() >= Some(2_000), "{regained}");
+    assert_eq!(node.gauge_value("registry_offset").await, Some(3));
+}
