Let processes that the store turns away read the registry through peers

Cause: a process learns the registry from the store alone. Peers pass on configurations, evacuations, leaders and epochs, but no entries, so that a leader goes on with what it read last, and nothing makes it give up its place.

Change: after a failed read, a process asks two linked members of its domain, then a linked leader of another one, for the records behind its own offset, one after the other 0.1 s apart, until one has read the store in the last 2.1 s. The offsets of the log order all that is known, so both sources take one path (RegistrySource) and nothing goes back. A process that was asked reads as often as a leader for two seconds. Answers are bounded to 2 MiB each and 1 MiB a second in all, and a peer that leaves one unread for a second loses its connection. The frames have format 7, which the last landing skips.

Why it works: the age of what the leader knows is bounded by the interval of the reads of any member that is served, and one round of requests, in place of the length of the spell.

A property test reads the store and peers in any order, lost, doubled and late: each process always knows the log up to one offset. Resumed, which the last landing knows, moves to the frames that it must read.

--- a/crates/cuminkeel_dispatch/src/lib.rs
+++ b/crates/cuminkeel_dispatch/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod pool_action;
 pub mod pool_room;
 pub mod read_progress;
+pub mod registry_relay;
+pub mod registry_replica;
 pub mod retry_advice;
 pub mod room_ledger;
 pub mod run_evidence;
--- a/crates/cuminkeel_node/src/lib.rs
+++ b/crates/cuminkeel_node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod process;
 pub mod process_log;
 pub mod registry_feed;
+pub mod registry_source;
 pub mod request_body;
 pub mod request_cause;
 pub mod send_time;
--- a/crates/cuminkeel_node/src/link_frame.rs
+++ b/crates/cuminkeel_node/src/link_frame.rs
@@ -12,7 +12,7 @@
 };
 
 use cuminkeel_dispatch::{
-    connection_budget, crash_ledger, evacuation, job_model, leadership, pool_room,
+    connection_budget, crash_ledger, evacuation, job_model, leadership, pool_room, registry_replica,
 };
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -32,6 +32,9 @@
 /// Format number of [`LinkFrame::Resumed`], which releases that don't know it skip: they take the job for one that any
 /// process may have started.
 const RESUMED_FORMAT: u8 = 6;
+/// Format number of [`LinkFrame::RegistryRequest`] and [`LinkFrame::RegistryAnswer`], which releases that don't know
+/// them skip.
+const REGISTRY_FORMAT: u8 = 7;
 /// Maximum length of a frame, which has to fit a complete configuration and its header.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum length of a hello, which has two names and an address.
@@ -144,6 +147,22 @@
         /// Number of the submission.
         submission_id: u64,
     },
+    /// Request for what the receiver has read of the registry of backend servers, as the store turns the sender away.
+    RegistryRequest {
+        /// Number of the request, counted by the sender for each link.
+        request_id: u64,
+        /// Failure domain of the servers.
+        failure_domain: Arc<str>,
+        /// Offset up to which the sender knows all records; `None` if it knows none.
+        from_offset: Option<u64>,
+    },
+    /// Answer to a request for the registry.
+    RegistryAnswer {
+        /// Number of the request.
+        request_id: u64,
+        /// What the receiver did not know; `None` if the sender can't tell.
+        news: Option<registry_replica::RegistryNews>,
+    },
 }
 
 /// Which ends of jobs the peer at the other end of a connection can decode, which it shows by a frame of the
@@ -280,6 +299,7 @@
         LinkFrame::Evacuations(_) | LinkFrame::Room(_) => DOMAIN_NEWS_FORMAT,
         LinkFrame::LostRuns(_) => LOSS_NEWS_FORMAT,
         LinkFrame::Resumed { .. } => RESUMED_FORMAT,
+        LinkFrame::RegistryRequest { .. } | LinkFrame::RegistryAnswer { .. } => REGISTRY_FORMAT,
         _ => FRAME_FORMAT,
     };
     buffer.extend_from_slice(&[0, 0, 0, 0, format]);
@@ -367,6 +387,7 @@
                 | DOMAIN_NEWS_FORMAT
                 | LOSS_NEWS_FORMAT
                 | RESUMED_FORMAT
+                | REGISTRY_FORMAT
         ) {
             return Ok(postcard::from_bytes(&body[1..])?);
         }
--- a/crates/cuminkeel_node/src/link_listener.rs
+++ b/crates/cuminkeel_node/src/link_listener.rs
@@ -35,6 +35,9 @@
 /// Maximum number of frames that wait while the peer does not read those before: over ten times the jobs that a process
 /// has in progress at the target scale, all of which may end at once.
 const MAX_UNSENT_FRAMES: usize = 500;
+/// Time within which a peer has to read what it asked for of the registry, as its connection holds the bytes until
+/// then. The peer gives up after as long as a request to the store may take, 0.6 s.
+const ANSWER_WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Pause before the next accept after an error such as too many open descriptors.
 const ACCEPT_RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -93,6 +96,23 @@
         offer
     }
 
+    /// Submits the job of an offer that was sent at `sent_at`, and spawns what `send_end` returns.
+    fn start_job<F>(
+        &mut self,
+        node: &node_state::NodeState,
+        offer: job_model::JobOffer,
+        submission_id: u64,
+        sent_at: time::Duration,
+        send_end: impl FnOnce(pool_driver::PoolJob) -> F,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let offer = self.receive_offer(offer, submission_id, sent_at);
+        let id = Arc::clone(&offer.spec.id);
+        let task = tokio::spawn(send_end(node.pool.submit(offer)));
+        self.jobs.insert(submission_id, PeerJob { id, task });
+    }
+
     /// Tells the pool that the peer waited at `sent_at` for its jobs that are in progress.
     fn record_sign(&self, node: &node_state::NodeState, sent_at: time::Duration) {
         if has_jobs(&self.jobs) {
@@ -161,20 +181,13 @@
     let mut sent_state = sent_state::SentState::default();
     let mut send_times = send_time::SendTimes::default();
     let peer_release = Arc::<link_frame::PeerRelease>::default();
-    // The evacuations and the leaders precede the status because the peer counts this process as
-    // probed when the status arrives.
-    let first_frames: SmallVec<[link_frame::LinkFrame; 7]> = [
-        Some(link_frame::LinkFrame::Hello(node.hello.clone())),
-        sent_state.evacuation_change(node),
-        sent_state.leader_change(node),
-        sent_state.new_losses(node, &peer_name),
-        Some(send_times.frame(node.now())),
-        Some(link_frame::LinkFrame::Status(node.own_status())),
-        sent_state.room_change(node, &peer_domain),
-    ]
-    .into_iter()
-    .flatten()
-    .collect();
+    let first_frames = first_frames(
+        node,
+        &mut sent_state,
+        &mut send_times,
+        &peer_name,
+        &peer_domain,
+    );
     link_frame::write_frames(&mut writer, &first_frames).await?;
     node_state::upsert_peer(node, hello);
     let (frame_sender, writer_task) = FrameSender::start(writer);
@@ -193,6 +206,9 @@
                             frame_sender.send(frame);
                         }
                     }
+                    () = frame_sender.wait_until_ended() => {
+                        break Err(link_frame::LinkError::UnreadAnswers);
+                    }
                 }
             }
         };
@@ -229,17 +245,19 @@
                 submission_id,
                 offer,
             }) => {
-                let offer =
-                    session.receive_offer(offer, submission_id, send_times.sent_at(node.now()));
-                let id = Arc::clone(&offer.spec.id);
-                let job = node.pool.submit(offer);
-                let task = tokio::spawn(send_job_end(
-                    job,
-                    submission_id,
-                    Arc::clone(&peer_release),
-                    frame_sender.clone(),
-                ));
-                session.jobs.insert(submission_id, PeerJob { id, task });
+                let sent_at = send_times.sent_at(node.now());
+                let release = Arc::clone(&peer_release);
+                session.start_job(node, offer, submission_id, sent_at, |job| {
+                    send_job_end(job, submission_id, release, frame_sender.clone())
+                });
+            }
+            Ok(link_frame::LinkFrame::RegistryRequest {
+                request_id,
+                failure_domain,
+                from_offset,
+            }) => {
+                let answer = node.answer_registry_request(request_id, &failure_domain, from_offset);
+                frame_sender.send(answer);
             }
             Ok(frame) => apply_frame(node, &peer_name, frame, &send_times, session),
             Err(error) => break Err(error),
@@ -249,6 +267,29 @@
     result
 }
 
+/// Returns the first frames to the peer. The evacuations and the leaders precede the status because the peer counts
+/// this process as probed when the status arrives.
+fn first_frames(
+    node: &node_state::NodeState,
+    sent_state: &mut sent_state::SentState,
+    send_times: &mut send_time::SendTimes,
+    peer_name: &str,
+    peer_domain: &str,
+) -> SmallVec<[link_frame::LinkFrame; 7]> {
+    [
+        Some(link_frame::LinkFrame::Hello(node.hello.clone())),
+        sent_state.evacuation_change(node),
+        sent_state.leader_change(node),
+        sent_state.new_losses(node, peer_name),
+        Some(send_times.frame(node.now())),
+        Some(link_frame::LinkFrame::Status(node.own_status())),
+        sent_state.room_change(node, peer_domain),
+    ]
+    .into_iter()
+    .flatten()
+    .collect()
+}
+
 /// Reads the first frame of a connection, which has to be a hello.
 async fn read_hello<R>(
     reader: &mut R,
@@ -295,6 +336,11 @@
         let _closed = self.sender.send(frame);
     }
 
+    /// Waits until no frame is written any more: the connection is lost, or the peer does not read a long answer.
+    async fn wait_until_ended(&self) {
+        self.sender.closed().await;
+    }
+
     /// Returns `frame`, which the peer has sent, or an error if the peer does not read what it is sent.
     fn check_peer(
         &self,
@@ -317,10 +363,16 @@
         while let Ok(frame) = frame_receiver.try_recv() {
             frames.push(frame);
         }
-        if link_frame::write_frames(&mut writer, &frames)
-            .await
-            .is_err()
-        {
+        let has_long_answer = frames
+            .iter()
+            .any(|frame| matches!(frame, link_frame::LinkFrame::RegistryAnswer { .. }));
+        let write = link_frame::write_frames(&mut writer, &frames);
+        let result = if has_long_answer {
+            tokio::time::timeout(ANSWER_WRITE_TIMEOUT, write).await
+        } else {
+            Ok(write.await)
+        };
+        if !matches!(result, Ok(Ok(()))) {
             return;
         }
         unsent_count.fetch_sub(frames.len(), Ordering::Relaxed);
@@ -381,6 +433,8 @@
         link_frame::LinkFrame::End { .. }
         | link_frame::LinkFrame::Evacuations(_)
         | link_frame::LinkFrame::Hello(_)
+        | link_frame::LinkFrame::RegistryAnswer { .. }
+        | link_frame::LinkFrame::RegistryRequest { .. }
         | link_frame::LinkFrame::SendTime { .. }
         | link_frame::LinkFrame::Status(_)
         | link_frame::LinkFrame::Submit { .. } => {}
--- a/crates/cuminkeel_node/src/node_metrics.rs
+++ b/crates/cuminkeel_node/src/node_metrics.rs
@@ -5,7 +5,9 @@
     time,
 };
 
-use cuminkeel_dispatch::{connection_budget, offer_plan, pool_action, read_progress};
+use cuminkeel_dispatch::{
+    connection_budget, offer_plan, pool_action, read_progress, registry_relay,
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter, family, gauge, histogram},
@@ -35,6 +37,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RelayLabels {
+    outcome: String,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ListenerLabels {
     listener: &'static str,
@@ -146,6 +153,8 @@
     store_failures: Family<ReasonLabels, counter::Counter>,
     withdrawn_orphans: counter::Counter,
     ignored_entries: counter::Counter,
+    relays: Family<RelayLabels, counter::Counter>,
+    withheld_relays: counter::Counter,
     caller_connections: gauge::Gauge,
     connections: ConnectionMetrics,
     state_gauges: StateGauges,
@@ -265,6 +274,8 @@
         let store_failures = Family::default();
         let withdrawn_orphans = counter::Counter::default();
         let ignored_entries = counter::Counter::default();
+        let relays = Family::default();
+        let withheld_relays = counter::Counter::default();
         let caller_connections = gauge::Gauge::default();
         registry.register(
             "answers",
@@ -302,6 +313,16 @@
             "Entries of the registry that name no server to use, as another writer left them",
             ignored_entries.clone(),
         );
+        registry.register(
+            "registry_relays",
+            "Requests to peers for the registry, by outcome: fresh, old, withheld, unanswered",
+            relays.clone(),
+        );
+        registry.register(
+            "registry_relays_withheld",
+            "Requests of peers for the registry that this process could not answer",
+            withheld_relays.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
@@ -320,6 +341,8 @@
             store_failures,
             withdrawn_orphans,
             ignored_entries,
+            relays,
+            withheld_relays,
             caller_connections,
             connections,
             state_gauges,
@@ -378,6 +401,19 @@
         self.ignored_entries.inc();
     }
 
+    /// Counts a request to a peer for the registry.
+    pub fn count_relay(&self, outcome: registry_relay::RelayOutcome) {
+        let labels = RelayLabels {
+            outcome: outcome.to_string(),
+        };
+        self.relays.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request of a peer for the registry that this process could not answer.
+    pub fn count_withheld_relay(&self) {
+        self.withheld_relays.inc();
+    }
+
     /// Counts a failed request to the store.
     pub fn count_store_failure(&self, feed: &'static str) {
         self.store_failures
--- a/crates/cuminkeel_node/src/node_state.rs
+++ b/crates/cuminkeel_node/src/node_state.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cuminkeel_dispatch::{
-    evacuation, input_clock, leadership, pool_room, read_progress, room_ledger,
+    evacuation, input_clock, leadership, pool_room, registry_relay, registry_replica, room_ledger,
 };
 use platform_adapter::{routing, settings};
 use tokio::sync::{Notify, watch};
@@ -75,8 +75,10 @@
     peer_changes: watch::Sender<u64>,
     /// Requests of the pool that the registry be read at once.
     registry_requests: Notify,
-    /// How far this process has read the registry.
-    registry_progress: Mutex<read_progress::ReadProgress>,
+    /// What this process knows of the registry of backend servers.
+    registry: Mutex<registry_replica::RegistryReplica>,
+    /// Limits of what this process tells peers of the registry.
+    relay_budget: Mutex<registry_relay::RelayBudget>,
 }
 
 impl NodeState {
@@ -118,7 +120,8 @@
             status_changes: watch::Sender::new(0),
             peer_changes: watch::Sender::new(0),
             registry_requests: Notify::new(),
-            registry_progress: Mutex::default(),
+            registry: Mutex::default(),
+            relay_budget: Mutex::default(),
         }
     }
 
@@ -424,9 +427,48 @@
         self.peer_changes.subscribe()
     }
 
-    /// Locks the progress of the reads of the registry.
-    pub fn registry_progress(&self) -> MutexGuard<'_, read_progress::ReadProgress> {
-        self.registry_progress
+    /// Locks what this process knows of the registry of backend servers.
+    pub fn registry(&self) -> MutexGuard<'_, registry_replica::RegistryReplica> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the answer to a peer that asks for the records of `failure_domain` in the registry from `from_offset` on,
+    /// and lets the registry be read again if what is known is not of late.
+    pub fn answer_registry_request(
+        &self,
+        request_id: u64,
+        failure_domain: &str,
+        from_offset: Option<u64>,
+    ) -> link_frame::LinkFrame {
+        let now = self.now();
+        let registry = self.registry();
+        let mut relay_budget = self.lock_relay_budget();
+        let answer = relay_budget.answer(&registry, from_offset, failure_domain, now);
+        drop(relay_budget);
+        drop(registry);
+        let news = match answer {
+            Ok(news) => {
+                if registry_relay::is_read_due(news.read_age) {
+                    self.request_registry_read();
+                }
+                Some(news)
+            }
+            Err(error) => {
+                self.metrics.count_withheld_relay();
+                slog::debug!(self.logger, "registry_withheld"; "error" => %error, "domain" => failure_domain);
+                None
+            }
+        };
+        link_frame::LinkFrame::RegistryAnswer { request_id, news }
+    }
+
+    /// Whether peers rely on what this process reads of the registry.
+    pub fn is_asked_for_registry(&self, now: time::Duration) -> bool {
+        self.lock_relay_budget().is_asked(now)
+    }
+
+    fn lock_relay_budget(&self) -> MutexGuard<'_, registry_relay::RelayBudget> {
+        self.relay_budget
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cuminkeel_node/src/peer_link.rs
+++ b/crates/cuminkeel_node/src/peer_link.rs
@@ -10,7 +10,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{job_model, leadership};
+use cuminkeel_dispatch::{job_model, leadership, registry_replica};
 use tokio::{
     net,
     sync::{mpsc, oneshot},
@@ -53,15 +53,24 @@
     Withdraw {
         submission_id: u64,
     },
+    ReadRegistry {
+        request_id: u64,
+        from_offset: Option<u64>,
+        reply: RegistryReply,
+    },
     Redial,
 }
 
+/// Where the answer to a request for the registry goes: `None` if the peer can't tell.
+type RegistryReply = oneshot::Sender<Option<registry_replica::RegistryNews>>;
+
 /// Handle to a link that this process opens.
 #[derive(Clone, Debug)]
 pub struct PeerLink {
     link_id: u64,
     command_sender: mpsc::UnboundedSender<LinkCommand>,
     next_submission_id: Arc<std::sync::atomic::AtomicU64>,
+    next_request_id: Arc<std::sync::atomic::AtomicU64>,
 }
 
 /// Job that was sent over a link. Dropping it withdraws the job.
@@ -114,6 +123,25 @@
         }
     }
 
+    /// Asks the peer for the records of the registry from `from_offset` on. The receiver fails if the connection is
+    /// down or lost, and if the peer is asked again before it has answered.
+    pub fn read_registry(
+        &self,
+        from_offset: Option<u64>,
+    ) -> oneshot::Receiver<Option<registry_replica::RegistryNews>> {
+        let (reply, answer) = oneshot::channel();
+        let request_id = self
+            .next_request_id
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        // A link that has ended drops the reply sender.
+        let _closed = self.command_sender.send(LinkCommand::ReadRegistry {
+            request_id,
+            from_offset,
+            reply,
+        });
+        answer
+    }
+
     /// Skips the delay before the next dial if the link is down.
     pub fn redial(&self) {
         let _closed = self.command_sender.send(LinkCommand::Redial);
@@ -138,6 +166,7 @@
         link_id,
         command_sender,
         next_submission_id: Arc::default(),
+        next_request_id: Arc::default(),
     }
 }
 
@@ -294,7 +323,8 @@
                     // Sending fails if the submitter no longer waits.
                     let _dropped = reply.send(job_model::JobEnd::NotLeader);
                 }
-                Ok(Some(LinkCommand::Withdraw { .. })) => {}
+                // Dropping the reply sender tells that there is no connection.
+                Ok(Some(LinkCommand::Withdraw { .. } | LinkCommand::ReadRegistry { .. })) => {}
             }
         }
     }
@@ -310,6 +340,8 @@
         let reader_task = tokio::spawn(read_frames(reader, frame_sender));
         let mut session = LinkSession {
             pending_replies: HashMap::new(),
+            registry_request: None,
+            local_domain: Arc::clone(&node.hello.failure_domain),
             last_frame_at: node.now(),
             interval: self.interval(node, false),
             last_job_at: None,
@@ -455,7 +487,17 @@
             link_frame::LinkFrame::LostRuns(losses) => {
                 node.pool.merge_losses(losses, &self.name);
             }
+            link_frame::LinkFrame::RegistryAnswer { request_id, news } => {
+                let request = session
+                    .registry_request
+                    .take_if(|(pending_id, _)| *pending_id == request_id);
+                if let Some((_, reply)) = request {
+                    // Sending fails if the asker no longer waits.
+                    let _dropped = reply.send(news);
+                }
+            }
             link_frame::LinkFrame::Hello(_)
+            | link_frame::LinkFrame::RegistryRequest { .. }
             | link_frame::LinkFrame::Resumed { .. }
             | link_frame::LinkFrame::Submit { .. }
             | link_frame::LinkFrame::Withdraw { .. } => {}
@@ -466,6 +508,9 @@
 /// State of one connection of a link.
 struct LinkSession {
     pending_replies: HashMap<u64, oneshot::Sender<job_model::JobEnd>>,
+    /// Number of the last request for the registry, which is not answered, and where its answer goes.
+    registry_request: Option<(u64, RegistryReply)>,
+    local_domain: Arc<str>,
     /// Time of the last frame from the peer, or of the last change of the interval.
     last_frame_at: time::Duration,
     interval: time::Duration,
@@ -522,6 +567,18 @@
                     outgoing.push(link_frame::LinkFrame::Withdraw { submission_id });
                 }
             }
+            LinkCommand::ReadRegistry {
+                request_id,
+                from_offset,
+                reply,
+            } => {
+                self.registry_request = Some((request_id, reply));
+                outgoing.push(link_frame::LinkFrame::RegistryRequest {
+                    request_id,
+                    failure_domain: Arc::clone(&self.local_domain),
+                    from_offset,
+                });
+            }
             LinkCommand::Redial => {}
         }
     }
--- a/crates/cuminkeel_node/src/peer_table.rs
+++ b/crates/cuminkeel_node/src/peer_table.rs
@@ -9,7 +9,7 @@
     time,
 };
 
-use cuminkeel_dispatch::{leadership, link_plan, pool_room};
+use cuminkeel_dispatch::{leadership, link_plan, pool_room, registry_relay};
 use smallvec::SmallVec;
 
 use crate::{link_frame, peer_link};
@@ -268,6 +268,19 @@
         peers_to_dial
     }
 
+    /// Returns the connected peers that a process of `failure_domain` can ask for the registry.
+    pub fn relay_peers(&self, failure_domain: &str) -> Vec<registry_relay::RelayPeer> {
+        self.peers
+            .values()
+            .filter(|peer| peer.connected && peer.link.is_some())
+            .map(|peer| registry_relay::RelayPeer {
+                name: Arc::clone(&peer.hello.name),
+                cpu_millis: peer.hello.cpu_millis,
+                is_local: *peer.hello.failure_domain == *failure_domain,
+            })
+            .collect()
+    }
+
     /// Returns the members of `failure_domain` other than this process.
     pub fn domain_members(
         &self,
--- a/crates/cuminkeel_node/src/probe_listener.rs
+++ b/crates/cuminkeel_node/src/probe_listener.rs
@@ -35,7 +35,7 @@
     let gate = Arc::clone(&node.gates.metrics);
     let measured_node = Arc::clone(&node);
     serve_by_path(node, gate, listener, move |_| {
-        let progress = *measured_node.registry_progress();
+        let progress = *measured_node.registry().progress();
         measured_node
             .metrics
             .set_registry_gauges(&progress, measured_node.now());
--- a/crates/cuminkeel_node/src/registry_feed.rs
+++ b/crates/cuminkeel_node/src/registry_feed.rs
@@ -1,4 +1,4 @@
-//! Reader of the store's topic for the registry of backend servers.
+//! Reader of the registry of backend servers, in the store or through peers that the store serves.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -6,10 +6,10 @@
     time,
 };
 
-use cuminkeel_dispatch::{pool_action, read_progress, server_model, settings};
+use cuminkeel_dispatch::{pool_action, read_progress, registry_replica, server_model, settings};
 use platform_adapter::{registry, store};
 
-use crate::{link_reconciler, node_state, pool_driver, store_feed};
+use crate::{link_reconciler, node_state, pool_driver, registry_source, store_feed};
 
 /// Interval between reads of the registry by a process that holds no servers.
 const STANDBY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
@@ -32,9 +32,9 @@
 }
 
 impl PendingRemovals {
-    /// Records that a request to the store failed at `now`.
-    pub fn record_outage(&mut self, now: time::Duration) {
-        self.last_outage = Some(now);
+    /// Records that the store served neither this process nor a peer that told what it had read, at `outage`.
+    pub fn record_outage(&mut self, outage: time::Duration) {
+        self.last_outage = self.last_outage.max(Some(outage));
     }
 
     /// Records that the store removed the entry of `server`. Returns whether the removal takes
@@ -106,6 +106,7 @@
 
 struct RegistryFeed {
     node: Arc<node_state::NodeState>,
+    store: Arc<store::StoreClient>,
     /// Servers of the local failure domain with an entry, or with a removal that is pending, and whether
     /// they are draining.
     registered: BTreeMap<Arc<str>, bool>,
@@ -115,87 +116,50 @@
     /// Changes of `pending_removals` that are not logged yet.
     held_removals: HeldRemovals,
     view: server_model::RegistryView,
+    /// Peer that told the newest records, while the store turns this process away.
+    relay: Option<Arc<str>>,
+    /// Whether the store does not have the records behind the known ones, so that a snapshot has to be read.
+    needs_snapshot: bool,
 }
 
 /// Passes changes of the registry of backend servers to the pool until the process ends.
 pub async fn follow_registry(node: Arc<node_state::NodeState>) {
-    let store = store_feed::client(&node);
-    let mut offset = None;
-    let mut consecutive_failures = 0;
+    let store = Arc::new(store_feed::client(&node));
+    let mut store_source = registry_source::StoreSource::new(&node, &store);
+    let mut peer_source = registry_source::PeerSource::new(&node);
     let mut feed = RegistryFeed {
         node,
+        store,
         registered: BTreeMap::new(),
         implausible: BTreeSet::new(),
         pending_removals: PendingRemovals::default(),
         held_removals: HeldRemovals::default(),
         view: server_model::RegistryView::default(),
+        relay: None,
+        needs_snapshot: false,
     };
     loop {
         feed.wait_until_needed().await;
-        feed.log_age_change(consecutive_failures);
-        let is_snapshot = offset.is_none();
-        let started_at = feed.node.now();
-        let batch = match offset {
-            None => store.read_newest(store::REGISTRY_TOPIC).await,
-            Some(offset) => {
-                store
-                    .read_from(store::REGISTRY_TOPIC, offset, time::Duration::ZERO)
-                    .await
-            }
-        };
-        let now = feed.node.now();
-        match batch {
-            Ok(batch) => {
-                store_feed::record_success(
-                    &feed.node,
-                    "registry",
-                    &mut consecutive_failures,
-                    &batch,
-                );
-                offset = Some(batch.next_offset);
-                let lacks_earlier_entries = is_snapshot || feed.registered.is_empty();
-                if lacks_earlier_entries && feed.entries_may_be_missing(&store, &batch).await {
-                    feed.node.pool.apply_registry_change(
-                        pool_driver::RegistryChange::IncompleteUntil(
-                            now + settings::REREGISTRATION_GRACE,
-                        ),
-                    );
-                }
-                // The pool may take over as soon as it has the entries.
-                feed.publish_view(now);
-                feed.apply_records(batch.records, is_snapshot, now);
-                feed.log_held_removals(now);
-                feed.publish_view(now);
-                feed.node
-                    .registry_progress()
-                    .set_next_offset(Some(batch.next_offset));
-                if batch.next_offset < batch.end_offset {
-                    // The response has as many records as fit, so the entries read are not the newest.
-                    continue;
-                }
-                feed.node.registry_progress().record_read(started_at);
-                feed.node
-                    .pool
-                    .apply_registry_change(pool_driver::RegistryChange::Read(started_at));
-            }
-            Err(store::StoreError::OffsetDeleted) => {
-                offset = None;
+        let offset = feed.next_offset().filter(|_| !feed.needs_snapshot);
+        match feed.read(&mut store_source, offset).await {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(registry_source::SourceFailure::OffsetUnknown) => {
+                feed.needs_snapshot = true;
                 continue;
             }
-            Err(error) => {
-                store_feed::record_failure(
-                    &feed.node,
-                    "registry",
-                    &mut consecutive_failures,
-                    &error,
-                );
-                feed.pending_removals.record_outage(now);
+            Err(registry_source::SourceFailure::Unavailable) => {
+                feed.read_through_peers(&mut peer_source).await;
+                feed.log_age_change();
                 tokio::time::sleep(store_feed::RETRY_PAUSE).await;
                 continue;
             }
         }
-        let holds_servers = feed.node.own_status().held_servers > 0;
-        let pause = if holds_servers {
+        feed.log_age_change();
+        let now = feed.node.now();
+        let is_relied_on =
+            feed.node.own_status().held_servers > 0 || feed.node.is_asked_for_registry(now);
+        let pause = if is_relied_on {
             settings::LEADER_POLL_INTERVAL
         } else {
             STANDBY_POLL_INTERVAL
@@ -254,22 +218,131 @@
 }
 
 impl RegistryFeed {
-    /// Whether servers that live may be missing from `snapshot`, of which this process has not read the records
-    /// before it: an outage of the store, or between it and the servers, may just have emptied it. The
-    /// records before the snapshot show entries that lapsed; without them nothing is known.
-    async fn entries_may_be_missing(
+    fn next_offset(&self) -> Option<u64> {
+        self.node.registry().progress().next_offset()
+    }
+
+    /// Reads the records from `offset` on, or a snapshot, from `source`. Returns whether they reach the end of the log.
+    async fn read(
         &mut self,
-        store: &store::StoreClient,
-        snapshot: &store::RecordBatch,
-    ) -> bool {
-        let end_offset = snapshot.next_offset;
+        source: &mut dyn registry_source::RegistrySource,
+        offset: Option<u64>,
+    ) -> Result<bool, registry_source::SourceFailure> {
+        let batch = source.read(offset).await?;
+        let is_complete = batch.is_complete;
+        self.apply_batch(batch).await;
+        Ok(is_complete)
+    }
+
+    /// Asks peers for the records that the store, which has just turned this process away, has not told.
+    async fn read_through_peers(&mut self, peers: &mut dyn registry_source::RegistrySource) {
+        // Not counted as an outage yet: a peer that the store serves reads of each removal as usual.
+        let failed_at = self.node.now();
+        let offset = self.next_offset();
+        if self.read(peers, offset).await.is_err() {
+            self.relay = None;
+            self.record_outage(failed_at);
+        }
+    }
+
+    fn record_outage(&mut self, outage: time::Duration) {
+        self.pending_removals.record_outage(outage);
+        let last_outage = self.pending_removals.last_outage();
+        self.node.registry().set_last_outage(last_outage);
+    }
+
+    /// Applies what a source has told, unless more is known already.
+    async fn apply_batch(&mut self, batch: registry_source::RegistryBatch) {
+        let now = self.node.now();
+        let known_offset = self.next_offset();
+        self.record_origin(&batch, now);
+        if batch.origin == registry_source::BatchOrigin::Store {
+            self.needs_snapshot = false;
+        } else if self.node.registry().is_ahead_of(batch.next_offset) {
+            return;
+        }
+        let is_new = batch.is_snapshot || known_offset != Some(batch.next_offset);
+        if is_new {
+            let lacks_earlier_entries = batch.is_snapshot || self.registered.is_empty();
+            if lacks_earlier_entries && self.entries_may_be_missing(&batch).await {
+                self.node
+                    .pool
+                    .apply_registry_change(pool_driver::RegistryChange::IncompleteUntil(
+                        now + settings::REREGISTRATION_GRACE,
+                    ));
+            }
+        }
+        if batch.is_snapshot {
+            self.node.registry().begin_snapshot(batch.next_offset);
+        }
+        // The pool may take over as soon as it has the entries.
+        self.publish_view(now);
+        self.apply_records(batch.records, batch.is_snapshot, now);
+        self.log_held_removals(now);
+        self.publish_view(now);
+        let mut registry = self.node.registry();
+        registry
+            .progress_mut()
+            .set_next_offset(Some(batch.next_offset));
+        if batch.is_complete {
+            registry.progress_mut().record_read(batch.read_at);
+            drop(registry);
+            self.node
+                .pool
+                .apply_registry_change(pool_driver::RegistryChange::Read(batch.read_at));
+        }
+    }
+
+    /// Records who told the newest records, and whether the store may have missed that servers renewed their entries.
+    fn record_origin(&mut self, batch: &registry_source::RegistryBatch, now: time::Duration) {
+        let registry_source::BatchOrigin::Peer {
+            name,
+            is_local,
+            is_fresh,
+            last_outage,
+        } = &batch.origin
+        else {
+            self.relay = None;
+            return;
+        };
+        // What a peer of another failure domain reads doesn't show that the servers of this one reach the store. A
+        // peer's snapshot doesn't show which servers were removed.
+        if *is_local && *is_fresh && !batch.is_snapshot {
+            if let Some(outage) = last_outage {
+                self.record_outage(*outage);
+            }
+        } else {
+            self.record_outage(now);
+        }
+        match (is_fresh, &self.relay) {
+            (true, Some(relay)) if relay == name => {}
+            (true, _) => {
+                slog::info!(self.node.logger, "registry_relayed"; "peer" => &**name,
+                    "age_ms" => pool_action::whole_ms(now.saturating_sub(batch.read_at)),
+                    "from_offset" => self.next_offset(), "offset" => batch.next_offset,
+                    "records" => batch.records.len());
+                self.relay = Some(Arc::clone(name));
+            }
+            (false, _) => self.relay = None,
+        }
+    }
+
+    /// Whether servers that live may be missing from `batch`, of which this process has not read the records
+    /// before it: an outage of the store, or between it and the servers, may just have emptied it. The
+    /// records before it show entries that lapsed; without them nothing is known. Peers don't have them.
+    async fn entries_may_be_missing(&mut self, batch: &registry_source::RegistryBatch) -> bool {
+        if batch.origin != registry_source::BatchOrigin::Store {
+            return true;
+        }
+        let end_offset = batch.next_offset;
         let record_count =
-            u64::try_from(snapshot.records.len() * HISTORY_RECORDS_PER_SERVER).unwrap_or(u64::MAX);
+            u64::try_from(batch.records.len() * HISTORY_RECORDS_PER_SERVER).unwrap_or(u64::MAX);
         let first_offset = end_offset.saturating_sub(record_count);
         let asked_count = usize::try_from(end_offset - first_offset).unwrap_or(usize::MAX);
         self.view.history_asked = asked_count;
         self.view.history_read = 0;
-        match store
+        match self
+            .store
             .read_range(store::REGISTRY_TOPIC, first_offset, end_offset)
             .await
         {
@@ -301,14 +374,15 @@
 
     fn apply_records(
         &mut self,
-        records: Vec<store::KeyedRecord>,
+        records: Vec<registry_replica::RegistryRecord>,
         is_snapshot: bool,
         now: time::Duration,
     ) {
-        let mut records_by_server: BTreeMap<Arc<str>, Vec<Option<bytes::Bytes>>> = BTreeMap::new();
+        let mut records_by_server: BTreeMap<Arc<str>, Vec<registry_replica::RegistryRecord>> =
+            BTreeMap::new();
         for record in records {
-            let server_records = records_by_server.entry(record.key).or_default();
-            server_records.push(record.value);
+            let server = Arc::clone(&record.server);
+            records_by_server.entry(server).or_default().push(record);
         }
         if is_snapshot {
             let missing: Vec<Arc<str>> = self
@@ -321,8 +395,8 @@
                 self.handle_removed_entry(&server, now);
             }
         }
-        for (server, values) in records_by_server {
-            self.apply_server_records(&server, values, now);
+        for (server, records) in records_by_server {
+            self.apply_server_records(&server, records, now);
         }
         for server in self.pending_removals.take_confirmed(now) {
             self.remove_server(&server);
@@ -335,18 +409,22 @@
     fn apply_server_records(
         &mut self,
         server: &Arc<str>,
-        values: Vec<Option<bytes::Bytes>>,
+        records: Vec<registry_replica::RegistryRecord>,
         now: time::Duration,
     ) {
-        let mut is_removed = false;
-        for value in values.into_iter().rev() {
-            match value {
-                None => is_removed = true,
-                Some(value) if self.apply_entry(server, &value) => break,
-                Some(_) => {}
+        let mut removed_at = None;
+        for record in records.into_iter().rev() {
+            if self.node.registry().includes(server, record.offset) {
+                break;
+            }
+            if record.value.is_none() {
+                removed_at = removed_at.max(Some(record.offset));
+            } else if self.apply_entry(record) {
+                break;
             }
         }
-        if is_removed {
+        if let Some(offset) = removed_at {
+            self.node.registry().apply_removal(server, offset);
             self.handle_removed_entry(server, now);
         }
     }
@@ -374,20 +452,20 @@
     }
 
     /// Logs whether what this process knows of the registry has become out of date, or is up to date again.
-    fn log_age_change(&self, failures: u32) {
+    fn log_age_change(&self) {
         let now = self.node.now();
-        let mut progress = self.node.registry_progress();
-        let change = progress.check_age(now);
-        let offset = progress.next_offset();
-        drop(progress);
+        let mut registry = self.node.registry();
+        let change = registry.progress_mut().check_age(now);
+        let offset = registry.progress().next_offset();
+        drop(registry);
         match change {
             Some(read_progress::AgeChange::Stale { age }) => {
                 slog::warn!(self.node.logger, "registry_stale"; "age_ms" => pool_action::whole_ms(age),
-                    "offset" => offset, "failures" => failures, "held_servers" => self.node.own_status().held_servers);
+                    "offset" => offset, "held_servers" => self.node.own_status().held_servers);
             }
             Some(read_progress::AgeChange::Regained { gap }) => {
                 slog::info!(self.node.logger, "registry_regained"; "gap_ms" => pool_action::whole_ms(gap),
-                    "offset" => offset);
+                    "offset" => offset, "relay" => self.relay.as_deref().unwrap_or(""));
             }
             None => {}
         }
@@ -408,29 +486,34 @@
         }
     }
 
-    /// Applies an entry of `server`. Returns whether it can be decoded.
-    fn apply_entry(&mut self, server: &Arc<str>, value: &[u8]) -> bool {
-        match registry::decode_bounded_entry(server, value) {
-            Ok(bounded) if bounded.entry.failure_domain == self.node.hello.failure_domain => {
-                self.record_implausible_figures(server, &bounded.implausible_figures);
-                let entry = bounded.entry;
-                if self.pending_removals.record_registered(server) {
-                    self.held_removals.cancelled.push(Arc::clone(server));
-                }
-                self.registered.insert(Arc::clone(server), entry.draining);
-                self.node
-                    .pool
-                    .apply_registry_change(pool_driver::RegistryChange::Updated(entry));
-                true
-            }
-            Ok(_) => true,
+    /// Applies the record of an entry. Returns whether it can be decoded.
+    fn apply_entry(&mut self, record: registry_replica::RegistryRecord) -> bool {
+        let server = Arc::clone(&record.server);
+        let value = record.value.as_deref().unwrap_or_default();
+        let bounded = match registry::decode_bounded_entry(&server, value) {
+            Ok(bounded) => bounded,
             Err(error) => {
                 slog::info!(self.node.logger, "registry_entry_ignored";
-                    "server" => &**server, "error" => %error);
+                    "server" => &*server, "error" => %error);
                 self.node.metrics.count_ignored_entry();
-                false
+                return false;
+            }
+        };
+        let entry = bounded.entry;
+        self.node
+            .registry()
+            .apply_entry(record, &entry.failure_domain);
+        if entry.failure_domain == self.node.hello.failure_domain {
+            self.record_implausible_figures(&server, &bounded.implausible_figures);
+            if self.pending_removals.record_registered(&server) {
+                self.held_removals.cancelled.push(Arc::clone(&server));
             }
+            self.registered.insert(server, entry.draining);
+            self.node
+                .pool
+                .apply_registry_change(pool_driver::RegistryChange::Updated(entry));
         }
+        true
     }
 
     /// Logs the figures of a server that are not believed, once while it declares any.
--- a/crates/cuminkeel_node/src/store_feed.rs
+++ b/crates/cuminkeel_node/src/store_feed.rs
@@ -8,7 +8,7 @@
 
 /// Time allowed for a response of the store in addition to the requested wait: the store may
 /// be slower than usual by a factor of 60.
-const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+pub(crate) const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Wait that a configuration read requests, as a percentage of `config_apply`, the time in which a
 /// new configuration must be in force. If that is 2 s, an unanswered read and the pause after it
 /// take 0.7 + 0.6 + 0.25 s, which leaves time for another read.
--- a/crates/cuminkeel_node/tests/node/frame_compatibility.rs
+++ b/crates/cuminkeel_node/tests/node/frame_compatibility.rs
@@ -3,7 +3,9 @@
 
 use std::{collections::BTreeSet, sync::Arc, time};
 
-use cuminkeel_dispatch::{crash_ledger, evacuation, job_model, leadership, pool_room};
+use cuminkeel_dispatch::{
+    crash_ledger, evacuation, job_model, leadership, pool_room, registry_replica,
+};
 use cuminkeel_node::link_frame;
 
 use crate::peers;
@@ -18,7 +20,7 @@
     }
 }
 
-/// Returns frames about processes and jobs with their encodings by the last landing (b673fab), in hexadecimal.
+/// Returns frames about processes and jobs with their encodings by the last landing (586189a), in hexadecimal.
 fn job_frames_of_last_landing() -> Vec<(link_frame::LinkFrame, &'static str)> {
     let retry_after = time::Duration::from_millis(250);
     let refusal = |reason| job_model::JobEnd::Refused {
@@ -59,6 +61,10 @@
             link_frame::LinkFrame::Withdraw { submission_id: 300 },
             "000000040203ac02",
         ),
+        (
+            link_frame::LinkFrame::Resumed { submission_id: 300 },
+            "00000004060bac02",
+        ),
         (end(job_model::JobEnd::Completed), "0000000402040400"),
         (
             end(job_model::JobEnd::Failed(
@@ -165,13 +171,60 @@
     }
 }
 
+/// Returns the frames that are new with their encodings, in hexadecimal.
+fn new_frames() -> Vec<(link_frame::LinkFrame, &'static str)> {
+    let record = registry_replica::RegistryRecord {
+        offset: 300,
+        server: Arc::from("s1"),
+        value: Some(Arc::from(&b"{}"[..])),
+    };
+    let removal = registry_replica::RegistryRecord {
+        offset: 301,
+        server: Arc::from("s2"),
+        value: None,
+    };
+    vec![
+        (
+            link_frame::LinkFrame::RegistryRequest {
+                request_id: 4,
+                failure_domain: Arc::from("north"),
+                from_offset: Some(300),
+            },
+            "0000000c070c04056e6f72746801ac02",
+        ),
+        (
+            link_frame::LinkFrame::RegistryAnswer {
+                request_id: 4,
+                news: Some(registry_replica::RegistryNews {
+                    is_snapshot: false,
+                    records: vec![record, removal],
+                    next_offset: 302,
+                    read_age: time::Duration::from_millis(600),
+                    outage_age: None,
+                }),
+            },
+            "0000001e070d04010002ac0202733101027b7dad0202733200ae0200808c8d9e0200",
+        ),
+        (
+            link_frame::LinkFrame::RegistryAnswer {
+                request_id: 5,
+                news: None,
+            },
+            "00000004070d0500",
+        ),
+    ]
+}
+
 /// A frame that the last landing can't decode would end the connection; it skips frames of formats that it does not know.
-#[test]
-fn frames_that_are_new_have_a_format_that_the_last_landing_skips() {
-    let formats_of_last_landing = [2, 3, 4, 5];
-    let mut bytes = Vec::new();
-    let frame = link_frame::LinkFrame::Resumed { submission_id: 300 };
-    link_frame::encode_frame(&frame, &mut bytes).expect("the frame should be encoded");
-    assert_eq!(bytes, bytes_of("00000004060bac02"));
-    assert!(!formats_of_last_landing.contains(&bytes[4]));
+#[tokio::test]
+async fn frames_that_are_new_have_a_format_that_the_last_landing_skips() {
+    let formats_of_last_landing = [2, 3, 4, 5, 6];
+    for (frame, encoding) in new_frames() {
+        let mut bytes = Vec::new();
+        link_frame::encode_frame(&frame, &mut bytes).expect("the frame should be encoded");
+        assert_eq!(bytes, bytes_of(encoding), "{frame:?}");
+        assert!(!formats_of_last_landing.contains(&bytes[4]));
+        let decoded = link_frame::read_frame(&mut &bytes[..]).await;
+        assert_eq!(decoded.expect("the frame should be decoded"), frame);
+    }
 }
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -17,6 +17,7 @@
 mod recovery;
 mod registry_logs;
 mod registry_reads;
+mod registry_relays;
 mod request_causes;
 mod resent_jobs;
 mod shards;
