Let the soak turn processes away while servers shrink, drain and leave

A series now lets the store turn away all processes but one of each domain in spells, in five ways, the leader first, while servers shrink, drain, lose their entries and get them back, and processes that are turned away are killed and start again. A check counts the starts beyond the capacity that a server had reported 4.5 s before, the users' bound of 3 s and one heartbeat. In these runs all processes have one path to each server, as they tell each other the addresses.

--- a/crates/cuminkeel_node/tests/soak/invariants.rs
+++ b/crates/cuminkeel_node/tests/soak/invariants.rs
@@ -7,9 +7,9 @@
 
 use crate::{callers, site};
 
-/// Processor capacity of each backend server, in thousandths of a core, as set in
-/// `SoakSite::start`.
-const SERVER_CPU_MILLIS: u32 = 16_000;
+/// Time after a server's report of a smaller capacity from which on no start may exceed it: the users' bound for a machine
+/// that is in touch again, 3 s, and one heartbeat interval of a server, 1.5 s.
+const REPORT_BOUND: time::Duration = time::Duration::from_millis(4_500);
 
 /// Number of starts of a task that crashes its servers from which on the platform counts it as repeated.
 const MAX_CRASHES: usize = 6;
@@ -25,6 +25,9 @@
     OverlappingRuns([fake_server::RunRecord; 2]),
     /// The peak processor use of a server, in thousandths of a core, exceeded its capacity.
     OverCapacity(u32),
+    /// A run was started on a server beside so many others that they exceeded the capacity which the server had reported
+    /// [`REPORT_BOUND`] before and not raised since, in thousandths of a core.
+    OverReportedCapacity(fake_server::RunRecord, u32),
     /// A job was answered as completed although not all of its tasks were done.
     IncompleteJob(callers::CallRecord),
     /// A job was answered as failed although fewer of its runs failed than the route's
@@ -72,7 +75,7 @@
     let mut violations = Vec::new();
     let mut audit = run_audit::RunAudit::default();
     for (history, peak_cpu_millis) in server_histories {
-        if *peak_cpu_millis > SERVER_CPU_MILLIS {
+        if *peak_cpu_millis > site::SERVER_CPU_MILLIS {
             violations.push(InvariantViolation::OverCapacity(*peak_cpu_millis));
         }
         audit.add(history.iter().cloned());
@@ -123,3 +126,37 @@
     }
     violations
 }
+
+/// Returns the runs that were started beyond a capacity that `server` had withdrawn. Each run uses `task_cpu_millis`.
+pub fn check_reported_capacity(
+    server: &emulated_server::EmulatedServer,
+    task_cpu_millis: u32,
+) -> Vec<InvariantViolation> {
+    let changes = server.capacity_changes();
+    let (runs, _) = server.runs_and_peak_cpu();
+    let reported_at = |started_at: time::Duration| {
+        let bound = started_at.saturating_sub(REPORT_BOUND);
+        let before = changes
+            .iter()
+            .rfind(|change| change.changed_at <= bound)
+            .map_or(site::SERVER_CPU_MILLIS, |change| change.cpu_millis);
+        let since = changes
+            .iter()
+            .filter(|change| change.changed_at > bound && change.changed_at <= started_at)
+            .map(|change| change.cpu_millis);
+        since.fold(before, u32::max)
+    };
+    let used_at = |started: &fake_server::RunRecord| {
+        let beside = runs
+            .iter()
+            .filter(|run| run.started_at <= started.started_at && run.ended_at > started.started_at)
+            .count();
+        u32::try_from(beside).unwrap_or(u32::MAX) * task_cpu_millis
+    };
+    runs.iter()
+        .map(|run| (run, reported_at(run.started_at)))
+        // The peak shows whether the full capacity was exceeded.
+        .filter(|(run, reported)| *reported < site::SERVER_CPU_MILLIS && used_at(run) > *reported)
+        .map(|(run, reported)| InvariantViolation::OverReportedCapacity(run.clone(), reported))
+        .collect()
+}
--- a/crates/cuminkeel_node/tests/soak/main.rs
+++ b/crates/cuminkeel_node/tests/soak/main.rs
@@ -53,6 +53,9 @@
 /// Seed of the run with clients that hold requests open.
 const CROWDS_SEED: u64 = 68_001;
 
+/// Seed of the run with processes that the store turns away.
+const TURNED_AWAY_SEED: u64 = 75_001;
+
 /// Seed of the run with lost leaders.
 const LOST_LEADERS_SEED: u64 = 50_602;
 
@@ -104,6 +107,13 @@
     check_seeds(&[CROWDS_SEED], &parameters).await;
 }
 
+/// Guards against leaders that go on with what they read of servers before the store turned them away.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_rule_breaks_when_the_store_turns_processes_away() {
+    let parameters = parameters::SoakParameters::with_turned_away_processes();
+    check_seeds(&[TURNED_AWAY_SEED], &parameters).await;
+}
+
 /// Guards against claims that go wrong while a server refuses connections during a rolling restart, which shows only when
 /// orders are late afterwards.
 #[tokio::test(flavor = "multi_thread")]
@@ -202,13 +212,17 @@
     let all_serve = callers::all_nodes_serve(&site).await;
     restarts.abort();
     site.end_all_runs().await;
-    let violations = invariants::check(
+    let mut violations = invariants::check(
         &call_records,
         &site.server_histories(),
         &site.nodes,
         all_serve,
         parameters.caller_deadline,
     );
+    for server in &site.servers {
+        let task_cpu = parameters.task_cpu_millis;
+        violations.extend(invariants::check_reported_capacity(server, task_cpu));
+    }
     println!(
         "seed {seed}: {} faults, {} calls, {} completed, {} refused, {} without an answer, {} violations",
         fault_log.lock_faults().len(),
--- a/crates/cuminkeel_node/tests/soak/parameters.rs
+++ b/crates/cuminkeel_node/tests/soak/parameters.rs
@@ -41,6 +41,10 @@
     /// `SOAK_REFUSALS`: number of series, at the same time, in each of which all processes are restarted in turn beside
     /// servers that refuse connections, and then orders are late in spells.
     pub refusal_series: u64,
+    /// `SOAK_TURNED_AWAY`: number of series, at the same time, in each of which the store turns all processes but one of
+    /// each domain away for a while, beside servers that shrink, drain and leave, and processes that are lost. All
+    /// processes then have one path to each server.
+    pub turned_away_series: u64,
     /// `SOAK_CROWD`: number of connections that hold requests open at a process for a while, at one process after the
     /// other.
     pub crowd_size: usize,
@@ -92,6 +96,7 @@
                 .clamp(1, (1 << SERIES_KIND_COUNT) - 1),
             lost_leader_series: read_variable("SOAK_LOST_LEADERS").unwrap_or(0),
             refusal_series: read_variable("SOAK_REFUSALS").unwrap_or(0),
+            turned_away_series: read_variable("SOAK_TURNED_AWAY").unwrap_or(0),
             crowd_size: read_variable("SOAK_CROWD").unwrap_or(0),
             callers_per_node: read_variable("SOAK_CALLERS").unwrap_or(3),
             max_work_ms: read_variable("SOAK_MAX_WORK_MS").unwrap_or(400),
@@ -191,6 +196,24 @@
         }
     }
 
+    /// Returns the parameters of runs in which the store turns processes away while servers change what they declare.
+    pub fn with_turned_away_processes() -> Self {
+        Self {
+            domain_count: 2,
+            node_count: 6,
+            servers_per_domain: 3,
+            fault_phase: time::Duration::from_secs(20),
+            turned_away_series: 1,
+            callers_per_node: 9,
+            max_work_ms: 400,
+            max_estimate_ms: u64::MAX,
+            task_cpu_millis: 4_000,
+            caller_deadline: time::Duration::from_secs(4),
+            late_order_share: 0.0,
+            ..Self::with_late_orders()
+        }
+    }
+
     /// Returns the parameters of runs of the size of a deployment, with all faults by which the processes of a failure
     /// domain come to know different servers: entries that are lost, restarts and freezes, while leaders are lost.
     /// Callers wait so long that jobs of a lost leader start once its leases have ended; with 1.5 s, all of them fail.
--- a/crates/cuminkeel_node/tests/soak/series.rs
+++ b/crates/cuminkeel_node/tests/soak/series.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use platform_emulator::{client_crowd, loopback_proxy};
+use platform_emulator::{client_crowd, emulated_store, loopback_proxy};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use rustix::process::Signal;
 use tokio::task;
@@ -17,6 +17,16 @@
 const LOST_LEADERS_SEED: u64 = 0x6c6f_7374;
 /// Distinguishes the random numbers of restarts beside refused connections from those of the other series.
 const REFUSALS_SEED: u64 = 0x7265_6675_7365;
+/// Distinguishes the random numbers of processes that are turned away from those of the other series.
+const TURNED_AWAY_SEED: u64 = 0x7475_726e_6564;
+/// Ways in which the store turns a process away.
+const WAYS_OF_TURNING_AWAY: [emulated_store::StoreMode; 5] = [
+    emulated_store::StoreMode::Unavailable,
+    emulated_store::StoreMode::RateLimited,
+    emulated_store::StoreMode::Resets,
+    emulated_store::StoreMode::Unresponsive,
+    emulated_store::StoreMode::DropsResponses,
+];
 /// Distinguishes the random numbers of crowds from the others.
 const CROWDS_SEED: u64 = 0x6372_6f77_6473;
 /// Share of the servers that refuse connections during the restarts.
@@ -64,6 +74,15 @@
             *parameters,
         ));
     }
+    for number in 0..parameters.turned_away_series {
+        let random = StdRng::seed_from_u64(seed ^ TURNED_AWAY_SEED ^ (number << 56));
+        series.spawn(inject_spells(
+            Arc::clone(site),
+            Arc::clone(fault_log),
+            random,
+            parameters.fault_phase,
+        ));
+    }
     if parameters.crowd_size > 0 {
         series.spawn(inject_crowds(
             Arc::clone(site),
@@ -100,6 +119,88 @@
     }
 }
 
+/// Lets the store turn processes away in spells, in each of which it serves one process of each domain, while servers
+/// change and some of the others are lost.
+async fn inject_spells(
+    site: Arc<site::SoakSite>,
+    fault_log: Arc<faults::FaultLog>,
+    mut random: StdRng,
+    fault_phase: time::Duration,
+) {
+    tokio::time::sleep(faults::DISCOVERY_TIME).await;
+    while fault_log.started_at.elapsed() < fault_phase {
+        let mut away = Vec::new();
+        for domain in 0..site.domain_count {
+            let mut members = site.domain_nodes(domain);
+            // A served leader would need no peer.
+            members.sort_by_key(|node| site.nodes[*node].leads_now());
+            let served = random.random_range(0..members.len() - 1);
+            members.remove(served);
+            away.extend(members);
+        }
+        for node in &away {
+            let mode = *WAYS_OF_TURNING_AWAY
+                .choose(&mut random)
+                .expect("there are several ways");
+            site.nodes[*node].store_view.set_view_mode(mode);
+            fault_log.record(format!(
+                "{} is turned away: {mode:?}",
+                site.nodes[*node].name
+            ));
+        }
+        let spell_end = time::Instant::now() + random_ms(&mut random, 6_000..11_000);
+        while time::Instant::now() < spell_end {
+            let description = change_servers(&site, &away, &mut random).await;
+            fault_log.record(description);
+            tokio::time::sleep(random_ms(&mut random, 200..1_500)).await;
+        }
+        for node in &away {
+            site.nodes[*node]
+                .store_view
+                .set_view_mode(emulated_store::StoreMode::Up);
+        }
+        for server in &site.servers {
+            server.set_capacity(site::SERVER_CPU_MILLIS, &site.store);
+        }
+        fault_log.record(String::from(
+            "all are served, and the servers have their capacity again",
+        ));
+        tokio::time::sleep(random_ms(&mut random, 1_000..3_000)).await;
+    }
+}
+
+/// Changes what one server declares, or restarts a process that is turned away. Returns a description.
+async fn change_servers(site: &site::SoakSite, away: &[usize], random: &mut StdRng) -> String {
+    let index = random.random_range(0..site.servers.len());
+    let server = &site.servers[index];
+    match random.random_range(0..10) {
+        0 => {
+            let is_draining = random.random_bool(0.4);
+            server.set_draining(is_draining, &site.store);
+            format!("server {index} drains: {is_draining}")
+        }
+        1 => {
+            let reaches_store = random.random_bool(0.6);
+            server.set_reaches_store(reaches_store, &site.store);
+            format!("server {index} has an entry: {reaches_store}")
+        }
+        2 => {
+            let node = &site.nodes[*away.choose(random).expect("some are turned away")];
+            node.signal(Signal::KILL);
+            node.wait_for_exit().await;
+            node.start();
+            format!("{} is killed and starts again", node.name)
+        }
+        _ => {
+            let capacity = *[12_000, 8_800, 5_000]
+                .choose(random)
+                .expect("there are several");
+            server.set_capacity(capacity, &site.store);
+            format!("server {index} has {capacity}")
+        }
+    }
+}
+
 /// Restarts all processes in turn beside servers that refuse connections, then lets orders be late in spells.
 async fn inject_refusals(
     site: Arc<site::SoakSite>,
--- a/crates/cuminkeel_node/tests/soak/site.rs
+++ b/crates/cuminkeel_node/tests/soak/site.rs
@@ -19,6 +19,8 @@
 
 pub const ROUTE_HOST: &str = "desk.example";
 pub const ROUTE_PREFIX: &str = "/orders/";
+/// Processor capacity of each backend server until it shrinks, in thousandths of a core.
+pub const SERVER_CPU_MILLIS: u32 = 16_000;
 /// Names of the failure domains.
 const DOMAIN_NAMES: [&str; parameters::MAX_DOMAIN_COUNT] =
     ["north", "south", "east", "west", "centre", "coast"];
@@ -54,8 +56,8 @@
     log_path: PathBuf,
     child: Mutex<Option<process::Child>>,
     pauses: Mutex<Vec<NodePause>>,
-    /// Store with the addresses of `server_paths`.
-    _store_view: emulated_store::EmulatedStore,
+    /// Store with the addresses of `server_paths`, if the process has paths of its own.
+    pub store_view: emulated_store::EmulatedStore,
 }
 
 impl SoakNode {
@@ -187,6 +189,8 @@
     pub server_proxies: Vec<loopback_proxy::LoopbackProxy>,
     pub nodes: Vec<SoakNode>,
     pub domain_count: usize,
+    /// Whether each process reaches the servers over paths of its own.
+    has_own_paths: bool,
     directory: PathBuf,
     keeps_logs: atomic::AtomicBool,
 }
@@ -201,9 +205,10 @@
         for domain in &DOMAIN_NAMES[..parameters.domain_count] {
             for number in 0..parameters.servers_per_domain {
                 let name = format!("{domain}-server-{number}");
-                let server = emulated_server::EmulatedServer::start(&name, domain, 16_000)
-                    .await
-                    .expect("server should start");
+                let server =
+                    emulated_server::EmulatedServer::start(&name, domain, SERVER_CPU_MILLIS)
+                        .await
+                        .expect("server should start");
                 let server_proxy = start_proxy(&server.address()).await;
                 server.set_address(&server_proxy.address);
                 server.record_orders();
@@ -221,6 +226,7 @@
         let mut site = Self {
             nodes: Vec::new(),
             domain_count: parameters.domain_count,
+            has_own_paths: parameters.turned_away_series == 0,
             store,
             servers,
             server_proxies,
@@ -267,7 +273,10 @@
         let mut replacements = BTreeMap::new();
         for proxy in &self.server_proxies[domain * servers_per_domain..][..servers_per_domain] {
             let server_path = start_proxy(&proxy.address).await;
-            replacements.insert(proxy.address.to_string(), server_path.address.to_string());
+            // Processes tell each other the addresses that they have read.
+            if self.has_own_paths {
+                replacements.insert(proxy.address.to_string(), server_path.address.to_string());
+            }
             server_paths.push(server_path);
         }
         let store_view = self
@@ -299,7 +308,7 @@
             name,
             child: Mutex::new(None),
             pauses: Mutex::new(Vec::new()),
-            _store_view: store_view,
+            store_view,
         }
     }
 
@@ -382,8 +391,12 @@
             server.set_late_orders(0.0, 0);
             server.set_reaches_store(true, &self.store);
             server.set_draining(false, &self.store);
+            if !server.capacity_changes().is_empty() {
+                server.set_capacity(SERVER_CPU_MILLIS, &self.store);
+            }
         }
         for node in &self.nodes {
+            node.store_view.set_view_mode(emulated_store::StoreMode::Up);
             node.signal(Signal::CONT);
             node.start();
         }
