Find the end of a caller's connection behind a further request

What callers saw: the connection of a caller was reset while a further request lay in it.

Cause: the HTTP library finds the end of a connection by a read, and reads nothing while bytes lie behind the request that it serves. Two bytes are enough, an empty line behind the job.

Evidence: the new test in pipelined_requests failed before at its first case, a reset behind two bytes: the run took its whole 3 s.

Change: while a job waits for its answer, the connection's task also waits for the socket's report that it was closed, which comes whatever lies unread, and then ends the connection, as an end that the library reads does. The job is withdrawn and its runs are stopped.

Why it works: the report comes from the kernel with the reset or the close and needs no read.

--- a/crates/cuminkeel_node/src/frontend.rs
+++ b/crates/cuminkeel_node/src/frontend.rs
@@ -84,6 +84,7 @@
 ) {
     let connection_guard = node.metrics.track_connection();
     let stream = caller_stream::CallerStream::new(stream, Arc::clone(&node), Arc::clone(&seat));
+    let end_watch = stream.end_watch();
     let caller = CallerConnection {
         node: Arc::clone(&node),
         arrivals: stream.arrivals(),
@@ -110,6 +111,11 @@
         biased;
         result = served => result,
         () = seat.wait_until_closed() => Ok(()),
+        () = end_watch.wait_until_left() => {
+            // Ends the handler, which withdraws the job.
+            slog::debug!(node.logger, "caller_left");
+            Ok(())
+        }
     };
     if let Err(error) = result {
         slog::debug!(node.logger, "caller_connection_broke"; "error" => %error);
@@ -274,7 +280,9 @@
     if node.now() >= answer_deadline && !node.jobs.contains(&id) {
         return outdated_response(node, &id, route, arrived_at, time_to_deadline);
     }
+    let waiting = caller.arrivals.record_waiting_job();
     let (answer, pool) = coordinator::run_job(node, spec, received_at, answer_deadline).await;
+    drop(waiting);
     let elapsed = node.now().saturating_sub(received_at);
     if answer == offer_plan::JobAnswer::Completed {
         slog::debug!(node.logger, "answered"; "request" => &*id, "route" => &*route.name,
--- a/crates/cuminkeel_node/tests/node/main.rs
+++ b/crates/cuminkeel_node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod odd_entries;
 mod offers;
 mod peers;
+mod pipelined_requests;
 mod platform_faults;
 mod recovery;
 mod registry_logs;
