--- a/crates/cuminkeel_node/tests/node/registry_relays.rs
+++ b/crates/cuminkeel_node/tests/node/registry_relays.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time};
 
-use platform_emulator::{emulated_server, emulated_store};
+use platform_emulator::{emulated_server, emulated_store, loopback_proxy};
 
 use crate::test_platform;
 
@@ -53,8 +53,7 @@
         domain
     }
 
-    /// Submits jobs of four tasks to the second process for `length`, all at once, and returns the highest share of
-    /// jobs that were completed.
+    /// Submits jobs of four tasks to the second process for `length`, four at a time.
     async fn run_load(&self, length: time::Duration) {
         let end = time::Instant::now() + length;
         let body = format!(
@@ -133,6 +132,31 @@
     .await;
 }
 
+/// A leader that goes on with an old address, or an earlier incarnation, loses the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_that_the_store_turns_away_learns_a_new_address_and_a_restart() {
+    let domain = DividedDomain::start().await;
+    let store = &domain.platform.store;
+    let server = &domain.platform.servers[0];
+    let direct_address = server.address();
+    let proxy = loopback_proxy::LoopbackProxy::start(&direct_address).await;
+    let proxy = proxy.expect("a port should be free");
+    server.set_address(&proxy.address);
+    server.register(store);
+    test_platform::wait_until("the address of the proxy to be known", async || {
+        domain.nodes[0].gauge_value("registry_offset").await == Some(3)
+    })
+    .await;
+    domain.views[0].set_view_mode(emulated_store::StoreMode::RateLimited);
+    proxy.set_mode(loopback_proxy::ProxyMode::Refuse);
+    server.set_address(&direct_address);
+    server.restart(store);
+    tokio::time::sleep(REPORT_BOUND).await;
+    let started = server.started_runs().len();
+    domain.run_load(time::Duration::from_secs(1)).await;
+    assert!(server.started_runs().len() > started);
+}
+
 /// The process that is asked is the only one that reads, and must not forget what it is turned away from itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_that_the_store_turns_away_in_turn_learn_from_each_other() {
