Bound requests for the registry that are told nothing, and trust the store's own offsets

First, a peer could have a process search its entries as often as it sends requests, as only what is told was charged: now each request counts 1 KiB of the budget before the search.

--- a/crates/cuminkeel_dispatch/src/registry_relay.rs
+++ b/crates/cuminkeel_dispatch/src/registry_relay.rs
@@ -88,6 +88,9 @@
         now: time::Duration,
     ) -> Result<registry_replica::RegistryNews, RelayError> {
         self.asked_at = Some(now);
+        self.refill(now);
+        // Looking for what is new has its cost, also if it is not told.
+        self.charge(MIN_ANSWER_BYTES)?;
         let news = replica
             .news_from(from_offset, failure_domain, now)
             .ok_or(RelayError::Unread)?;
@@ -95,13 +98,16 @@
         if bytes > MAX_NEWS_BYTES {
             return Err(RelayError::TooLarge { bytes });
         }
-        self.refill(now);
-        let charge = bytes.max(MIN_ANSWER_BYTES);
+        self.charge(bytes.saturating_sub(MIN_ANSWER_BYTES))?;
+        Ok(news)
+    }
+
+    fn charge(&mut self, bytes: u64) -> Result<(), RelayError> {
         self.available_bytes = self
             .available_bytes
-            .checked_sub(charge)
+            .checked_sub(bytes)
             .ok_or(RelayError::OverBudget)?;
-        Ok(news)
+        Ok(())
     }
 
     fn refill(&mut self, now: time::Duration) {
--- a/crates/cuminkeel_node/src/registry_feed.rs
+++ b/crates/cuminkeel_node/src/registry_feed.rs
@@ -120,6 +120,8 @@
     relay: Option<Arc<str>>,
     /// Whether the store does not have the records behind the known ones, so that a snapshot has to be read.
     needs_snapshot: bool,
+    /// Whether a peer told the newest records, and the store has not told since that it has them.
+    offset_is_told: bool,
 }
 
 /// Passes changes of the registry of backend servers to the pool until the process ends.
@@ -137,6 +139,7 @@
         view: server_model::RegistryView::default(),
         relay: None,
         needs_snapshot: false,
+        offset_is_told: false,
     };
     loop {
         feed.wait_until_needed().await;
@@ -229,11 +232,30 @@
         offset: Option<u64>,
     ) -> Result<bool, registry_source::SourceFailure> {
         let batch = source.read(offset).await?;
-        let is_complete = batch.is_complete;
+        if batch.origin == registry_source::BatchOrigin::Store {
+            if self.is_told_beyond(&batch) {
+                return Err(registry_source::SourceFailure::OffsetUnknown);
+            }
+            self.needs_snapshot = false;
+            self.offset_is_told = false;
+        }
+        let is_complete = batch.next_offset >= batch.end_offset;
         self.apply_batch(batch).await;
         Ok(is_complete)
     }
 
+    /// Whether a peer has told records that the store, which told `batch`, does not have.
+    fn is_told_beyond(&self, batch: &registry_source::RegistryBatch) -> bool {
+        let is_beyond = self.offset_is_told
+            && !batch.is_snapshot
+            && self.node.registry().is_ahead_of(batch.end_offset);
+        if is_beyond {
+            slog::warn!(self.node.logger, "registry_offset_unknown"; "offset" => self.next_offset(),
+                "end_offset" => batch.end_offset);
+        }
+        is_beyond
+    }
+
     /// Asks peers for the records that the store, which has just turned this process away, has not told.
     async fn read_through_peers(&mut self, peers: &mut dyn registry_source::RegistrySource) {
         // What a peer has read before does not show that the store missed no renewal since.
@@ -249,10 +271,11 @@
         let now = self.node.now();
         let known_offset = self.next_offset();
         self.record_origin(&batch, now);
-        if batch.origin == registry_source::BatchOrigin::Store {
-            self.needs_snapshot = false;
-        } else if self.node.registry().is_ahead_of(batch.next_offset) {
-            return;
+        if batch.origin != registry_source::BatchOrigin::Store {
+            if self.node.registry().is_ahead_of(batch.next_offset) {
+                return;
+            }
+            self.offset_is_told |= known_offset != Some(batch.next_offset);
         }
         let is_new = batch.is_snapshot || known_offset != Some(batch.next_offset);
         if is_new {
@@ -277,7 +300,7 @@
         registry
             .progress_mut()
             .set_next_offset(Some(batch.next_offset));
-        if batch.is_complete {
+        if batch.next_offset >= batch.end_offset {
             registry.progress_mut().record_read(batch.read_at);
             drop(registry);
             self.node
--- a/crates/cuminkeel_node/src/registry_source.rs
+++ b/crates/cuminkeel_node/src/registry_source.rs
@@ -23,8 +23,8 @@
     pub records: Vec<registry_replica::RegistryRecord>,
     /// Offset up to which all records are known then.
     pub next_offset: u64,
-    /// Whether the records reach the end of the log at `read_at`.
-    pub is_complete: bool,
+    /// Offset behind the last record of the log; a response of the store may have fewer records, as many as fit.
+    pub end_offset: u64,
     /// Time at or before which the read began, on the clock of this process.
     pub read_at: time::Duration,
     /// Who told the records.
@@ -99,18 +99,11 @@
         match read {
             Ok(batch) => {
                 store_feed::record_success(&self.node, "registry", failures, &batch);
-                // A peer may have told of records that the store does not have.
-                if from_offset.is_some_and(|offset| batch.end_offset < offset) {
-                    slog::warn!(self.node.logger, "registry_offset_unknown"; "offset" => from_offset,
-                        "end_offset" => batch.end_offset);
-                    return Err(SourceFailure::OffsetUnknown);
-                }
                 Ok(RegistryBatch {
                     is_snapshot: from_offset.is_none(),
                     records: batch.records.into_iter().map(log_record).collect(),
                     next_offset: batch.next_offset,
-                    // Otherwise the response has as many records as fit.
-                    is_complete: batch.next_offset >= batch.end_offset,
+                    end_offset: batch.end_offset,
                     read_at,
                     origin: BatchOrigin::Store,
                 })
@@ -227,7 +220,7 @@
             is_snapshot: news.is_snapshot,
             records: news.records,
             next_offset: news.next_offset,
-            is_complete: true,
+            end_offset: news.next_offset,
             // The peer answered after it was asked, so its read did not begin before this time.
             read_at: answer.asked_at.saturating_sub(news.read_age),
             origin: BatchOrigin::Peer {
--- a/crates/cuminkeel_node/tests/node/registry_relays.rs
+++ b/crates/cuminkeel_node/tests/node/registry_relays.rs
@@ -192,3 +192,41 @@
         assert_eq!(node.submit(&id, "100", 2).await.0, 200);
     }
 }
+
+/// A peer that tells of records which the store does not have must not keep the process from reading what comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_prevails_over_a_peer_that_told_of_records_which_it_does_not_have() {
+    let domain = DividedDomain::start().await;
+    let other = test_platform::TestPlatform::start(&["north"]).await;
+    for _ in 0..20 {
+        other.servers[0].register(&other.store);
+    }
+    // The second process reads another store, which is far ahead.
+    let mut liar = domain.platform.node_settings("n0", "north");
+    liar.store_address = Arc::from(other.store.address());
+    liar.seeds = vec![Arc::clone(&domain.nodes[0].settings.link_address)];
+    let liar = test_platform::TestNode::start(liar);
+    liar.wait_until_ready().await;
+    test_platform::wait_until("the other store to be read", async || {
+        liar.gauge_value("registry_offset").await == Some(22)
+            && domain.nodes[0].gauge_value("linked_peers").await >= Some(2)
+    })
+    .await;
+    for view in &domain.views {
+        view.set_view_mode(emulated_store::StoreMode::Unavailable);
+    }
+    test_platform::wait_until("the records of the other store to be told", async || {
+        domain.nodes[0].gauge_value("registry_offset").await == Some(22)
+    })
+    .await;
+    drop(liar);
+    for view in &domain.views {
+        view.set_view_mode(emulated_store::StoreMode::Up);
+    }
+    for node in &domain.nodes {
+        test_platform::wait_until("the store to prevail", async || {
+            node.gauge_value("registry_offset").await == Some(2)
+        })
+        .await;
+    }
+}
